--- /dev/null
+++ b/pkg/verdict/verdict_test.go
@@ -0,0 +1,27 @@
+package verdict_test
+
+import (
+	"fmt"
+
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// Guards against a non-idempotent request being repeated after it may have run.
+func ExampleVerdict_MayRepeat() {
+	const idempotent, nonIdempotent = true, false
+
+	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Answered} {
+		fmt.Println(v, v.MayRepeat(idempotent), v.MayRepeat(nonIdempotent))
+	}
+	// Output:
+	// not-run true true
+	// may-have-run true false
+	// answered false false
+}
+
+// Guards against an unreadable verdict being taken for "not run".
+func ExampleParse() {
+	v, err := verdict.Parse("nonsense")
+	fmt.Println(v, err)
+	// Output: may-have-run "nonsense": unknown verdict
+}
