--- /dev/null
+++ b/internal/attempt/call.go
@@ -0,0 +1,256 @@
+// Package attempt is the protocol by which an entry daemon hands a request to the daemon beside a
+// backend server, and by which the response comes back.
+//
+// A call is an HTTP/1.1 POST whose body is the caller's body. A reply always has HTTP status 200;
+// the backend server's status is part of the reply header, so that responses without a body, and the
+// trailer with length and digest, need no special case. Trailers and protocol upgrades of the
+// backend server are not passed on.
+package attempt
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/httpheader"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// Header and trailer fields of the protocol.
+const (
+	CallHeader    = httpheader.Prefix + "Call"
+	ReplyHeader   = httpheader.Prefix + "Reply"
+	FleetHeader   = httpheader.Prefix + "Fleet"
+	LengthTrailer = httpheader.Prefix + "Length"
+	DigestTrailer = httpheader.Prefix + "Digest"
+)
+
+// Paths on the peer address.
+const (
+	// Path takes a request for the backend server beside the daemon.
+	Path = "/attempt"
+	// OwnedPath takes a request with an idempotency key that the daemon owns.
+	OwnedPath = "/owned"
+)
+
+// ErrMalformed is returned for a call or reply header that cannot be decoded.
+var ErrMalformed = errors.New("malformed attempt header")
+
+// Call is one attempt of a request.
+type Call struct {
+	Request request.Request
+	Number  int
+	// Timeout is the time left until the deadline when the call is sent.
+	Timeout time.Duration
+	From    instance.ID
+	Method  string
+	// Target is the request target, path and query.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Reply describes a response or refusal. A refusal has no status.
+type Reply struct {
+	ID      request.ID
+	Number  int
+	Verdict verdict.Verdict
+	// Status is the backend server's HTTP status, or zero.
+	Status int
+	// Size is the Content-Length that the backend server stated, or -1.
+	Size   int64
+	Reason string
+	// RetryAfter says when a refused request may be sent again.
+	RetryAfter time.Duration
+	Hint       load.Hint
+	// Server is the instance whose backend server answered.
+	Server instance.ID
+}
+
+func (c Call) encode() string {
+	return url.Values{
+		"request": {string(c.Request.ID)},
+		"attempt": {strconv.Itoa(c.Number)},
+		"service": {c.Request.Service},
+		"kind":    {c.Request.Kind.String()},
+		"key":     {c.Request.Key},
+		"print":   {strconv.FormatUint(uint64(c.Request.Fingerprint), 16)},
+		"depth":   {strconv.Itoa(c.Request.Depth)},
+		"alone":   {strconv.FormatBool(c.Request.Alone)},
+		"timeout": {c.Timeout.String()},
+		"from":    {string(c.From)},
+		"method":  {c.Method},
+		"target":  {c.Target},
+		"host":    {c.Host},
+	}.Encode()
+}
+
+func decodeCall(text string, now time.Time) (Call, error) {
+	fields, err := parseFields(text)
+	if err != nil {
+		return Call{}, err
+	}
+
+	kind := manifest.NonIdempotent
+	if fields.text("kind") == manifest.Idempotent.String() {
+		kind = manifest.Idempotent
+	}
+
+	call := Call{
+		Number:  int(fields.integer("attempt")),
+		Timeout: fields.duration("timeout"),
+		From:    instance.ID(fields.text("from")),
+		Method:  fields.text("method"),
+		Target:  fields.text("target"),
+		Host:    fields.text("host"),
+		Request: request.Request{
+			ID:          request.ID(fields.text("request")),
+			Service:     fields.text("service"),
+			Kind:        kind,
+			Key:         fields.text("key"),
+			Fingerprint: request.Fingerprint(fields.hexadecimal("print")),
+			Depth:       int(fields.integer("depth")),
+			Alone:       fields.text("alone") == strconv.FormatBool(true),
+		},
+	}
+	call.Request.Deadline = now.Add(call.Timeout)
+
+	if call.Request.ID == "" || call.Method == "" || call.Target == "" {
+		return Call{}, errors.Wrap(ErrMalformed, "request, method or target is missing")
+	}
+
+	return call, fields.err
+}
+
+func (r Reply) encode() string {
+	values := url.Values{
+		"request":  {string(r.ID)},
+		"attempt":  {strconv.Itoa(r.Number)},
+		"verdict":  {r.Verdict.String()},
+		"server":   {string(r.Server)},
+		"inflight": {strconv.Itoa(r.Hint.InFlight)},
+		"queue":    {strconv.Itoa(r.Hint.Queue)},
+		"limit":    {strconv.Itoa(r.Hint.Limit)},
+		"latency":  {r.Hint.Latency.String()},
+	}
+	if r.Hint.Draining {
+		values.Set("draining", "true")
+	}
+
+	if r.Status != 0 {
+		values.Set("status", strconv.Itoa(r.Status))
+		values.Set("size", strconv.FormatInt(r.Size, 10))
+	}
+
+	if r.Reason != "" {
+		values.Set("reason", r.Reason)
+	}
+
+	if r.RetryAfter > 0 {
+		values.Set("after", r.RetryAfter.String())
+	}
+
+	return values.Encode()
+}
+
+func decodeReply(text string) (Reply, error) {
+	fields, err := parseFields(text)
+	if err != nil {
+		return Reply{}, err
+	}
+
+	parsed, err := verdict.Parse(fields.text("verdict"))
+	if err != nil {
+		return Reply{}, errors.Mark(err, ErrMalformed)
+	}
+
+	reply := Reply{
+		ID:         request.ID(fields.text("request")),
+		Number:     int(fields.integer("attempt")),
+		Verdict:    parsed,
+		Status:     int(fields.integer("status")),
+		Size:       -1,
+		Reason:     fields.text("reason"),
+		RetryAfter: fields.duration("after"),
+		Server:     instance.ID(fields.text("server")),
+		Hint: load.Hint{
+			InFlight: int(fields.integer("inflight")),
+			Queue:    int(fields.integer("queue")),
+			Limit:    int(fields.integer("limit")),
+			Latency:  fields.duration("latency"),
+			Draining: fields.text("draining") == "true",
+		},
+	}
+	if fields.values.Has("size") {
+		reply.Size = fields.integer("size")
+	}
+
+	return reply, fields.err
+}
+
+// fieldSet reads typed fields and keeps the first error.
+type fieldSet struct {
+	values url.Values
+	err    error
+}
+
+func parseFields(text string) (*fieldSet, error) {
+	values, err := url.ParseQuery(text)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "parse attempt header"), ErrMalformed)
+	}
+
+	return &fieldSet{values: values}, nil
+}
+
+func (f *fieldSet) text(name string) string { return f.values.Get(name) }
+
+func (f *fieldSet) keep(name string, err error) {
+	if err != nil && f.err == nil {
+		f.err = errors.Mark(errors.Wrapf(err, "field %s", name), ErrMalformed)
+	}
+}
+
+func (f *fieldSet) integer(name string) int64 {
+	text := f.text(name)
+	if text == "" {
+		return 0
+	}
+
+	value, err := strconv.ParseInt(text, 10, 64)
+	f.keep(name, err)
+
+	return value
+}
+
+func (f *fieldSet) hexadecimal(name string) uint64 {
+	text := f.text(name)
+	if text == "" {
+		return 0
+	}
+
+	value, err := strconv.ParseUint(text, 16, 64)
+	f.keep(name, err)
+
+	return value
+}
+
+func (f *fieldSet) duration(name string) time.Duration {
+	text := f.text(name)
+	if text == "" {
+		return 0
+	}
+
+	value, err := time.ParseDuration(text)
+	f.keep(name, err)
+
+	return value
+}
