routing, admission: first version of both reducers

Cause: the daemon needs reducers behind the messages of both packages. Change: routing chooses the better of two servers by its own in-flight counts and load hints, retries within attempts, retry budget and deadline, and gives up at once with RetryAfter. Hints and probes are charged to token buckets before they are asked for. New fields: routing.Attempt.NoWait and Hint, routing.AttemptEnded.Draining, admission.Arrived.NoWait.

--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -28,6 +28,8 @@
 		Nested bool
 		// Alone asks to run while nothing else does.
 		Alone bool
+		// NoWait asks for a refusal (Busy) instead of a place in the queue.
+		NoWait bool
 	}
 	// Done frees a slot: the backend server's answer was read whole, or the connection ended.
 	Done struct {
--- /dev/null
+++ b/internal/routing/flight.go
@@ -0,0 +1,297 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// attemptsDefault applies to services whose manifest is not known yet.
+const attemptsDefault = 3
+
+// retryFloor is the shortest Retry-After.
+const retryFloor = 100 * time.Millisecond
+
+// flight is a request in progress. It is kept until all its attempts have ended, because they count as
+// load until then.
+type flight struct {
+	request  request.Request
+	service  *service
+	attempts []attempt
+	// ran is set once an attempt may have run.
+	ran bool
+	// over is set once the request was delivered or given up.
+	over bool
+	// failed is the number of an attempt whose answer reports an error, or -1.
+	failed int
+	// backlog is the longest wait that a refusal reported.
+	backlog time.Duration
+}
+
+type attempt struct {
+	target *server
+	sent   time.Time
+	live   bool
+	hedge  bool
+	noWait bool
+}
+
+func (f *flight) tried(srv *server) bool {
+	for i := range f.attempts {
+		if f.attempts[i].target == srv {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (f *flight) live() int {
+	count := 0
+
+	for i := range f.attempts {
+		if f.attempts[i].live {
+			count++
+		}
+	}
+
+	return count
+}
+
+func (f *flight) attemptLimit() int {
+	if limit := f.service.policy.Retry.Attempts; limit > 0 {
+		return limit
+	}
+
+	return attemptsDefault
+}
+
+func (s *State) arrived(now time.Time, r request.Request) []Effect {
+	if _, ok := s.flights[r.ID]; ok {
+		return nil
+	}
+
+	svc := s.service(r.Service)
+	svc.retries.earn(svc.policy.Retry.Share)
+	s.counts.Requests++
+
+	f := &flight{request: r, service: svc, failed: -1}
+	s.flights[r.ID] = f
+
+	if !now.Before(r.Deadline) {
+		return s.giveUp(f, DeadlinePassed)
+	}
+
+	effects := s.send(now, f, false)
+	if !f.over {
+		effects = append(effects, StartTimer{ID: r.ID, After: r.Deadline.Sub(now)})
+	}
+
+	return append(effects, s.probe(now, svc)...)
+}
+
+// send starts the next attempt, or gives the request up if there is no server.
+func (s *State) send(now time.Time, f *flight, hedge bool) []Effect {
+	target := s.choose(now, f.service, f)
+	if target == nil {
+		if hedge {
+			return nil
+		}
+
+		reason := NoServers
+		if f.backlog > 0 {
+			reason = Overloaded
+		}
+
+		return s.giveUp(f, reason)
+	}
+
+	// An attempt that must not wait in the server's queue needs a retry for the case that it is
+	// refused. The retry is paid for now and refunded if it is not needed.
+	number := len(f.attempts)
+	noWait := number+1 < f.attemptLimit() && !f.request.Alone && f.service.retries.spend()
+	f.attempts = append(f.attempts, attempt{target: target, sent: now, live: true, hedge: hedge, noWait: noWait})
+	target.inFlight++
+	s.counts.Attempts++
+
+	return []Effect{Attempt{
+		Request: f.request, Number: number, Target: target.member, Hedge: hedge, NoWait: noWait,
+		Hint: f.service.measuring.takeHint(now, target),
+	}}
+}
+
+func (s *State) attemptEnded(now time.Time, e AttemptEnded) []Effect {
+	f, ok := s.flights[e.ID]
+	if !ok || e.Number < 0 || e.Number >= len(f.attempts) || !f.attempts[e.Number].live {
+		return nil
+	}
+
+	a := &f.attempts[e.Number]
+	a.live = false
+	a.target.inFlight--
+	f.ran = f.ran || e.Verdict != verdict.NotRun
+
+	s.observe(now, f, a, e)
+
+	if a.noWait && e.Outcome != Refused {
+		f.service.retries.refund()
+	}
+
+	if f.over {
+		s.forget(f)
+
+		return nil
+	}
+
+	switch e.Outcome {
+	case Succeeded:
+		return s.deliver(f, e.Number)
+	case Failed:
+		if e.Verdict == verdict.Answered {
+			f.failed = e.Number
+		}
+	case Refused, Unreachable, Lost, TimedOut, Aborted:
+	}
+
+	if f.live() > 0 {
+		return nil
+	}
+
+	if f.failed >= 0 {
+		return s.deliver(f, f.failed)
+	}
+
+	return s.retry(now, f, a, e)
+}
+
+// observe updates what is known of the attempt's server.
+func (s *State) observe(now time.Time, f *flight, a *attempt, e AttemptEnded) {
+	srv := a.target
+
+	if e.Hinted {
+		srv.learn(now, e.Hint)
+	}
+
+	switch e.Outcome {
+	case Succeeded:
+		srv.backoff = 0
+		if srv.latency == 0 {
+			srv.latency = e.Elapsed
+		}
+
+		srv.latency += time.Duration(latencyWeight * float64(e.Elapsed-srv.latency))
+	case Refused:
+		wait := srv.latency
+		if e.Hinted && e.Hint.Limit > 0 {
+			wait = e.Hint.Latency * time.Duration(e.Hint.InFlight+e.Hint.Queue) / time.Duration(e.Hint.Limit)
+		}
+
+		f.backlog = max(f.backlog, wait, 1)
+
+		if e.Draining {
+			srv.unreachable(now)
+		}
+	case Unreachable:
+		srv.unreachable(now)
+	case Failed, Lost, TimedOut, Aborted:
+	}
+}
+
+// retry sends another attempt if the verdict, the deadline and the budgets allow it.
+func (s *State) retry(now time.Time, f *flight, a *attempt, e AttemptEnded) []Effect {
+	switch {
+	case !e.Verdict.MayRepeat(f.request.Idempotent()) || f.ran && !f.request.Idempotent():
+		return s.giveUp(f, ConnectionLost)
+	case !now.Before(f.request.Deadline):
+		return s.giveUp(f, DeadlinePassed)
+	case len(f.attempts) >= f.attemptLimit():
+		if e.Outcome == Refused {
+			return s.giveUp(f, Overloaded)
+		}
+
+		return s.giveUp(f, AttemptsSpent)
+	case a.noWait && e.Outcome == Refused:
+		// The retry was paid for when the attempt was sent.
+	case !f.service.retries.spend():
+		if e.Outcome == Refused {
+			return s.giveUp(f, Overloaded)
+		}
+
+		return s.giveUp(f, RetryBudget)
+	}
+
+	s.counts.Retries++
+
+	return s.send(now, f, false)
+}
+
+func (s *State) deliver(f *flight, number int) []Effect {
+	effects := s.cancelLive(f)
+	f.over = true
+	s.forget(f)
+	s.counts.Delivered++
+
+	return append([]Effect{Deliver{ID: f.request.ID, Number: number}}, effects...)
+}
+
+func (s *State) giveUp(f *flight, reason Reason) []Effect {
+	v := verdict.NotRun
+	if f.ran || f.live() > 0 {
+		v = verdict.MayHaveRun
+	}
+
+	effects := s.cancelLive(f)
+	f.over = true
+	s.forget(f)
+	s.counts.GivenUp++
+
+	return append([]Effect{GiveUp{
+		ID: f.request.ID, Verdict: v, Reason: reason, RetryAfter: s.retryAfter(f),
+	}}, effects...)
+}
+
+// retryAfter is the expected time until the backlog is served, with jitter so that callers that were
+// refused together do not return together.
+func (s *State) retryAfter(f *flight) time.Duration {
+	base := max(retryFloor, 2*f.backlog)
+
+	return base + time.Duration(s.random.Float64()*float64(base))
+}
+
+func (s *State) cancelLive(f *flight) []Effect {
+	var effects []Effect
+
+	for number := range f.attempts {
+		if f.attempts[number].live {
+			effects = append(effects, CancelAttempt{ID: f.request.ID, Number: number})
+		}
+	}
+
+	return effects
+}
+
+func (s *State) cancelled(id request.ID) []Effect {
+	f, ok := s.flights[id]
+	if !ok || f.over {
+		return nil
+	}
+
+	return s.giveUp(f, CallerCancelled)
+}
+
+func (s *State) timerFired(now time.Time, id request.ID) []Effect {
+	f, ok := s.flights[id]
+	if !ok || f.over || now.Before(f.request.Deadline) {
+		return nil
+	}
+
+	return s.giveUp(f, DeadlinePassed)
+}
+
+// forget drops the flight once nothing can refer to it.
+func (s *State) forget(f *flight) {
+	if f.over && f.live() == 0 {
+		delete(s.flights, f.request.ID)
+	}
+}
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -47,9 +47,11 @@
 		Verdict verdict.Verdict
 		Outcome Outcome
 		// Hint is valid if Hinted is set.
-		Hint    load.Hint
-		Hinted  bool
-		Elapsed time.Duration
+		Hint   load.Hint
+		Hinted bool
+		// Draining is set if the refusal said that the server takes no new work.
+		Draining bool
+		Elapsed  time.Duration
 		// Bytes sent and received, including headers, for the budgets of the region link.
 		Bytes int64
 	}
@@ -83,6 +85,11 @@
 		Number  int
 		Target  instance.Member
 		Hedge   bool
+		// NoWait asks the daemon beside the server to refuse the attempt if it would have to wait.
+		NoWait bool
+		// Hint is set if a load hint on the answer has been paid for. Without it, the daemon beside
+		// the server attaches none.
+		Hint bool
 	}
 	// CancelAttempt cancels an attempt; the server is told.
 	CancelAttempt struct {
