--- /dev/null
+++ b/internal/membership/liveness.go
@@ -0,0 +1,79 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+)
+
+// contacted records a proof of life. A message of an earlier run proves nothing about the present one.
+func (s *State) contacted(l *link, incarnation instance.Incarnation) {
+	e := s.table.index[l.id]
+	if e != nil && incarnation < e.member.Incarnation {
+		return
+	}
+
+	l.contact = s.now
+
+	if e != nil {
+		e.probed, e.reached = s.now, true
+	}
+}
+
+// missed records an exchange without a response.
+func (s *State) missed(id instance.ID) {
+	if e := s.table.index[id]; e != nil {
+		e.probed, e.reached = s.now, false
+	}
+}
+
+func (s *State) observed(e PeerObserved) {
+	if l := s.find(e.ID); l != nil {
+		s.contacted(l, e.Incarnation)
+	}
+}
+
+// resume starts all silences anew after a pause of this daemon.
+func (s *State) resume() {
+	for _, l := range s.links {
+		l.contact = s.now
+	}
+
+	for _, e := range s.table.entries {
+		e.probed = time.Time{}
+	}
+}
+
+// judgeLinks accuses neighbours that are silent and declares those dead whose accusation stands. Only
+// daemons that miss a member themselves do so; the others hear of it.
+func (s *State) judgeLinks() {
+	for _, l := range s.links {
+		e := s.table.index[l.id]
+		if !l.out || e == nil || !e.live() || s.now.Sub(l.contact) < s.accuse {
+			continue
+		}
+
+		if e.member.Status == instance.Alive {
+			s.store(e.member.WithStatus(instance.Accused, e.member.Counter), s.self.member.ID)
+
+			continue
+		}
+
+		// A draining member can't be accused without taking its status away; it is only missed.
+		if s.stood(l, e) {
+			s.store(e.member.WithStatus(instance.Dead, e.member.Counter), s.self.member.ID)
+		}
+	}
+}
+
+// stood reports whether an accusation has stood long enough to become death.
+func (s *State) stood(l *link, e *entry) bool {
+	since := e.changed
+	if e.member.Status == instance.Draining {
+		since = l.contact.Add(s.accuse)
+	}
+
+	age := s.now.Sub(since)
+
+	return age >= s.hold || (age >= s.stand && (s.hasty || !s.partitioned(e)))
+}
