--- /dev/null
+++ b/internal/keys/claims.go
@@ -0,0 +1,255 @@
+package keys
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+)
+
+const (
+	// extensionShare is the part of the grant length after which it is extended, as a divisor.
+	extensionShare = 10
+	// hurryShare is the part of the grant length below which a remaining grant is extended hurryFactor
+	// times as often, as a divisor. It is reached only after a log outage.
+	hurryShare  = 2
+	hurryFactor = 6
+	// appendRetry is the time after which an append that was not read back is repeated; the delay is
+	// jittered by up to as much again, so that the daemons do not append together after an outage.
+	appendRetry = 5 * time.Second
+	// fromRemembered bounds the claims remembered per partition.
+	fromRemembered = 2 * historyLength
+)
+
+// claiming is what this daemon has asked for in a partition.
+type claiming struct {
+	// from holds the starts of the claims that this State has emitted.
+	from []int64
+	// retry is when a claim may be repeated.
+	retry time.Time
+}
+
+// claim asks for partitions that need a new owner and of which this daemon is the rendezvous choice.
+func (s *State) claim() {
+	if s.policy.Grant <= 0 || !s.ledger.heard || !s.ledger.caughtUp() {
+		return
+	}
+
+	index := map[[2]int64]int{}
+
+	var record Record
+
+	for p := range Partitions {
+		from, ok := s.claimable(p)
+		if !ok || s.now.Before(s.claims[p].retry) || s.choice(p, s.stuck(p)) != s.self.id {
+			continue
+		}
+
+		until := max(from, s.milliseconds()) + s.policy.Grant.Milliseconds()
+		s.claims[p].retry = s.retryTime()
+		s.claims[p].remember(from)
+
+		at, ok := index[[2]int64{from, until}]
+		if !ok {
+			at = len(record.Claims)
+			index[[2]int64{from, until}] = at
+			record.Claims = append(record.Claims, Claim{
+				Service: s.service, Owner: s.self.id, Incarnation: s.self.incarnation, From: from, Until: until,
+			})
+		}
+
+		record.Claims[at].Partitions = append(record.Claims[at].Partitions, p)
+	}
+
+	if record.Empty() {
+		return
+	}
+
+	// The claims end a grant length from now, so the first extension is due in the next period.
+	if _, held := s.earliestEnd(); !held {
+		s.extended = s.now
+	}
+
+	s.emit(AppendGrants{Record: record})
+}
+
+func (c *claiming) remember(from int64) {
+	if slices.Contains(c.from, from) {
+		return
+	}
+
+	if len(c.from) == fromRemembered {
+		c.from = slices.Delete(c.from, 0, 1)
+	}
+
+	c.from = append(c.from, from)
+}
+
+// claimable reports whether a partition needs a new owner, and from which issue time on. The claim
+// starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
+func (s *State) claimable(p int) (int64, bool) {
+	last, ok := s.ledger.partition(s.service, p).last()
+	if !ok {
+		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), true
+	}
+
+	ahead := s.policy.Grant.Milliseconds() / extensionShare
+	now := s.milliseconds()
+
+	switch {
+	case last.Ended:
+		return last.Until, true
+	case last.heldBy(s.self.id, s.self.incarnation):
+		// A grant of this incarnation that this State did not claim is left to run out.
+		return last.Until, !s.mine(p, last) && now >= last.Until-ahead
+	case s.usable(s.service, last):
+		// The owner lives but does not extend, for example because its appends are lost.
+		return last.Until, now >= last.Until+ahead
+	default:
+		return last.Until, now >= last.Until-ahead
+	}
+}
+
+// stuck returns the live owner that failed to extend a grant, which is not chosen again for now.
+func (s *State) stuck(p int) instance.ID {
+	if last, ok := s.ledger.partition(s.service, p).last(); ok && !last.Ended && s.usable(s.service, last) {
+		return last.Owner
+	}
+
+	return ""
+}
+
+// choice returns the rendezvous choice for a partition among the usable members of the service.
+func (s *State) choice(p int, except instance.ID) instance.ID {
+	var best instance.ID
+
+	score := uint64(0)
+
+	for _, m := range s.members[s.service] {
+		if !m.Usable() || m.ID == except {
+			continue
+		}
+
+		if own := rendezvous(s.service, p, m.ID); best == "" || own > score {
+			best, score = m.ID, own
+		}
+	}
+
+	return best
+}
+
+func rendezvous(service string, p int, id instance.ID) uint64 {
+	var digest xxhash.Digest
+
+	digest.Reset()
+	_, _ = digest.WriteString(service)
+	_, _ = digest.Write([]byte{0, byte(p)})
+	_, _ = digest.WriteString(string(id))
+
+	return digest.Sum64()
+}
+
+// retryTime returns when an append may be repeated.
+func (s *State) retryTime() time.Time {
+	return s.now.Add(appendRetry + time.Duration(s.random.Int64N(int64(appendRetry))))
+}
+
+// extend moves the end of the grants once per period. Periods are aligned to the clock, so that the
+// combiner of a failure domain receives the extensions of all its owners together.
+func (s *State) extend() {
+	earliest, ok := s.earliestEnd()
+	if !ok || s.policy.Grant <= 0 {
+		return
+	}
+
+	period := s.policy.Grant / extensionShare
+	if remaining := time.Duration(earliest-s.milliseconds()) * time.Millisecond; remaining < s.policy.Grant/hurryShare {
+		period /= hurryFactor
+	}
+
+	if !s.now.Truncate(period).After(s.extended.Truncate(period)) {
+		return
+	}
+
+	s.extended = s.now
+	s.emit(AppendGrants{Record: Record{Extensions: []Extension{{
+		Owner: s.self.id, Incarnation: s.self.incarnation,
+		Until: s.now.Add(s.policy.Grant).UnixMilli(),
+	}}}})
+}
+
+// earliestEnd returns the first end of the grants that this daemon can extend.
+func (s *State) earliestEnd() (int64, bool) {
+	earliest := int64(math.MaxInt64)
+
+	for p := range Partitions {
+		last, ok := s.ledger.partition(s.service, p).last()
+		if ok && !last.Ended && s.mine(p, last) {
+			earliest = min(earliest, last.Until)
+		}
+	}
+
+	return earliest, earliest < math.MaxInt64
+}
+
+// fillBase writes a base before the records that it replaces can expire: once the latest base is in the
+// older half of the log.
+func (s *State) fillBase() {
+	l := &s.ledger
+	spread := s.baseRecords + xxhash.Sum64String(string(s.self.id))%s.baseRecords
+
+	if !l.caughtUp() || l.through < l.baseThrough+spread || l.baseThrough > l.first+(l.next-l.first)/2 {
+		return
+	}
+
+	if s.now.Before(s.based) {
+		return
+	}
+
+	s.based = s.retryTime()
+	base := l.base()
+	s.emit(AppendGrants{Record: Record{Base: &base}})
+}
+
+// signoffForOthers appends the sign-off of an owner that left during a log outage and whose handover
+// carries the end. The owner stopped accepting before it sent the handover.
+func (s *State) signoffForOthers() {
+	var record Record
+
+	done := map[run]bool{}
+
+	for p := range Partitions {
+		last, ok := s.ledger.partition(s.service, p).last()
+		if !ok || last.Ended || s.reachable(s.service, last) {
+			continue
+		}
+
+		from := run{last.Owner, last.Incarnation}
+		parts, ok := s.received[from]
+
+		if !ok || done[from] || parts[p].round == 0 || s.now.Before(parts[p].retry) || s.choice(p, "") != s.self.id {
+			continue
+		}
+
+		done[from] = true
+		parts[p].retry = s.retryTime()
+		record.Signoffs = append(record.Signoffs, Signoff{
+			Owner: last.Owner, Incarnation: last.Incarnation, End: parts[p].end,
+		})
+	}
+
+	if !record.Empty() {
+		s.emit(AppendGrants{Record: record})
+	}
+}
+
+// searchMember finds a member in a list that is sorted by ID.
+func searchMember(members []instance.Member, id instance.ID) (int, bool) {
+	return slices.BinarySearchFunc(members, id, func(m instance.Member, id instance.ID) int {
+		return strings.Compare(string(m.ID), string(id))
+	})
+}
