--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -113,7 +113,7 @@
 
 		return 0, &AppendError{Stream: stream, Effect: effect, Cause: err}
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse))
 	if response.StatusCode != http.StatusOK {
@@ -159,7 +159,7 @@
 	if err != nil {
 		return Page{}, &ReadError{Stream: stream, From: from, Cause: err}
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse))
 	if err == nil && response.StatusCode != http.StatusOK {
--- a/internal/logservice/record/codec.go
+++ b/internal/logservice/record/codec.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -31,7 +32,7 @@
 
 func decode(data []byte, message proto.Message) error {
 	if err := proto.Unmarshal(data, message); err != nil {
-		return errors.Wrap(errors.Mark(err, ErrMalformed), "decoding a record")
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 
 	return nil
--- a/internal/standin/logstore/server.go
+++ b/internal/standin/logstore/server.go
@@ -78,7 +78,9 @@
 		err = server.Close()
 	}
 
-	<-ended
+	if ended := <-ended; !errors.Is(ended, http.ErrServerClosed) {
+		err = errors.CombineErrors(err, ended)
+	}
 
 	return errors.Wrap(err, "shutting down the log stand-in")
 }
