--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,155 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/ini"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+)
+
+// Defaults and bounds of settings.
+const (
+	defaultConnections = 200
+	defaultInterval    = time.Second
+	defaultLevel       = "info"
+	defaultLimit       = 64 << 20 // bytes
+
+	maxSlots       = 10_000
+	maxQueue       = 100_000
+	maxConnections = 100_000
+	minInterval    = 50 * time.Millisecond
+	maxInterval    = time.Minute
+	minLimit       = 4 << 10 // bytes
+	maxLimit       = 16 << 30
+	// minKey is 16 characters: a random key of 16 base64 characters has 96 bits.
+	minKey = 16
+)
+
+// Load reads and checks the settings in a file. Errors about the content are *ini.Error values,
+// joined; others come from reading the file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+
+	return Parse(path, data)
+}
+
+// Parse reads and checks settings; name is used in errors.
+func Parse(name string, data []byte) (Settings, error) {
+	document := ini.Parse(name, data)
+	s := decode(document)
+
+	if !document.Faulty() {
+		checkAddresses(document, s)
+	}
+	if err := document.Err(); err != nil {
+		return Settings{}, err
+	}
+
+	return s, nil
+}
+
+func decode(document *ini.Document) Settings {
+	var (
+		self    = document.Section("instance")
+		listen  = document.Section("listen")
+		peer    = document.Section("peer")
+		backend = document.Section("backend")
+		log     = document.Section("log")
+		trace   = document.Section("trace")
+		logging = document.Section("logging")
+	)
+
+	return Settings{
+		ID:      instance.ID(ini.Required(self, "id", ini.Name)),
+		Service: ini.Required(self, "service", ini.Name),
+		Place: instance.Place{
+			Region: ini.Required(self, "region", ini.Name),
+			Domain: ini.Required(self, "domain", ini.Name),
+		},
+		Listen: Listen{
+			Caller: ini.Required(listen, "caller", ini.Address),
+			Peer:   ini.Required(listen, "peer", ini.Address),
+			Admin:  ini.Required(listen, "admin", ini.Address),
+		},
+		Advertise: ini.Required(peer, "advertise", reachable),
+		Seeds:     ini.Optional(peer, "seeds", nil, ini.List(reachable)),
+		Key:       ini.Optional(peer, "key", "", secret),
+		Backend: Backend{
+			Address:     ini.Required(backend, "address", reachable),
+			Slots:       ini.Required(backend, "slots", ini.Range(ini.Whole, 1, maxSlots)),
+			Queue:       ini.Required(backend, "queue", ini.Range(ini.Whole, 0, maxQueue)),
+			Connections: ini.Optional(backend, "connections", defaultConnections, ini.Range(ini.Whole, 1, maxConnections)),
+			Health:      ini.Optional(backend, "health", "", path),
+			Interval:    ini.Optional(backend, "interval", defaultInterval, ini.Range(ini.Duration, minInterval, maxInterval)),
+		},
+		Log: ini.Required(log, "url", ini.URL),
+		Trace: Trace{
+			File:  ini.Optional(trace, "file", "", ini.Text),
+			Limit: ini.Optional(trace, "limit", defaultLimit, ini.Range(ini.Size, minLimit, maxLimit)),
+		},
+		Level: ini.Optional(logging, "level", defaultLevel, ini.OneOf("trace", "debug", "info", "warn", "error")),
+	}
+}
+
+func reachable(text string) (netip.AddrPort, error) {
+	address, err := ini.Address(text)
+	if err != nil {
+		return address, err
+	}
+	if address.Addr().IsUnspecified() || address.Port() == 0 {
+		return address, errors.Newf("%q is not an address that can be connected to", text)
+	}
+
+	return address, nil
+}
+
+func path(text string) (string, error) {
+	if !strings.HasPrefix(text, "/") || strings.ContainsAny(text, " ?#") {
+		return "", errors.Newf("%q is not a path such as /health", text)
+	}
+
+	return text, nil
+}
+
+func secret(text string) (string, error) {
+	if len(text) < minKey {
+		return "", errors.Newf("key is shorter than %d characters", minKey)
+	}
+
+	return text, nil
+}
+
+// checkAddresses checks what concerns several keys.
+func checkAddresses(document *ini.Document, s Settings) {
+	taken := map[netip.AddrPort]string{}
+
+	for _, use := range []struct {
+		key     string
+		address netip.AddrPort
+	}{{"caller", s.Listen.Caller}, {"peer", s.Listen.Peer}, {"admin", s.Listen.Admin}} {
+		if other, found := taken[use.address]; found && use.address.Port() != 0 {
+			document.Fail("listen", use.key, "address is the same as "+other)
+		}
+
+		taken[use.address] = use.key
+
+		if use.key != "caller" && !use.address.Addr().IsLoopback() && s.Key == "" {
+			document.Fail("listen", use.key, "address is not on loopback and [peer] has no key")
+		}
+	}
+
+	if other, found := taken[s.Backend.Address]; found {
+		document.Fail("backend", "address", "address is the same as "+other+" in [listen]")
+	}
+	if s.Backend.Connections < s.Backend.Slots {
+		document.Fail("backend", "connections", "fewer connections than slots")
+	}
+}
--- /dev/null
+++ b/internal/settings/parse_test.go
@@ -0,0 +1,63 @@
+package settings_test
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/ini"
+	"github.com/tarragonmill/tarragonmill/internal/settings"
+)
+
+// Guards against a setting that is read into the wrong field or silently replaced by a default.
+func TestLoad(t *testing.T) {
+	s, err := settings.Load("testdata/corpus/full.ini")
+	require.NoError(t, err)
+
+	address := netip.MustParseAddrPort
+	require.Equal(t, settings.Settings{
+		ID:      "stockdesk-03",
+		Service: "stockdesk",
+		Place:   s.Place,
+		Listen: settings.Listen{
+			Caller: address("0.0.0.0:8080"), Peer: address("[::1]:8081"), Admin: address("127.0.0.1:8082"),
+		},
+		Advertise: address("10.0.0.3:8081"),
+		Seeds:     []netip.AddrPort{address("10.0.0.4:8081"), address("10.0.0.5:8081")},
+		Key:       "correct horse # battery",
+		Backend: settings.Backend{
+			Address: address("127.0.0.1:7000"), Slots: 6, Queue: 0, Connections: 100,
+			Health: "/health", Interval: 250 * time.Millisecond,
+		},
+		Log:   "http://10.0.0.9:9000/logs",
+		Trace: settings.Trace{File: "trace.jsonl", Limit: 10 << 20},
+		Level: "debug",
+	}, s)
+	require.Equal(t, "west-lakes", s.Place.Region)
+	require.Equal(t, "milwaukee", s.Place.Domain)
+}
+
+// Guards against a crash on damaged input, and against errors without a position.
+func FuzzParse(f *testing.F) {
+	paths, err := filepath.Glob("testdata/corpus/*.ini")
+	require.NoError(f, err)
+	require.NotEmpty(f, paths)
+
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := settings.Parse("fuzz.ini", data)
+
+		var fault *ini.Error
+		require.True(t, err == nil || errors.As(err, &fault) && fault.Line > 0, "%v", err)
+	})
+}
