peer: carry grants, handovers and suspicions in their domain types

Cause: the key table's handover and the suspicion reports have other fields than the first draft of the protocol, and the log relay needs to announce offsets and to pass appends to a combiner. Change: messages and codecs follow keys.Handover, suspects.Report and logrelay; new calls Announce and Append.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,9 +10,13 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/logrelay"
 	"github.com/tarragonmill/tarragonmill/internal/peer/peerpb"
 	"github.com/tarragonmill/tarragonmill/internal/peer/peerpb/peerpbconnect"
+	"github.com/tarragonmill/tarragonmill/internal/suspects"
 )
 
 const (
@@ -127,27 +131,27 @@
 }
 
 // Records asks for records of a log stream.
-func (c *Client) Records(ctx context.Context, to netip.AddrPort, records RecordsRequest) (Records, error) {
+func (c *Client) Records(ctx context.Context, to netip.AddrPort, records RecordsRequest) (logrelay.Page, error) {
 	message := &peerpb.RecordsRequest{Stream: records.Stream, From: records.From}
 
 	answer, err := call(ctx, to, "records", c.control.Records, message)
 	if err != nil {
-		return Records{}, err
+		return logrelay.Page{}, err
 	}
 
 	return decodeRecords(answer), nil
 }
 
 // Handover passes a part of a key table.
-func (c *Client) Handover(ctx context.Context, to netip.AddrPort, handover Handover) error {
+func (c *Client) Handover(ctx context.Context, to netip.AddrPort, handover keys.Handover) error {
 	_, err := call(ctx, to, "handover", c.control.Handover, encodeHandover(handover))
 
 	return err
 }
 
 // Report passes suspicions.
-func (c *Client) Report(ctx context.Context, to netip.AddrPort, suspects []Suspect) error {
-	message := &peerpb.ReportRequest{Suspects: mapAll(suspects, encodeSuspect)}
+func (c *Client) Report(ctx context.Context, to netip.AddrPort, reports []suspects.Report) error {
+	message := &peerpb.ReportRequest{Suspects: mapAll(reports, encodeSuspect)}
 	_, err := call(ctx, to, "report", c.control.Report, message)
 
 	return err
@@ -162,3 +166,18 @@
 
 	return decodeHint(answer), nil
 }
+
+// Announce tells how far this daemon has read the log.
+func (c *Client) Announce(ctx context.Context, to netip.AddrPort, from instance.ID, throughs []logrelay.Through) error {
+	message := &peerpb.AnnounceRequest{From: string(from), Throughs: mapAll(throughs, encodeThrough)}
+	_, err := call(ctx, to, "announce", c.control.Announce, message)
+
+	return err
+}
+
+// Append asks a combiner to append an encoded record of grants.
+func (c *Client) Append(ctx context.Context, to netip.AddrPort, record []byte) error {
+	_, err := call(ctx, to, "append", c.control.Append, &peerpb.AppendRequest{Record: record})
+
+	return err
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -5,12 +5,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/logrelay"
+	"github.com/tarragonmill/tarragonmill/internal/logservice"
 	"github.com/tarragonmill/tarragonmill/internal/peer/peerpb"
 	"github.com/tarragonmill/tarragonmill/internal/request"
-	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+	"github.com/tarragonmill/tarragonmill/internal/suspects"
 )
 
 // ErrInvalid is returned for a message whose fields are out of range.
@@ -113,33 +117,33 @@
 	return decoded, nil
 }
 
-func encodeThrough(t Through) *peerpb.Through {
-	return &peerpb.Through{Stream: t.Stream, Offset: t.Offset}
+func encodeThrough(t logrelay.Through) *peerpb.Through {
+	return &peerpb.Through{Stream: t.Stream, Offset: t.Offset, Age: int64(t.Age)}
 }
 
-func decodeThrough(t *peerpb.Through) Through {
-	return Through{Stream: t.GetStream(), Offset: t.GetOffset()}
+func decodeThrough(t *peerpb.Through) logrelay.Through {
+	return logrelay.Through{Stream: t.GetStream(), Offset: t.GetOffset(), Age: time.Duration(t.GetAge())}
 }
 
-func encodeSuspect(s Suspect) *peerpb.Suspect {
+func encodeSuspect(r suspects.Report) *peerpb.Suspect {
 	return &peerpb.Suspect{
-		Key:         s.Key,
-		Fingerprint: uint64(s.Fingerprint),
-		Crashes:     uint32(max(s.Crashes, 0)),
-		Expires:     encodeTime(s.Expires),
-		Cleared:     s.Cleared,
-		Source:      s.Source,
+		Service:     r.Service,
+		Fingerprint: uint64(r.Fingerprint),
+		Source:      r.Source,
+		Alone:       r.Alone,
+		Cleared:     r.Cleared,
+		Expires:     encodeTime(r.Expires),
 	}
 }
 
-func decodeSuspect(s *peerpb.Suspect) Suspect {
-	return Suspect{
-		Key:         s.GetKey(),
+func decodeSuspect(s *peerpb.Suspect) suspects.Report {
+	return suspects.Report{
+		Service:     s.GetService(),
 		Fingerprint: request.Fingerprint(s.GetFingerprint()),
-		Crashes:     int(s.GetCrashes()),
-		Expires:     decodeTime(s.GetExpires()),
-		Cleared:     s.GetCleared(),
 		Source:      s.GetSource(),
+		Alone:       s.GetAlone(),
+		Cleared:     s.GetCleared(),
+		Expires:     decodeTime(s.GetExpires()),
 	}
 }
 
@@ -226,87 +230,95 @@
 	return Page{Members: members, More: m.GetMore(), Busy: m.GetBusy()}, err
 }
 
-func encodeRecords(r Records) *peerpb.RecordsResponse {
+func encodeRecords(page logrelay.Page) *peerpb.RecordsResponse {
 	return &peerpb.RecordsResponse{
-		Records: mapAll(r.Records, func(record Record) *peerpb.Record {
+		Records: mapAll(page.Records, func(record logservice.Record) *peerpb.Record {
 			return &peerpb.Record{Offset: record.Offset, Data: record.Data}
 		}),
-		Base:    r.Base,
-		Through: r.Through,
+		Base:    page.Base,
+		Through: page.Through,
 	}
 }
 
-func decodeRecords(m *peerpb.RecordsResponse) Records {
-	return Records{
-		Records: mapAll(m.GetRecords(), func(record *peerpb.Record) Record {
-			return Record{Offset: record.GetOffset(), Data: record.GetData()}
+func decodeRecords(m *peerpb.RecordsResponse) logrelay.Page {
+	return logrelay.Page{
+		Records: mapAll(m.GetRecords(), func(record *peerpb.Record) logservice.Record {
+			return logservice.Record{Offset: record.GetOffset(), Data: record.GetData()}
 		}),
 		Base:    m.GetBase(),
 		Through: m.GetThrough(),
 	}
 }
 
-func encodeHandover(h Handover) *peerpb.HandoverRequest {
+func encodeHandover(h keys.Handover) *peerpb.HandoverRequest {
 	return &peerpb.HandoverRequest{
 		Service:     h.Service,
 		From:        string(h.From),
 		Incarnation: uint64(h.Incarnation),
 		Partitions:  mapAll(h.Partitions, func(p int) uint32 { return uint32(max(p, 0)) }),
+		Floor:       h.Floor,
+		End:         h.End,
+		Round:       uint32(max(h.Round, 0)),
+		Chunk:       uint32(max(h.Chunk, 0)),
+		Chunks:      uint32(max(h.Chunks, 0)),
 		Entries:     mapAll(h.Entries, encodeKeyEntry),
-		Complete:    h.Complete,
 	}
 }
 
-func decodeHandover(m *peerpb.HandoverRequest) (Handover, error) {
+func decodeHandover(m *peerpb.HandoverRequest) (keys.Handover, error) {
 	entries, err := mapChecked(m.GetEntries(), decodeKeyEntry)
 	if err != nil {
-		return Handover{}, err
+		return keys.Handover{}, err
 	}
 
-	return Handover{
+	return keys.Handover{
 		Service:     m.GetService(),
 		From:        instance.ID(m.GetFrom()),
 		Incarnation: instance.Incarnation(m.GetIncarnation()),
 		Partitions:  mapAll(m.GetPartitions(), func(p uint32) int { return int(p) }),
+		Floor:       m.GetFloor(),
+		End:         m.GetEnd(),
+		Round:       int(m.GetRound()),
+		Chunk:       int(m.GetChunk()),
+		Chunks:      int(m.GetChunks()),
 		Entries:     entries,
-		Complete:    m.GetComplete(),
 	}, nil
 }
 
-func encodeKeyEntry(e KeyEntry) *peerpb.KeyEntry {
-	return &peerpb.KeyEntry{
-		Key:         e.Key,
-		Fingerprint: uint64(e.Fingerprint),
-		Verdict:     uint32(e.Verdict),
-		Running:     e.Running,
-		Stored:      e.Stored,
-		Status:      uint32(max(e.Status, 0)),
-		Headers: mapAll(e.Headers, func(h Header) *peerpb.Header {
-			return &peerpb.Header{Name: h.Name, Value: h.Value}
-		}),
-		Body:    e.Body,
-		Expires: encodeTime(e.Expires),
+func encodeKeyEntry(e keys.KeyEntry) *peerpb.KeyEntry {
+	encoded := &peerpb.KeyEntry{Key: e.Key[:], Fingerprint: uint64(e.Fingerprint), State: uint32(e.State)}
+	if e.Response != nil {
+		encoded.Stored = true
+		encoded.Status = uint32(max(e.Response.Status, 0))
+		encoded.Body = e.Response.Body
+		encoded.Headers = mapAll(e.Response.Header, func(f keys.Field) *peerpb.Header {
+			return &peerpb.Header{Name: f.Name, Value: f.Value}
+		})
 	}
+
+	return encoded
 }
 
-func decodeKeyEntry(m *peerpb.KeyEntry) (KeyEntry, error) {
-	if m.GetKey() == "" || m.GetVerdict() > uint32(verdict.Answered) {
-		return KeyEntry{}, errors.Wrapf(ErrInvalid, "key %q, verdict %d", m.GetKey(), m.GetVerdict())
+func decodeKeyEntry(m *peerpb.KeyEntry) (keys.KeyEntry, error) {
+	key, err := uuid.FromBytes(m.GetKey())
+	if err != nil || m.GetState() > uint32(keys.StateAnswered) {
+		return keys.KeyEntry{}, errors.Wrapf(ErrInvalid, "key %x, state %d", m.GetKey(), m.GetState())
 	}
 
-	return KeyEntry{
-		Key:         m.GetKey(),
-		Fingerprint: request.Fingerprint(m.GetFingerprint()),
-		Verdict:     verdict.Verdict(m.GetVerdict()),
-		Running:     m.GetRunning(),
-		Stored:      m.GetStored(),
-		Status:      int(m.GetStatus()),
-		Headers: mapAll(m.GetHeaders(), func(h *peerpb.Header) Header {
-			return Header{Name: h.GetName(), Value: h.GetValue()}
-		}),
-		Body:    m.GetBody(),
-		Expires: decodeTime(m.GetExpires()),
-	}, nil
+	decoded := keys.KeyEntry{
+		Key: key, Fingerprint: request.Fingerprint(m.GetFingerprint()), State: keys.EntryState(m.GetState()),
+	}
+	if m.GetStored() {
+		decoded.Response = &keys.Response{
+			Status: int(m.GetStatus()),
+			Body:   m.GetBody(),
+			Header: mapAll(m.GetHeaders(), func(h *peerpb.Header) keys.Field {
+				return keys.Field{Name: h.GetName(), Value: h.GetValue()}
+			}),
+		}
+	}
+
+	return decoded, nil
 }
 
 func encodeHint(h load.Hint) *peerpb.ProbeResponse {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,17 +11,23 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/logrelay"
+	"github.com/tarragonmill/tarragonmill/internal/suspects"
 )
 
 // Handler answers the calls of other daemons. Its methods run concurrently.
 type Handler interface {
 	Exchange(ctx context.Context, exchange Exchange) (Exchange, error)
 	Members(ctx context.Context, page PageRequest) (Page, error)
-	Records(ctx context.Context, records RecordsRequest) (Records, error)
-	Handover(ctx context.Context, handover Handover) error
-	Report(ctx context.Context, suspects []Suspect) error
+	Records(ctx context.Context, records RecordsRequest) (logrelay.Page, error)
+	Handover(ctx context.Context, handover keys.Handover) error
+	Report(ctx context.Context, reports []suspects.Report) error
 	Probe(ctx context.Context) (load.Hint, error)
+	Announce(ctx context.Context, from instance.ID, throughs []logrelay.Through) error
+	Append(ctx context.Context, record []byte) error
 }
 
 // ErrNoKey is returned if the fleet's shared key is empty.
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -46,6 +46,10 @@
 	ControlReportProcedure = "/tarragonmill.peer.Control/Report"
 	// ControlProbeProcedure is the fully-qualified name of the Control's Probe RPC.
 	ControlProbeProcedure = "/tarragonmill.peer.Control/Probe"
+	// ControlAnnounceProcedure is the fully-qualified name of the Control's Announce RPC.
+	ControlAnnounceProcedure = "/tarragonmill.peer.Control/Announce"
+	// ControlAppendProcedure is the fully-qualified name of the Control's Append RPC.
+	ControlAppendProcedure = "/tarragonmill.peer.Control/Append"
 )
 
 // ControlClient is a client for the tarragonmill.peer.Control service.
@@ -62,6 +66,10 @@
 	Report(context.Context, *connect.Request[peerpb.ReportRequest]) (*connect.Response[peerpb.ReportResponse], error)
 	// Probe asks for the present load of the backend server beside the daemon.
 	Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error)
+	// Announce tells a daemon at once how far the sender has read the log.
+	Announce(context.Context, *connect.Request[peerpb.AnnounceRequest]) (*connect.Response[peerpb.AnnounceResponse], error)
+	// Append asks the combiner of a failure domain to append grants to the log.
+	Append(context.Context, *connect.Request[peerpb.AppendRequest]) (*connect.Response[peerpb.AppendResponse], error)
 }
 
 // NewControlClient constructs a client for the tarragonmill.peer.Control service. By default, it
@@ -111,6 +119,18 @@
 			connect.WithSchema(controlMethods.ByName("Probe")),
 			connect.WithClientOptions(opts...),
 		),
+		announce: connect.NewClient[peerpb.AnnounceRequest, peerpb.AnnounceResponse](
+			httpClient,
+			baseURL+ControlAnnounceProcedure,
+			connect.WithSchema(controlMethods.ByName("Announce")),
+			connect.WithClientOptions(opts...),
+		),
+		append: connect.NewClient[peerpb.AppendRequest, peerpb.AppendResponse](
+			httpClient,
+			baseURL+ControlAppendProcedure,
+			connect.WithSchema(controlMethods.ByName("Append")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -122,6 +142,8 @@
 	handover *connect.Client[peerpb.HandoverRequest, peerpb.HandoverResponse]
 	report   *connect.Client[peerpb.ReportRequest, peerpb.ReportResponse]
 	probe    *connect.Client[peerpb.ProbeRequest, peerpb.ProbeResponse]
+	announce *connect.Client[peerpb.AnnounceRequest, peerpb.AnnounceResponse]
+	append   *connect.Client[peerpb.AppendRequest, peerpb.AppendResponse]
 }
 
 // Exchange calls tarragonmill.peer.Control.Exchange.
@@ -154,6 +176,16 @@
 	return c.probe.CallUnary(ctx, req)
 }
 
+// Announce calls tarragonmill.peer.Control.Announce.
+func (c *controlClient) Announce(ctx context.Context, req *connect.Request[peerpb.AnnounceRequest]) (*connect.Response[peerpb.AnnounceResponse], error) {
+	return c.announce.CallUnary(ctx, req)
+}
+
+// Append calls tarragonmill.peer.Control.Append.
+func (c *controlClient) Append(ctx context.Context, req *connect.Request[peerpb.AppendRequest]) (*connect.Response[peerpb.AppendResponse], error) {
+	return c.append.CallUnary(ctx, req)
+}
+
 // ControlHandler is an implementation of the tarragonmill.peer.Control service.
 type ControlHandler interface {
 	// Exchange passes member deltas both ways and tests liveness.
@@ -168,6 +200,10 @@
 	Report(context.Context, *connect.Request[peerpb.ReportRequest]) (*connect.Response[peerpb.ReportResponse], error)
 	// Probe asks for the present load of the backend server beside the daemon.
 	Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error)
+	// Announce tells a daemon at once how far the sender has read the log.
+	Announce(context.Context, *connect.Request[peerpb.AnnounceRequest]) (*connect.Response[peerpb.AnnounceResponse], error)
+	// Append asks the combiner of a failure domain to append grants to the log.
+	Append(context.Context, *connect.Request[peerpb.AppendRequest]) (*connect.Response[peerpb.AppendResponse], error)
 }
 
 // NewControlHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -213,6 +249,18 @@
 		connect.WithSchema(controlMethods.ByName("Probe")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlAnnounceHandler := connect.NewUnaryHandler(
+		ControlAnnounceProcedure,
+		svc.Announce,
+		connect.WithSchema(controlMethods.ByName("Announce")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlAppendHandler := connect.NewUnaryHandler(
+		ControlAppendProcedure,
+		svc.Append,
+		connect.WithSchema(controlMethods.ByName("Append")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/tarragonmill.peer.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlExchangeProcedure:
@@ -227,6 +275,10 @@
 			controlReportHandler.ServeHTTP(w, r)
 		case ControlProbeProcedure:
 			controlProbeHandler.ServeHTTP(w, r)
+		case ControlAnnounceProcedure:
+			controlAnnounceHandler.ServeHTTP(w, r)
+		case ControlAppendProcedure:
+			controlAppendHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -259,3 +311,11 @@
 func (UnimplementedControlHandler) Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonmill.peer.Control.Probe is not implemented"))
 }
+
+func (UnimplementedControlHandler) Announce(context.Context, *connect.Request[peerpb.AnnounceRequest]) (*connect.Response[peerpb.AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonmill.peer.Control.Announce is not implemented"))
+}
+
+func (UnimplementedControlHandler) Append(context.Context, *connect.Request[peerpb.AppendRequest]) (*connect.Response[peerpb.AppendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonmill.peer.Control.Append is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/peer/peerpb"
 	"github.com/tarragonmill/tarragonmill/internal/peer/peerpb/peerpbconnect"
 )
@@ -41,8 +42,9 @@
 
 type serverOptions struct{ data http.Handler }
 
-// WithData serves all paths outside the control service. The handler gets only requests that present
-// the shared key, and sets its own read deadlines.
+// WithData serves all paths outside the control service. The handler authenticates its requests itself,
+// because the Authorization header of a data request belongs to the caller, and sets its own read
+// deadlines.
 func WithData(handler http.Handler) ServerOption {
 	return func(o *serverOptions) { o.data = handler }
 }
@@ -62,7 +64,7 @@
 	server := &Server{key: key}
 	path, control := peerpbconnect.NewControlHandler(service{handler}, connect.WithReadMaxBytes(MaxMessage))
 	mux := http.NewServeMux()
-	mux.Handle(path, server.limited(control))
+	mux.Handle(path, server.authorized(server.limited(control)))
 	mux.Handle("/", chosen.data)
 
 	var protocols http.Protocols
@@ -71,7 +73,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 
 	server.http = &http.Server{
-		Handler:           server.authorized(mux),
+		Handler:           mux,
 		Protocols:         &protocols,
 		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: headerTimeout,
@@ -226,3 +228,24 @@
 
 	return connect.NewResponse(encodeHint(hint)), nil
 }
+
+func (s service) Announce(
+	ctx context.Context, r *connect.Request[peerpb.AnnounceRequest],
+) (*connect.Response[peerpb.AnnounceResponse], error) {
+	throughs := mapAll(r.Msg.GetThroughs(), decodeThrough)
+	if err := s.handler.Announce(ctx, instance.ID(r.Msg.GetFrom()), throughs); err != nil {
+		return nil, err
+	}
+
+	return connect.NewResponse(&peerpb.AnnounceResponse{}), nil
+}
+
+func (s service) Append(
+	ctx context.Context, r *connect.Request[peerpb.AppendRequest],
+) (*connect.Response[peerpb.AppendResponse], error) {
+	if err := s.handler.Append(ctx, r.Msg.GetRecord()); err != nil {
+		return nil, err
+	}
+
+	return connect.NewResponse(&peerpb.AppendResponse{}), nil
+}
--- a/internal/peer/types.go
+++ b/internal/peer/types.go
@@ -1,11 +1,9 @@
 package peer
 
 import (
-	"time"
-
 	"github.com/tarragonmill/tarragonmill/internal/instance"
-	"github.com/tarragonmill/tarragonmill/internal/request"
-	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+	"github.com/tarragonmill/tarragonmill/internal/logrelay"
+	"github.com/tarragonmill/tarragonmill/internal/suspects"
 )
 
 // Exchange is one direction of an exchange between two daemons.
@@ -20,27 +18,8 @@
 	Seq uint64
 	// Ack is the receiver's table version up to which the sender has heard.
 	Ack      uint64
-	Throughs []Through
-	Suspects []Suspect
-}
-
-// Through is the offset after the last record of a log stream that a daemon has applied.
-type Through struct {
-	Stream string
-	Offset uint64
-}
-
-// Suspect is a request that was in flight when a backend server crashed.
-type Suspect struct {
-	// Key is empty for a request without an idempotency key.
-	Key         string
-	Fingerprint request.Fingerprint
-	// Crashes is the number of backend servers that died with the request in flight.
-	Crashes int
-	Expires time.Time
-	Cleared bool
-	// Source names the daemon and the crash, so that a report is counted once.
-	Source string
+	Throughs []logrelay.Through
+	Suspects []suspects.Report
 }
 
 // PageRequest asks for a page of the member table.
@@ -66,45 +45,3 @@
 	// From is the first offset wanted.
 	From uint64
 }
-
-// Record is one record of a log stream.
-type Record struct {
-	Offset uint64
-	Data   []byte
-}
-
-// Records are consecutive records, or a base and the records that follow it.
-type Records struct {
-	Records []Record
-	// Base, if set, is the encoded state of the stream's reducer before offset Through.
-	Base    []byte
-	Through uint64
-}
-
-// Handover is a part of the key table of an owner that leaves.
-type Handover struct {
-	Service     string
-	From        instance.ID
-	Incarnation instance.Incarnation
-	Partitions  []int
-	Entries     []KeyEntry
-	// Complete is set on the last part.
-	Complete bool
-}
-
-// KeyEntry is one key of a key table.
-type KeyEntry struct {
-	Key         string
-	Fingerprint request.Fingerprint
-	Verdict     verdict.Verdict
-	Running     bool
-	// Stored means that Status, Headers and Body are the complete response.
-	Stored  bool
-	Status  int
-	Headers []Header
-	Body    []byte
-	Expires time.Time
-}
-
-// Header is one field of a stored response.
-type Header struct{ Name, Value string }
