--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -47,6 +47,8 @@
 type Call struct {
 	Request request.Request
 	Number  int
+	// NoWait asks for a refusal instead of a place in the queue.
+	NoWait bool
 	// Timeout is the time left until the deadline when the call is sent.
 	Timeout time.Duration
 	From    instance.ID
@@ -60,14 +62,18 @@
 
 // Reply describes a response or refusal. A refusal has no status.
 type Reply struct {
-	ID      request.ID
-	Number  int
-	Verdict verdict.Verdict
+	ID     request.ID
+	Number int
+	// Verdict covers every delivery of the request's key, Delivery this one alone.
+	Verdict  verdict.Verdict
+	Delivery verdict.Verdict
 	// Status is the backend server's HTTP status, or zero.
 	Status int
 	// Size is the Content-Length that the backend server stated, or -1.
 	Size   int64
 	Reason string
+	// Crash identifies the crash of the backend server that ended the attempt, or is empty.
+	Crash string
 	// RetryAfter says when a refused request may be sent again.
 	RetryAfter time.Duration
 	Hint       load.Hint
@@ -85,6 +91,7 @@
 		"print":   {strconv.FormatUint(uint64(c.Request.Fingerprint), 16)},
 		"depth":   {strconv.Itoa(c.Request.Depth)},
 		"alone":   {strconv.FormatBool(c.Request.Alone)},
+		"nowait":  {strconv.FormatBool(c.NoWait)},
 		"timeout": {c.Timeout.String()},
 		"from":    {string(c.From)},
 		"method":  {c.Method},
@@ -106,6 +113,7 @@
 
 	call := Call{
 		Number:  int(fields.integer("attempt")),
+		NoWait:  fields.text("nowait") == strconv.FormatBool(true),
 		Timeout: fields.duration("timeout"),
 		From:    instance.ID(fields.text("from")),
 		Method:  fields.text("method"),
@@ -152,6 +160,11 @@
 
 	if r.Reason != "" {
 		values.Set("reason", r.Reason)
+		values.Set("delivery", r.Delivery.String())
+	}
+
+	if r.Crash != "" {
+		values.Set("crash", r.Crash)
 	}
 
 	if r.RetryAfter > 0 {
@@ -172,7 +185,12 @@
 		return Reply{}, errors.Mark(err, ErrMalformed)
 	}
 
+	// A reply without the field is not a refusal, and its delivery ran.
+	delivery, _ := verdict.Parse(fields.text("delivery"))
+
 	reply := Reply{
+		Delivery:   delivery,
+		Crash:      fields.text("crash"),
 		ID:         request.ID(fields.text("request")),
 		Number:     int(fields.integer("attempt")),
 		Verdict:    parsed,
--- a/internal/attempt/server.go
+++ b/internal/attempt/server.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"context"
 	"crypto/subtle"
 	"io"
 	"net/http"
@@ -51,8 +52,8 @@
 	})
 }
 
-// Done is closed when the sender has gone away or cancelled the call.
-func (in *Incoming) Done() <-chan struct{} { return in.incoming.Context().Done() }
+// Context ends when the sender has gone away or cancelled the call, or after the handler has returned.
+func (in *Incoming) Context() context.Context { return in.incoming.Context() }
 
 // ReadBody reads the body to its end and sets Call.Body. After an error the call must not be run.
 func (in *Incoming) ReadBody() error {
--- /dev/null
+++ b/internal/core/queries.go
@@ -0,0 +1,17 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+)
+
+// Hint returns the present load of the local backend server.
+func (s *State) Hint(now time.Time) load.Hint { return s.admission.Hint(now) }
+
+// Member returns what is known of a daemon.
+func (s *State) Member(id instance.ID) (instance.Member, bool) { return s.membership.Member(id) }
+
+// Members returns the members of a service, sorted by ID.
+func (s *State) Members(service string) []instance.Member { return s.membership.Members(service) }
--- /dev/null
+++ b/internal/daemon/drain.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/core"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
+)
+
+// leavePeriod lets the announcement that this daemon has left reach its neighbours.
+const leavePeriod = 200 * time.Millisecond
+
+// ErrSuperseded is returned if a later run with the same instance ID was seen.
+var ErrSuperseded = errors.New("a later run of this instance exists")
+
+// waitAndDrain waits for the end of ctx and then leaves in order: no new work for the server, requests
+// in flight finish, the caller's socket closes, the others are told.
+func (d *Daemon) waitAndDrain(ctx context.Context) error {
+	var result error
+
+	select {
+	case <-ctx.Done():
+	case <-d.superseded:
+		result = ErrSuperseded
+	}
+
+	begun := time.Now()
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+
+	defer cancel()
+
+	d.logger.Info().Msg("draining")
+	d.Drain()
+	d.callers.SetKeepAlivesEnabled(false)
+
+	select {
+	case <-d.drained:
+	case <-limited.Done():
+		d.logger.Error().Msg("requests are still in flight at the end of the drain period")
+	}
+
+	sleep(limited, drainPeriod-time.Since(begun))
+
+	if err := d.callers.Shutdown(limited); err != nil {
+		result = errors.CombineErrors(result, errors.Wrap(err, "shut down caller interface"))
+	}
+
+	d.apply(membership.LeaveStarted{})
+	sleep(limited, leavePeriod)
+	d.logger.Info().Dur("took", time.Since(begun)).Msg("stopped")
+
+	return result
+}
+
+// Drain stops new work for the backend server. It can be called more than once.
+func (d *Daemon) Drain() {
+	d.mutex.Lock()
+	first := !d.draining
+	d.draining = true
+	d.mutex.Unlock()
+
+	if first {
+		d.apply(core.DrainStarted{})
+	}
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	if period <= 0 {
+		return
+	}
+
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/membership/find.go
+++ b/internal/membership/find.go
@@ -10,3 +10,13 @@
 
 	return instance.Member{}, false
 }
+
+// CombinerOf returns the daemon that appends to the log for a failure domain.
+func (s *State) CombinerOf(domain string) (instance.Member, bool) {
+	e := leader(s.table.entries, "combiner "+domain, func(m instance.Member) bool { return m.Place.Domain == domain })
+	if e == nil {
+		return instance.Member{}, false
+	}
+
+	return e.member, true
+}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -57,6 +57,7 @@
 type State struct {
 	reports map[subject][]Report
 	count   int
+	recent  []heard
 }
 
 // New returns a state without suspects.
@@ -74,7 +75,7 @@
 			s.keep(now, report)
 		}
 	case Completed:
-		return s.completed(e.Request)
+		return s.completed(now, e.Request)
 	case Tick:
 		s.expire(now)
 	}
@@ -121,6 +122,32 @@
 	return all
 }
 
+// recentPeriod is how long a report is passed on to neighbours, which takes several exchanges so that
+// a lost one does no harm.
+const recentPeriod = 10 * time.Second
+
+// maxRecent bounds the reports in one exchange.
+const maxRecent = 32
+
+// Recent returns the reports that were learned a short time ago, for neighbours that may not have heard
+// them.
+func (s *State) Recent(now time.Time) []Report {
+	s.recent = slices.DeleteFunc(s.recent, func(r heard) bool { return now.Sub(r.at) > recentPeriod })
+
+	var recent []Report
+	for _, r := range s.recent[max(0, len(s.recent)-maxRecent):] {
+		recent = append(recent, r.report)
+	}
+
+	return recent
+}
+
+// heard is a report and when it was learned or changed.
+type heard struct {
+	report Report
+	at     time.Time
+}
+
 func subjectOf(r request.Request) subject {
 	return subject{service: r.Service, fingerprint: r.Fingerprint}
 }
@@ -151,7 +178,7 @@
 }
 
 // completed withdraws what stood against the request before it ran.
-func (s *State) completed(r request.Request) []Effect {
+func (s *State) completed(now time.Time, r request.Request) []Effect {
 	var withdrawn []Report
 
 	if !r.Alone {
@@ -163,6 +190,7 @@
 		if !report.Cleared && !report.Alone {
 			reports[i] = report.WithCleared()
 			withdrawn = append(withdrawn, reports[i])
+			s.recent = append(s.recent, heard{report: reports[i], at: now})
 		}
 	}
 
@@ -192,6 +220,10 @@
 		merged.Alone = known.Alone || report.Alone
 		s.reports[key][i] = merged
 
+		if merged != known {
+			s.recent = append(s.recent, heard{report: merged, at: now})
+		}
+
 		return merged != known
 	}
 
@@ -200,6 +232,7 @@
 	}
 
 	s.reports[key] = append(s.reports[key], report)
+	s.recent = append(s.recent, heard{report: report, at: now})
 	s.count++
 
 	return true
