command, admin: command line, standins and the interface for operators

Cause: operators need to check, publish and show manifests, to look into a daemon and to drain it. Change: internal/command with manifest check, publish, resolve and show, dump, logservice, and a daemon subcommand that the lead wires with WithDaemon; cmd/tarragonmill and cmd/standin are thin. internal/admin serves /live, /ready, /dump, /metrics and POST /drain; off loopback only with the fleet's key. testscript scripts cover arguments, output and exit codes and have an -update switch.

--- /dev/null
+++ b/cmd/tarragonmill/main.go
@@ -0,0 +1,13 @@
+// Command tarragonmill is the load balancer's daemon and the operators' tool.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/tarragonmill/tarragonmill/internal/command"
+)
+
+func main() {
+	os.Exit(command.Tarragonmill(context.Background(), os.Args, command.Streams{Out: os.Stdout, Err: os.Stderr}))
+}
--- /dev/null
+++ b/cmd/tarragonmill/main_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/tarragonmill/tarragonmill/internal/admin"
+	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
+)
+
+var update = flag.Bool("update", false, "write the output seen into the scripts")
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"tarragonmill": main})
+}
+
+// Guards against changes of arguments, output and exit codes that pipelines depend on. The scripts
+// find a log service at $LOG, one in an outage at $NOLOG, and a daemon's admin address at $ADMIN.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		UpdateScripts:       *update,
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			log := httptest.NewServer(logstore.New().Handler())
+			env.Defer(log.Close)
+			env.Setenv("LOG", log.URL)
+
+			down := logstore.New(logstore.WithFaults(logstore.Faults{Outage: logstore.Refuse}))
+			noLog := httptest.NewServer(down.Handler())
+			env.Defer(noLog.Close)
+			env.Setenv("NOLOG", noLog.URL)
+
+			operators := httptest.NewServer(admin.New("", admin.WithDump(func(context.Context) (any, error) {
+				data, err := os.ReadFile(filepath.Join(env.WorkDir, "dump.json"))
+
+				return json.RawMessage(data), err
+			})).Handler())
+			env.Defer(operators.Close)
+			env.Setenv("ADMIN", strings.TrimPrefix(operators.URL, "http://"))
+
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"code": checkCode},
+	})
+}
+
+// checkCode runs a command and compares its exit code: code CODE COMMAND ARGUMENTS...
+func checkCode(ts *testscript.TestScript, _ bool, args []string) {
+	const codeAndCommand = 2
+	if len(args) < codeAndCommand {
+		ts.Fatalf("usage: code CODE COMMAND ARGUMENTS...")
+	}
+
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+
+	var exit *exec.ExitError
+
+	switch err := ts.Exec(args[1], args[2:]...); {
+	case err == nil && want == 0:
+	case errors.As(err, &exit) && exit.ExitCode() == want:
+	default:
+		ts.Fatalf("want exit code %d: %v", want, err)
+	}
+}
--- /dev/null
+++ b/internal/admin/metrics.go
@@ -0,0 +1,65 @@
+package admin
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally passes its values on; /metrics is at most this old.
+const reportInterval = time.Second
+
+// Metrics is a tally scope whose values are served in the Prometheus text format.
+type Metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns metrics with a name prefix and tags that all of them carry. Close ends the
+// reporting goroutine. A metric that cannot be registered, for instance because its name is used with
+// other tags, is logged and not reported.
+func NewMetrics(prefix string, tags map[string]string, logger zerolog.Logger) (*Metrics, error) {
+	registry := prom.NewRegistry()
+	// Memory, goroutines and processor time of the process, to compare with the target per daemon.
+	for _, collector := range []prom.Collector{
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	} {
+		if err := registry.Register(collector); err != nil {
+			return nil, errors.Wrap(err, "register collector")
+		}
+	}
+
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer:       registry,
+		Gatherer:         registry,
+		DefaultTimerType: prometheus.HistogramTimerType,
+		OnRegisterError:  func(err error) { logger.Error().Err(err).Msg("metric was not registered") },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		Tags:                   tags,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+
+	return &Metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer}, nil
+}
+
+// Scope is where metrics are created.
+func (m *Metrics) Scope() tally.Scope { return m.scope }
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close reports the last values and ends the reporting.
+func (m *Metrics) Close() error { return errors.Wrap(m.closer.Close(), "close metrics") }
--- /dev/null
+++ b/internal/command/standin.go
@@ -0,0 +1,94 @@
+package command
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
+)
+
+const (
+	listenFlag  = "listen"
+	ageFlag     = "age"
+	recordsFlag = "records"
+	seedFlag    = "seed"
+	nameFlag    = "name"
+	slotsFlag   = "slots"
+	serviceFlag = "service"
+)
+
+// Defaults of the stand-ins, on loopback.
+const (
+	defaultLogListen     = "127.0.0.1:9000"
+	defaultBackendListen = "127.0.0.1:7000"
+	defaultSlots         = 6
+	defaultService       = 5 * time.Millisecond
+)
+
+func logCommand(name string) *cli.Command {
+	return &cli.Command{
+		Name:  name,
+		Usage: "run a log service in memory, for trials and tests; records are lost when it ends",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: listenFlag, Usage: "listen `ADDRESS`", Value: defaultLogListen},
+			&cli.DurationFlag{Name: ageFlag, Usage: "drop records older than this; 0 keeps them"},
+			&cli.IntFlag{Name: recordsFlag, Usage: "keep this many records per stream; 0 keeps all"},
+			&cli.Uint64Flag{Name: seedFlag, Usage: "seed of injected faults", Value: 1},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			store := logstore.New(
+				logstore.WithSeed(c.Uint64(seedFlag)),
+				logstore.WithRetention(logstore.Retention{Age: c.Duration(ageFlag), Records: c.Int(recordsFlag)}),
+			)
+
+			return serve(ctx, c, store)
+		},
+	}
+}
+
+func backendCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "backend",
+		Usage: "run a backend server with a number of slots and a service time",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: listenFlag, Usage: "listen `ADDRESS`", Value: defaultBackendListen},
+			&cli.StringFlag{Name: nameFlag, Usage: "name of the server in its responses", Value: "backend"},
+			&cli.IntFlag{Name: slotsFlag, Usage: "requests that run at once", Value: defaultSlots},
+			&cli.DurationFlag{Name: serviceFlag, Usage: "time that a request holds a slot", Value: defaultService},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Int(slotsFlag) < 1 {
+				return usage(errors.Newf("%s: --%s must be at least 1", c.FullName(), slotsFlag))
+			}
+
+			return serve(ctx, c, backend.New(c.String(nameFlag), c.Int(slotsFlag),
+				backend.Behaviour{Service: c.Duration(serviceFlag)}))
+		},
+	}
+}
+
+// server answers requests on a listener until the context ends.
+type server interface {
+	Serve(ctx context.Context, listener net.Listener) error
+}
+
+func serve(ctx context.Context, c *cli.Command, s server) error {
+	if err := noArguments(c); err != nil {
+		return err
+	}
+
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", c.String(listenFlag))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+
+	zerolog.Ctx(ctx).Info().Stringer("address", listener.Addr()).Msg("listening")
+
+	return s.Serve(ctx, listener)
+}
