daemon: operator interface and the whole path end to end

Cause: a delivered response was closed a second time by the task that had fetched it, so every large download broke off; the state of the health check filled recordings with events that changed nothing.

--- a/cmd/tarragonmill/main.go
+++ b/cmd/tarragonmill/main.go
@@ -6,8 +6,10 @@
 	"os"
 
 	"github.com/tarragonmill/tarragonmill/internal/command"
+	"github.com/tarragonmill/tarragonmill/internal/daemon"
 )
 
 func main() {
-	os.Exit(command.Tarragonmill(context.Background(), os.Args, command.Streams{Out: os.Stdout, Err: os.Stderr}))
+	os.Exit(command.Tarragonmill(context.Background(), os.Args, command.Streams{Out: os.Stdout, Err: os.Stderr},
+		command.WithDaemon(daemon.Run)))
 }
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -15,3 +15,16 @@
 
 // Members returns the members of a service, sorted by ID.
 func (s *State) Members(service string) []instance.Member { return s.membership.Members(service) }
+
+// Usable returns the number of daemons that take new work, this one included.
+func (s *State) Usable() int {
+	count := 0
+
+	for _, member := range s.membership.All() {
+		if member.Usable() {
+			count++
+		}
+	}
+
+	return count
+}
--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -104,8 +104,8 @@
 
 	if current, ok := d.entries[e.Request.ID]; ok {
 		d.release(e.Request.ID, current)
-	} else if response != nil {
-		_ = response.Body.Close()
+	} else if out.response != nil {
+		_ = out.response.Body.Close()
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,9 @@
 	maxHeader   = 64 << 10
 )
 
+// unset is the text of an address that was not set.
+var unset = netip.AddrPort{}.String()
+
 // Listeners are the open sockets of a daemon.
 type Listeners struct {
 	Caller net.Listener
@@ -105,6 +109,8 @@
 	jobs     map[admission.Attempt]*job
 	replies  map[uint64]any
 	draining bool
+	// serverDown is the last known state of the backend server.
+	serverDown bool
 }
 
 // New returns a daemon that has not started.
@@ -204,9 +210,27 @@
 // Ready reports whether the daemon knows other members, or that there are none, and a manifest.
 func (d *Daemon) Ready() bool { return d.ready.Load() && d.matcher.Load() != nil }
 
+// Members returns the number of daemons known that take new work, this one included.
+func (d *Daemon) Members() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.state.Usable()
+}
+
 // Version returns the version of the manifest in force, or zero.
 func (d *Daemon) Version() uint64 { return d.version.Load() }
 
+// Run runs a daemon until ctx ends.
+func Run(ctx context.Context, chosen settings.Settings, logger zerolog.Logger) error {
+	d, err := New(chosen, WithLogger(logger.With().Str("instance", string(chosen.ID)).Logger()))
+	if err != nil {
+		return err
+	}
+
+	return d.Run(ctx)
+}
+
 // Run serves until ctx ends and then shuts down gracefully. It opens the sockets that it was not given.
 func (d *Daemon) Run(ctx context.Context) error {
 	if err := d.listen(ctx); err != nil {
@@ -219,10 +243,20 @@
 
 	var group run.Group
 
-	addActor(&group, ctx, func(ctx context.Context) error { return d.server.Serve(ctx, d.listeners.Peer) })
-	addActor(&group, ctx, d.serveCallers)
-	addActor(&group, ctx, d.tick)
-	addActor(&group, ctx, d.watchServer)
+	addActor(ctx, &group, func(ctx context.Context) error { return d.server.Serve(ctx, d.listeners.Peer) })
+	addActor(ctx, &group, d.serveCallers)
+	addActor(ctx, &group, d.tick)
+
+	if d.listeners.Admin != nil {
+		operators, err := d.newAdmin()
+		if err != nil {
+			return err
+		}
+
+		addActor(ctx, &group, func(ctx context.Context) error { return operators.serve(ctx, d.listeners.Admin) })
+	}
+
+	addActor(ctx, &group, d.watchServer)
 	group.Add(func() error { return d.waitAndDrain(ctx) }, func(error) {})
 
 	err := group.Run()
@@ -237,7 +271,7 @@
 
 // addActor runs actor with a context that ends when the group is interrupted, and not when the daemon
 // is told to stop, because the drain comes first.
-func addActor(group *run.Group, ctx context.Context, actor func(context.Context) error) {
+func addActor(ctx context.Context, group *run.Group, actor func(context.Context) error) {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 
 	group.Add(func() error { return actor(inner) }, func(error) { cancel() })
@@ -252,8 +286,10 @@
 	}{
 		{&d.listeners.Caller, d.settings.Listen.Caller.String()},
 		{&d.listeners.Peer, d.settings.Listen.Peer.String()},
+		{&d.listeners.Admin, d.settings.Listen.Admin.String()},
 	} {
-		if *socket.listener != nil {
+		// Daemons of tests have no admin address.
+		if *socket.listener != nil || socket.address == unset {
 			continue
 		}
 
@@ -284,7 +320,10 @@
 		return errors.Wrap(err, "serve callers")
 	case <-ctx.Done():
 		_ = d.callers.Close()
-		<-ended
+
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
 
 		return nil
 	}
--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -47,5 +47,17 @@
 		}
 	}
 
-	d.apply(admission.ServerChanged{Up: up})
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	d.serverChanged(up)
+}
+
+// serverChanged tells the reducer about a change only, to keep recordings short. The mutex is held.
+func (d *Daemon) serverChanged(up bool) {
+	if d.serverDown == up {
+		d.serverDown = !up
+		d.logger.Warn().Bool("up", up).Msg("backend server changed")
+		d.applyLocked(admission.ServerChanged{Up: up})
+	}
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -203,7 +203,9 @@
 		reply.Reason = timedOut
 	case judged == verdict.NotRun:
 		// Nothing listens at the server's address.
-		d.apply(admission.ServerChanged{Up: false})
+		d.mutex.Lock()
+		d.serverChanged(false)
+		d.mutex.Unlock()
 	default:
 		reply.Crash = d.reportCrash(ctx, id)
 	}
@@ -226,7 +228,7 @@
 		d.applyLocked(core.ServerCrashed{Only: id})
 	} else {
 		d.applyLocked(core.ServerCrashed{})
-		d.applyLocked(admission.ServerChanged{Up: false})
+		d.serverChanged(false)
 	}
 
 	return d.state.Crash(id)
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -134,8 +134,10 @@
 func (s *State) Recent(now time.Time) []Report {
 	s.recent = slices.DeleteFunc(s.recent, func(r heard) bool { return now.Sub(r.at) > recentPeriod })
 
-	var recent []Report
-	for _, r := range s.recent[max(0, len(s.recent)-maxRecent):] {
+	latest := s.recent[max(0, len(s.recent)-maxRecent):]
+	recent := make([]Report, 0, len(latest))
+
+	for _, r := range latest {
 		recent = append(recent, r.report)
 	}
 
