--- /dev/null
+++ b/internal/core/kinds_test.go
@@ -0,0 +1,53 @@
+package core_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/core"
+)
+
+// Guards against a kind that is missing from recordings or that encoding/json would not restore.
+func TestKinds(t *testing.T) {
+	_, err := core.EventKinds()
+	require.NoError(t, err)
+	_, err = core.EffectKinds()
+	require.NoError(t, err)
+
+	source, err := os.ReadFile("kinds.go")
+	require.NoError(t, err)
+
+	files, err := filepath.Glob("../*/*.go")
+	require.NoError(t, err)
+
+	found := 0
+
+	for _, path := range files {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		require.NoError(t, err)
+
+		for _, declaration := range file.Decls {
+			function, ok := declaration.(*ast.FuncDecl)
+			if !ok || function.Recv == nil || (function.Name.Name != "isEvent" && function.Name.Name != "isEffect") {
+				continue
+			}
+
+			found++
+			name := file.Name.Name + "." + function.Recv.List[0].Type.(*ast.Ident).Name
+			require.Contains(t, string(source), name+"{}", "%s is not registered", name)
+		}
+	}
+
+	require.Positive(t, found)
+}
--- a/internal/logrelay/machine_test.go
+++ b/internal/logrelay/machine_test.go
@@ -36,7 +36,7 @@
 		"publishInvalid": func(*rapid.T) { m.publish(current(), invalidManifest) },
 		"publishAhead":   func(*rapid.T) { m.publish(current()+1, "ahead") },
 		"writeMalformed": func(*rapid.T) { m.write([]byte("\xff\xffmalformed")) },
-		"expire": func(*rapid.T) { m.expire(m.usable()) },
+		"expire":         func(*rapid.T) { m.expire(m.usable()) },
 		"expireHard": func(t *rapid.T) {
 			// Rare, because after it the current version is often known to nobody.
 			if rapid.IntRange(0, 5).Draw(t, "rare") == 0 {
--- a/internal/trace/record.go
+++ b/internal/trace/record.go
@@ -75,8 +75,8 @@
 }
 
 // Start starts the writer's goroutine. It ends with the context, after writing what was recorded until
-// then, or earlier at the size limit or a fault. The channel then receives nil or the error. The owner
-// stops calling Record before it ends the context.
+// then, or earlier at the size limit or a fault. The channel then receives nil or the error. Events that are
+// recorded after the end of the context may be left out.
 func (r *Recorder[E, F]) Start(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 
