membership: fault, partition and graph tests; fixes they found

A fleet of simulated reducers runs through loss, repetition, delay, crashes, pauses, partitions and replays of old messages. It found a division by zero for a leaving daemon that knows no live member. Surveys count results only while an accusation stands, repairs back off while tables stay different, and messages of an earlier run no longer move the versions of a link.

--- a/internal/membership/links.go
+++ b/internal/membership/links.go
@@ -114,7 +114,7 @@
 		return
 	}
 
-	l.inflight, l.again, l.sentAt = true, false, s.now
+	l.inflight, l.sentAt = true, s.now
 	// A spread of a tenth keeps the fleet's exchanges from falling into step.
 	l.due = s.now.Add(s.interval - s.interval/20 + time.Duration(s.random.Int64N(int64(s.interval/10)+1)))
 
@@ -182,9 +182,15 @@
 
 // hear takes over what a peer told.
 func (s *State) hear(l *link, message Message) {
-	s.contacted(l, message.Incarnation)
+	// Versions of an earlier run's table mean nothing for the present one.
+	e := s.table.index[l.id]
+	current := e == nil || message.Incarnation >= e.member.Incarnation
+
+	if current {
+		s.contacted(l)
+	}
 
-	if message.Ack <= s.table.seq {
+	if current && message.Ack <= s.table.seq {
 		l.acked = max(l.acked, message.Ack)
 	}
 
@@ -192,7 +198,9 @@
 		s.merge(member, l.id)
 	}
 
-	l.heard = max(l.heard, message.Seq)
+	if current {
+		l.heard = max(l.heard, message.Seq)
+	}
 }
 
 func (s *State) exchangeReceived(e ExchangeReceived) {
@@ -231,10 +239,7 @@
 	l.acked = max(l.acked, l.sent)
 	s.hear(l, e.Message)
 	s.compareDigest(l, e.Message)
-
-	if l.again {
-		s.exchange(l)
-	}
+	s.follow(l)
 }
 
 func (s *State) exchangeFailed(id instance.ID) {
@@ -245,16 +250,22 @@
 
 	l.inflight, l.extraSent = false, 0
 	s.missed(id)
+	s.follow(l)
+}
 
-	if l.again {
+// follow starts the exchange that a push asked for while another one was in flight.
+func (s *State) follow(l *link) {
+	if l.again && s.pending(l) {
 		s.exchange(l)
 	}
+
+	l.again = false
 }
 
 // compareDigest starts a comparison page by page with a peer whose table stays different.
 func (s *State) compareDigest(l *link, message Message) {
 	if message.Digest == s.table.digest {
-		l.differ = 0
+		l.differ, s.pull.repairDelay = 0, 0
 
 		return
 	}
--- a/internal/membership/liveness.go
+++ b/internal/membership/liveness.go
@@ -6,16 +6,11 @@
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 )
 
-// contacted records a proof of life. A message of an earlier run proves nothing about the present one.
-func (s *State) contacted(l *link, incarnation instance.Incarnation) {
-	e := s.table.index[l.id]
-	if e != nil && incarnation < e.member.Incarnation {
-		return
-	}
-
+// contacted records a proof of life of a peer's present run.
+func (s *State) contacted(l *link) {
 	l.contact = s.now
 
-	if e != nil {
+	if e := s.table.index[l.id]; e != nil {
 		e.probed, e.reached = s.now, true
 	}
 }
@@ -28,8 +23,9 @@
 }
 
 func (s *State) observed(e PeerObserved) {
-	if l := s.find(e.ID); l != nil {
-		s.contacted(l, e.Incarnation)
+	l, known := s.find(e.ID), s.table.index[e.ID]
+	if l != nil && known != nil && e.Incarnation >= known.member.Incarnation {
+		s.contacted(l)
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -116,13 +116,15 @@
 
 	s.lastTick = s.now
 
+	s.choose()
+	s.exchangeDue()
+
 	if s.self.member.Status == instance.Left {
+		// Only the announcement is still to be passed on.
 		return
 	}
 
 	s.advancePull()
-	s.choose()
-	s.exchangeDue()
 	s.judgeLinks()
 	s.survey()
 	s.reunite()
@@ -320,6 +322,18 @@
 	return peers
 }
 
+// Confirmed reports whether every neighbour that responds has this daemon's present status. A daemon
+// that leaves may end its process then.
+func (s *State) Confirmed() bool {
+	if s.self == nil {
+		return true
+	}
+
+	return !slices.ContainsFunc(s.links, func(l *link) bool {
+		return l.out && l.acked < s.self.seq && s.now.Sub(l.contact) < s.accuse
+	})
+}
+
 // Dump is the state for operators.
 type Dump struct {
 	Self    instance.Member
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -117,8 +117,12 @@
 	return first(ranked(slices.Clone(members), func(e *entry) uint64 { return mix(e.hash ^ salt) }), number)
 }
 
-// next returns the name after another one in a ring of sorted names.
+// next returns the name after another one in a ring of sorted names, or none for an empty ring.
 func next(names []string, name string) string {
+	if len(names) == 0 {
+		return ""
+	}
+
 	at, _ := slices.BinarySearch(names, name)
 
 	return names[(at+1)%len(names)]
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -30,8 +30,13 @@
 	pullTimeout = 2 * time.Second
 	// differLimit is the number of exchanges in a row after which a different digest starts a pull.
 	differLimit = 3
-	// repairInterval bounds pulls that repair a difference.
+	// repairInterval is the first delay between pulls that repair a difference, and repairLimit the
+	// largest: a whole table is 70 KB at 610 members, and a difference may be of a kind that a pull
+	// does not end.
 	repairInterval = 5 * time.Second
+	repairLimit    = 2 * time.Minute
+	// seedLimit bounds the addresses from settings and contact records that are kept; the latest stay.
+	seedLimit = 32
 	// sweepInterval is the period of the removal of old entries.
 	sweepInterval = time.Second
 	// reuniteInterval is the period at which a dead member or a seed is tried, so that separated
--- a/internal/membership/partition.go
+++ b/internal/membership/partition.go
@@ -9,8 +9,6 @@
 const (
 	// surveyInterval is the period at which a daemon that misses a member tries others around it.
 	surveyInterval = time.Second
-	// surveyWindow is how long the result of an exchange counts.
-	surveyWindow = 8 * time.Second
 	// surveyLimit bounds the exchanges started at once.
 	surveyLimit = 4
 )
@@ -23,14 +21,16 @@
 	tried, silent int
 }
 
-func (c *count) add(e *entry, now time.Time) {
+// add counts a member. Results of exchanges count while an accusation stands; older ones are from
+// before the silence began.
+func (c *count) add(e *entry, now time.Time, window time.Duration) {
 	c.members++
 
 	if e.member.Status == instance.Accused {
 		c.accused++
 	}
 
-	if !e.probed.IsZero() && now.Sub(e.probed) <= surveyWindow {
+	if !e.probed.IsZero() && now.Sub(e.probed) <= window {
 		c.tried++
 
 		if !e.reached {
@@ -57,10 +57,10 @@
 			continue
 		}
 
-		region.add(other, s.now)
+		region.add(other, s.now, s.stand)
 
 		if other.member.Place == e.member.Place {
-			domain.add(other, s.now)
+			domain.add(other, s.now, s.stand)
 		}
 
 		if other != e && other.member.Status == instance.Alive {
@@ -104,7 +104,7 @@
 		near := other.member.Place == e.member.Place
 		if other == e || other == s.self || !other.live() || near == wide ||
 			other.member.Place.Region != e.member.Place.Region ||
-			s.now.Sub(other.probed) <= surveyWindow/2 {
+			s.now.Sub(other.probed) <= s.stand/2 {
 			continue
 		}
 
--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -25,7 +25,8 @@
 	delay        time.Duration
 	// blocked reports whether two nodes can't reach each other.
 	blocked func(a, b *node) bool
-	sent    int
+	// captured are the exchanges with members, for replay.
+	captured []Event
 }
 
 type node struct {
@@ -179,6 +180,10 @@
 		return
 	}
 
+	if exchange, ok := request.(ExchangeReceived); ok && len(exchange.Message.Members) > 0 {
+		s.captured = append(s.captured, request)
+	}
+
 	to := s.nodes[at]
 	s.transmit(from, to, func() {
 		s.deliver(to, to.incarnation, func() {
@@ -199,8 +204,6 @@
 }
 
 func (s *simulation) transmit(from, to *node, arrive func()) {
-	s.sent++
-
 	copies := 1
 	if s.random.Float64() < s.repeat {
 		copies = 2
--- a/internal/membership/start.go
+++ b/internal/membership/start.go
@@ -28,6 +28,8 @@
 	// repair is the peer whose table is compared, or empty while starting.
 	repair     instance.ID
 	repairedAt time.Time
+	// repairDelay is the least time to the next repair; it doubles until two tables agree.
+	repairDelay time.Duration
 }
 
 // add appends addresses that are not known yet.
@@ -35,6 +37,7 @@
 	for _, peer := range peers {
 		if peer.IsValid() && !slices.Contains(p.seeds, peer) {
 			p.seeds = append(p.seeds, peer)
+			p.seeds = p.seeds[max(len(p.seeds)-seedLimit, 0):]
 		}
 
 		if peer.IsValid() && !slices.Contains(p.peers, peer) {
@@ -101,11 +104,12 @@
 // startRepair pulls the table of a peer, to compare it page by page.
 func (s *State) startRepair(e *entry) bool {
 	p := &s.pull
-	if p.inflight || s.now.Sub(p.repairedAt) < repairInterval {
+	if p.inflight || s.now.Sub(p.repairedAt) < p.repairDelay {
 		return false
 	}
 
 	p.repair, p.repairedAt = e.member.ID, s.now
+	p.repairDelay = min(max(2*p.repairDelay, repairInterval), repairLimit)
 	p.target, p.after = e.member.Peer, ""
 	s.askPage()
 
