--- a/cmd/tarragonmill/main_test.go
+++ b/cmd/tarragonmill/main_test.go
@@ -16,13 +16,19 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/tarragonmill/tarragonmill/internal/admin"
+	"github.com/tarragonmill/tarragonmill/internal/command"
 	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
 )
 
 var update = flag.Bool("update", false, "write the output seen into the scripts")
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"tarragonmill": main})
+	testscript.Main(m, map[string]func(){
+		"tarragonmill": main,
+		"standin": func() {
+			os.Exit(command.Standin(context.Background(), os.Args, command.Streams{Out: os.Stdout, Err: os.Stderr}))
+		},
+	})
 }
 
 // Guards against changes of arguments, output and exit codes that pipelines depend on. The scripts
--- /dev/null
+++ b/cmd/tarragonmill/process_test.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// waitLimit bounds the wait for a status. A dead owner's keys may need several resends to other owners.
+const waitLimit = 20 * time.Second
+
+// TestProcesses runs the log service, backend servers and daemons as separate processes. It guards
+// against faults that one process hides: real signals, kills, freezes and restarts.
+func TestProcesses(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/process",
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("LOG", freeAddress())
+
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"settings":   writeSettings,
+			"request":    request,
+			"requests":   requests,
+			"contains":   contains,
+			"newkey":     newKey,
+			"signal":     signal,
+			"executions": executions,
+		},
+	})
+}
+
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+
+	defer listener.Close()
+
+	return listener.Addr().String()
+}
+
+// writeSettings is "settings NAME SERVICE REGION DOMAIN". It writes NAME.ini and sets NAME_caller,
+// NAME_admin and NAME_server to its addresses. Daemons defined before are its seeds.
+func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
+	name, seeds := args[0], ts.Getenv("SEEDS")
+	caller, peer, admin, server := freeAddress(), freeAddress(), freeAddress(), freeAddress()
+	text := fmt.Sprintf(`[instance]
+id = %s
+service = %s
+region = %s
+domain = %s
+[listen]
+caller = %s
+peer = %s
+admin = %s
+[peer]
+advertise = %s
+key = 0123456789abcdef0123
+%s
+[backend]
+address = %s
+slots = 6
+queue = 12
+interval = 100ms
+[log]
+url = http://%s
+`, name, args[1], args[2], args[3], caller, peer, admin, peer, seedsLine(seeds), server, ts.Getenv("LOG"))
+	ts.Check(os.WriteFile(ts.MkAbs(name+".ini"), []byte(text), 0o600))
+	ts.Setenv("SEEDS", strings.Trim(seeds+", "+peer, ", "))
+	ts.Setenv("SERVERS", ts.Getenv("SERVERS")+" "+server)
+	ts.Setenv(name+"_caller", caller)
+	ts.Setenv(name+"_admin", admin)
+	ts.Setenv(name+"_server", server)
+}
+
+func seedsLine(seeds string) string {
+	if seeds == "" {
+		return ""
+	}
+
+	return "seeds = " + seeds
+}
+
+func newKey(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], uuid.Must(uuid.NewV7()).String())
+}
+
+// request is "request STATUS METHOD URL HOST [KEY [BODY]]". With "!", the status must be another one.
+// It repeats the request until the status fits, as a caller would that follows Retry-After.
+func request(ts *testscript.TestScript, neg bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+
+	var status int
+
+	var body string
+
+	for begun := time.Now(); time.Since(begun) < waitLimit; time.Sleep(100 * time.Millisecond) {
+		status, body = send(args[1:])
+		if (status == want) != neg {
+			_, err := fmt.Fprintln(ts.Stdout(), body)
+			ts.Check(err)
+
+			return
+		}
+	}
+
+	ts.Fatalf("status %d: %s", status, body)
+}
+
+// requests is "requests COUNT STATUS METHOD URL HOST": every one of them has to have the status.
+func requests(ts *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+
+	for n := range count {
+		if status, body := send(args[2:]); strconv.Itoa(status) != args[1] {
+			ts.Fatalf("request %d: status %d: %s", n, status, body)
+		}
+	}
+}
+
+// contains is "contains URL TEXT...": it waits until the body has all texts.
+func contains(ts *testscript.TestScript, _ bool, args []string) {
+	var body string
+
+	for begun := time.Now(); time.Since(begun) < waitLimit; time.Sleep(50 * time.Millisecond) {
+		_, body = send([]string{http.MethodGet, args[0], ""})
+		missing := 0
+
+		for _, text := range args[1:] {
+			if !strings.Contains(body, text) {
+				missing++
+			}
+		}
+
+		if missing == 0 {
+			return
+		}
+	}
+
+	ts.Fatalf("%s lacks one of %q: %s", args[0], args[1:], body)
+}
+
+func send(args []string) (int, string) {
+	var key, body string
+
+	if len(args) > 3 {
+		key = args[3]
+	}
+
+	if len(args) > 4 {
+		body = args[4]
+	}
+
+	r, err := http.NewRequest(args[0], "http://"+args[1], strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+
+	r.Host = args[2]
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+
+	client := http.Client{Timeout: 10 * time.Second}
+
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+
+	defer response.Body.Close()
+
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+
+	return response.StatusCode, string(data)
+}
+
+// signal is "signal STOP|CONT|TERM|KILL FILE": it goes to the process that was started with FILE among
+// its arguments.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL,
+	}
+
+	command := find(ts, args[1])
+	ts.Check(command.Process.Signal(signals[args[0]]))
+}
+
+func find(ts *testscript.TestScript, argument string) *exec.Cmd {
+	for _, command := range ts.BackgroundCmds() {
+		for _, given := range command.Args {
+			if given == argument {
+				return command
+			}
+		}
+	}
+
+	ts.Fatalf("no process has the argument %s", argument)
+
+	return nil
+}
+
+// executions is "executions KEY COUNT": how often a key ran at all servers that can be asked.
+func executions(ts *testscript.TestScript, _ bool, args []string) {
+	total := 0
+
+	for _, server := range strings.Fields(ts.Getenv("SERVERS")) {
+		_, listing := send([]string{http.MethodGet, server + "/executions", ""})
+		for line := range strings.Lines(listing) {
+			key, count, _ := strings.Cut(strings.TrimSpace(line), " ")
+			if key == args[0] {
+				n, err := strconv.Atoi(count)
+				ts.Check(err)
+
+				total += n
+			}
+		}
+	}
+
+	if strconv.Itoa(total) != args[1] {
+		ts.Fatalf("key %s ran %d times, want %s", args[0], total, args[1])
+	}
+}
