--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -237,6 +237,11 @@
 		return err
 	}
 
+	stopRecording, err := d.record(ctx)
+	if err != nil {
+		return err
+	}
+
 	// Tasks outlive ctx: requests in flight finish after it has ended.
 	d.tasks = task.NewGroup(context.WithoutCancel(ctx))
 	d.apply(core.Started{})
@@ -259,8 +264,14 @@
 	addActor(ctx, &group, d.watchServer)
 	group.Add(func() error { return d.waitAndDrain(ctx) }, func(error) {})
 
-	err := group.Run()
+	err = group.Run()
 	d.tasks.Stop()
+
+	// A recording that could not be written is no failure of the daemon.
+	if err := stopRecording(); err != nil {
+		d.logger.Error().Err(err).Msg("recording failed")
+	}
+
 	d.attempts.Close()
 	d.control.Close()
 	d.backend.Close()
--- /dev/null
+++ b/internal/daemon/record.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/core"
+	"github.com/tarragonmill/tarragonmill/internal/trace"
+)
+
+// record starts a recording of the reducer if the settings ask for one. The returned function ends it
+// and waits until it is written.
+func (d *Daemon) record(ctx context.Context) (func() error, error) {
+	if d.settings.Trace.File == "" {
+		return func() error { return nil }, nil
+	}
+
+	file, err := trace.Create(d.settings.Trace.File)
+	if err != nil {
+		return nil, err
+	}
+
+	recorder, err := core.NewRecorder(file, d.settings.Trace.Limit, d.options)
+	if err != nil {
+		return nil, errors.CombineErrors(err, file.Close())
+	}
+
+	// The shutdown is recorded, too.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	ended := recorder.Start(ctx)
+	observe := d.observe
+	d.observe = func(now time.Time, event core.Event, effects []core.Effect) {
+		recorder.Record(now, event, effects)
+
+		if observe != nil {
+			observe(now, event, effects)
+		}
+	}
+
+	return func() error {
+		cancel()
+
+		return errors.Wrap(errors.CombineErrors(<-ended, file.Close()), "record events")
+	}, nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,8 @@
 	Queue   int
 	// Behaviour of the backend server at the start.
 	Behaviour backend.Behaviour
+	// Trace records the events of the daemon.
+	Trace settings.Trace
 }
 
 // Instance is a running backend server with its daemon.
@@ -165,7 +167,7 @@
 			Address: address(sockets[2]), Slots: node.Slots, Queue: node.Queue, Connections: 200,
 			Health: "/health", Interval: 100 * time.Millisecond,
 		},
-		Log: f.LogURL, Seeds: f.seeds(), Key: fleetKey,
+		Log: f.LogURL, Seeds: f.seeds(), Key: fleetKey, Trace: node.Trace,
 	}
 	started.serveServer(f.ctx, sockets[2])
 
