admin, settings: faults found by running two daemons

Cause: a run of two daemons with the built binaries showed that a daemon without [peer] key passed the check and then failed, that metrics turned the instance ID "stockdesk-01" into "stockdesk_01", that /ready said ready while draining, and that the dump showed durations in ns and states as numbers. Change: the key is required and its absence found by the check; label values keep their characters; /ready answers 503 "draining"; dumps have durations and member states as text, and members in a table.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -26,9 +27,15 @@
 // or refused with it.
 func TestAccess(t *testing.T) {
 	drained := 0
+	state := struct {
+		Wait  map[string]time.Duration
+		Items []any
+		None  error
+		Peer  netip.AddrPort
+	}{Wait: map[string]time.Duration{"a": time.Second}, Items: []any{nil, 1 << 60}}
 	server := func(key string) http.Handler {
 		return admin.New(key,
-			admin.WithDump(func(context.Context) (any, error) { return map[string]int{"Slots": 6}, nil }),
+			admin.WithDump(func(context.Context) (any, error) { return &state, nil }),
 			admin.WithReady(func() error { return errors.New("no manifest") }),
 			admin.WithDrain(func(context.Context) error { drained++; return nil })).Handler()
 	}
@@ -43,7 +50,8 @@
 	}{
 		{"GET", "/live", local, key, "", nil, 200, "live\n"},
 		{"GET", "/ready", "[::1]:5", key, "", nil, 503, "no manifest\n"},
-		{"GET", "/dump", mapped, key, "", nil, 200, "{\n  \"Slots\": 6\n}\n"},
+		{"GET", "/dump", mapped, key, "", nil, 200, "{\n  \"Items\": [\n    null,\n    1152921504606846976\n  ],\n" +
+			"  \"None\": null,\n  \"Peer\": \"\",\n  \"Wait\": {\n    \"a\": \"1s\"\n  }\n}\n"},
 		{"GET", "/live", remote, key, "", nil, 401, ""},
 		{"GET", "/dump", remote, key, "Bearer", nil, 401, ""},
 		{"GET", "/dump", remote, key, "Bearer " + key[1:], nil, 401, ""},
@@ -86,7 +94,7 @@
 // Guards against a connection that holds memory or a goroutine without limit, and against metrics that
 // do not appear in the text format.
 func TestServe(t *testing.T) {
-	metrics, err := admin.NewMetrics("tarragonmill", map[string]string{"service": "shop"}, zerolog.Nop())
+	metrics, err := admin.NewMetrics("tarragonmill", map[string]string{"instance": "shop-03"}, zerolog.Nop())
 	require.NoError(t, err)
 	metrics.Scope().Counter("attempts").Inc(3)
 	require.NoError(t, metrics.Close())
@@ -108,7 +116,7 @@
 	text, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
-	require.Contains(t, string(text), `tarragonmill_attempts{service="shop"} 3`)
+	require.Contains(t, string(text), `tarragonmill_attempts{instance="shop-03"} 3`)
 
 	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/live", http.NoBody)
 	require.NoError(t, err)
--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -1,8 +1,11 @@
 package admin
 
 import (
+	"encoding"
 	"encoding/json"
 	"net/http"
+	"reflect"
+	"time"
 )
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -20,7 +23,7 @@
 	if err == nil {
 		var data []byte
 		// Encoded as a whole first, so that a failure is not a broken response with status 200.
-		if data, err = json.MarshalIndent(state, "", "  "); err == nil {
+		if data, err = json.MarshalIndent(readable(reflect.ValueOf(state)), "", "  "); err == nil {
 			w.Header().Set("Content-Type", "application/json")
 			_, _ = w.Write(append(data, '\n'))
 
@@ -49,3 +52,57 @@
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(text + "\n"))
 }
+
+// readable copies a value for encoding/json with durations as text, such as "5ms", because operators
+// read the dump.
+func readable(v reflect.Value) any {
+	if !v.IsValid() {
+		return nil
+	}
+
+	switch value := v.Interface().(type) {
+	case time.Duration:
+		return value.String()
+	case json.Marshaler, encoding.TextMarshaler:
+		return value
+	}
+
+	switch v.Kind() {
+	case reflect.Pointer, reflect.Interface:
+		return readable(v.Elem())
+	case reflect.Struct:
+		object := map[string]any{}
+		for i := range v.NumField() {
+			if field := v.Type().Field(i); field.IsExported() {
+				object[field.Name] = readable(v.Field(i))
+			}
+		}
+
+		return object
+	case reflect.Slice, reflect.Array:
+		items := make([]any, 0, v.Len())
+		for i := range v.Len() {
+			items = append(items, readable(v.Index(i)))
+		}
+
+		return items
+	case reflect.Map:
+		return readableMap(v)
+	default:
+		return v.Interface()
+	}
+}
+
+func readableMap(v reflect.Value) any {
+	copied := reflect.MakeMap(reflect.MapOf(v.Type().Key(), reflect.TypeFor[any]()))
+	for _, key := range v.MapKeys() {
+		value := reflect.New(reflect.TypeFor[any]()).Elem()
+		if plain := readable(v.MapIndex(key)); plain != nil {
+			value.Set(reflect.ValueOf(plain))
+		}
+
+		copied.SetMapIndex(key, value)
+	}
+
+	return copied.Interface()
+}
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -48,13 +48,22 @@
 		Tags:                   tags,
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 
 	return &Metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer}, nil
 }
 
+// sanitizer keeps printable characters in the values of labels. The default would turn instance IDs such
+// as "stockdesk-03" into others.
+func sanitizer() *tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', '~'}}}
+
+	return &options
+}
+
 // Scope is where metrics are created.
 func (m *Metrics) Scope() tally.Scope { return m.scope }
 
--- a/internal/admin/print.go
+++ b/internal/admin/print.go
@@ -52,6 +52,12 @@
 
 	switch v := value.(type) {
 	case map[string]any:
+		if len(v) == 0 {
+			fmt.Fprintf(&p.out, "%s%s: -\n", indent, key)
+
+			return
+		}
+
 		fmt.Fprintf(&p.out, "%s%s:\n", indent, key)
 		p.value(indent+"  ", v)
 	case []any:
@@ -89,10 +95,16 @@
 
 	writer := tabwriter.NewWriter(&aligned, 0, 0, padding, ' ', 0)
 	row := func(cells []string) { _, _ = fmt.Fprintln(writer, strings.Join(cells, "\t")) }
-	row(columns)
+	names := make([]string, 0, len(columns))
+
+	for _, column := range columns {
+		names = append(names, scalar(column))
+	}
+
+	row(names)
 
 	for _, item := range items {
-		object, _ := item.(map[string]any)
+		object := flatten(item)
 		cells := make([]string, 0, len(columns))
 
 		for _, column := range columns {
@@ -117,18 +129,17 @@
 	}
 }
 
-// tableColumns returns the sorted keys of all items, with ID first, or nil unless every item is an object of scalars
-// and short lists.
+// tableColumns returns the sorted keys of all items, with ID first, or nil unless every item is an
+// object of scalars, short lists and objects of such.
 func tableColumns(items []any) []string {
 	columns := map[string]bool{}
 
 	for _, item := range items {
-		object, ok := item.(map[string]any)
-		if !ok {
+		if _, ok := item.(map[string]any); !ok {
 			return nil
 		}
 
-		for key, value := range object {
+		for key, value := range flatten(item) {
 			if _, flat := inline(value); !flat {
 				return nil
 			}
@@ -150,6 +161,27 @@
 	})
 }
 
+// flatten lifts the members of an object's objects, under names with a dot.
+func flatten(item any) map[string]any {
+	object, _ := item.(map[string]any)
+	flat := map[string]any{}
+
+	for key, value := range object {
+		inner, ok := value.(map[string]any)
+		if !ok {
+			flat[key] = value
+
+			continue
+		}
+
+		for name, part := range inner {
+			flat[key+"."+name] = part
+		}
+	}
+
+	return flat
+}
+
 // idColumn names a row.
 const idColumn = "ID"
 
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -15,8 +15,11 @@
 // gaugeInterval is the period at which values are passed to the metrics.
 const gaugeInterval = time.Second
 
-// ErrNotReady is returned by the ready check.
-var ErrNotReady = errors.New("member table or manifest is missing")
+// Errors of the ready check.
+var (
+	ErrNotReady = errors.New("member table or manifest is missing")
+	ErrDraining = errors.New("draining")
+)
 
 // Dump is the state of a daemon for operators.
 type Dump struct {
@@ -77,7 +80,10 @@
 		admin.WithMetrics(metrics.Handler()),
 		admin.WithDump(func(context.Context) (any, error) { return d.Dump(), nil }),
 		admin.WithReady(func() error {
-			if !d.Ready() {
+			switch {
+			case d.isDraining():
+				return ErrDraining
+			case !d.Ready():
 				return ErrNotReady
 			}
 
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -67,6 +67,13 @@
 	}
 }
 
+func (d *Daemon) isDraining() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.draining
+}
+
 func sleep(ctx context.Context, period time.Duration) {
 	if period <= 0 {
 		return
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -3,7 +3,10 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ID names an instance, unique in the fleet.
@@ -29,16 +32,32 @@
 	Left
 )
 
+var statusNames = [...]string{"alive", "accused", "draining", "dead", "left"}
+
 // String returns a lower-case name.
 func (s Status) String() string {
-	names := [...]string{"alive", "accused", "draining", "dead", "left"}
-	if int(s) < len(names) {
-		return names[s]
+	if int(s) < len(statusNames) {
+		return statusNames[s]
 	}
 
 	return "unknown"
 }
 
+// MarshalText implements encoding.TextMarshaler, for dumps and recordings.
+func (s Status) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Status) UnmarshalText(text []byte) error {
+	at := slices.Index(statusNames[:], string(text))
+	if at < 0 {
+		return errors.Newf("%q: unknown status", text)
+	}
+
+	*s = Status(at)
+
+	return nil
+}
+
 // Place is where an instance runs.
 type Place struct {
 	Region string
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -81,7 +81,7 @@
 		},
 		Advertise: ini.Required(peer, "advertise", reachable),
 		Seeds:     ini.Optional(peer, "seeds", nil, ini.List(reachable)),
-		Key:       ini.Optional(peer, "key", "", secret),
+		Key:       ini.Required(peer, "key", secret),
 		Backend: Backend{
 			Address:     ini.Required(backend, "address", reachable),
 			Slots:       ini.Required(backend, "slots", ini.Range(ini.Whole, 1, maxSlots)),
@@ -140,10 +140,6 @@
 		}
 
 		taken[use.address] = use.key
-
-		if use.key != "caller" && !use.address.Addr().IsLoopback() && s.Key == "" {
-			document.Fail("listen", use.key, "address is not on loopback and [peer] has no key")
-		}
 	}
 
 	if other, found := taken[s.Backend.Address]; found {
