core: totals and the age of the log among the gauges

Cause: operators had no figure from which to raise an alarm on a log outage, retries or refusals. Change: Gauges adds totals of routing and admission, and the seconds since the log service confirmed each stream.

--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -37,16 +37,35 @@
 	}
 }
 
-// Gauges returns the values that operators watch.
+// Gauges returns the values that operators watch. Those that only grow are totals since the start.
 func (s *State) Gauges(now time.Time) map[string]float64 {
 	hint := s.admission.Hint(now)
+	routed := s.routing.Dump().Counts
+	admitted := s.admission.Dump().Counts
 
-	return map[string]float64{
+	gauges := map[string]float64{
 		"requests":        float64(len(s.requests)),
+		"requests_total":  float64(routed.Requests),
+		"attempts_total":  float64(routed.Attempts),
+		"retries_total":   float64(routed.Retries),
+		"probes_total":    float64(routed.Probes),
+		"delivered_total": float64(routed.Delivered),
+		"given_up_total":  float64(routed.GivenUp),
 		"server_inflight": float64(hint.InFlight),
 		"server_queue":    float64(hint.Queue),
 		"server_limit":    float64(hint.Limit),
 		"server_crashes":  float64(s.crashes),
+		"started_total":   float64(admitted.Started),
+		"refused_total":   float64(admitted.Refused),
+		"aborted_total":   float64(admitted.Aborted),
 		"suspects":        float64(len(s.suspects.Reports(now))),
 	}
+
+	for _, stream := range s.relay.Dump().Streams {
+		if stream.Started {
+			gauges["log_age_"+stream.Name] = now.Sub(stream.Confirmed).Seconds()
+		}
+	}
+
+	return gauges
 }
