manifest: compile each pattern once and refuse a manifest without services

Cause: a benchmark with the target's 120 services and ten rules each took 72 ms to parse and compile, and the daemon parsed a new version twice in its event loop and validated it again. An empty file passed the check. Change: validation builds the muxes that the Matcher uses; the core keeps the manifest that it has just checked; a manifest without services is an error.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 // CrashesServers is the reason for refusing a request that crashed servers before.
@@ -51,6 +52,9 @@
 	// token numbers the appends of this daemon.
 	token    uint64
 	combined combined
+	// parsed is the last valid manifest, whose text is parsedText.
+	parsed     manifest.Manifest
+	parsedText string
 	// slowTick is when the packages with a longer tick interval were last told the time.
 	slowTick time.Time
 	// contacted is when contacts were last written to the log.
--- a/internal/core/options.go
+++ b/internal/core/options.go
@@ -33,7 +33,7 @@
 func New(options Options) *State {
 	self := options.Self
 
-	return &State{
+	s := &State{
 		self:     self,
 		seeds:    options.Seeds,
 		requests: make(map[request.ID]*tracked),
@@ -44,24 +44,34 @@
 		keys:       keys.New(keys.WithSelf(self.ID, self.Incarnation, self.Service), keys.WithSeed(options.Seed)),
 		suspects:   suspects.New(),
 		membership: membership.New(membership.WithSeed(options.Seed)),
-		config:     config.New(config.WithSeed(options.Seed), config.WithValidation(CheckManifest)),
 		relay: logrelay.New(logrelay.WithSeed(options.Seed), logrelay.WithStreams(
 			logrelay.Stream{Name: record.ConfigStream},
 			logrelay.Stream{Name: record.GrantsStream},
 			logrelay.Stream{Name: record.MembersStream, Baseless: true},
 		)),
 	}
+	s.config = config.New(config.WithSeed(options.Seed), config.WithValidation(s.checkManifest))
+
+	return s
 }
 
 // CheckManifest is the check that a published manifest has to pass. It is the same for all daemons,
 // because validity decides which of two records becomes a version.
 func CheckManifest(text string) error {
+	_, err := manifest.Parse("manifest", []byte(text))
+
+	return err
+}
+
+// checkManifest is CheckManifest and keeps the result for inForce: a manifest of the target size takes
+// tens of milliseconds to parse, and requests wait meanwhile.
+func (s *State) checkManifest(text string) error {
 	parsed, err := manifest.Parse("manifest", []byte(text))
-	if err != nil {
-		return err
+	if err == nil {
+		s.parsedText, s.parsed = text, parsed
 	}
 
-	return parsed.Validate()
+	return err
 }
 
 // start makes the daemon known and begins to look for others.
--- a/internal/core/streams.go
+++ b/internal/core/streams.go
@@ -12,7 +12,6 @@
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
-	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 // fromMembership passes member changes to the packages that need them.
@@ -113,11 +112,11 @@
 
 // inForce applies a manifest that the config package has validated.
 func (s *State) inForce(now time.Time, e config.InForce) []Effect {
-	parsed, err := manifest.Parse("manifest", []byte(e.Manifest))
-	if err != nil {
+	if e.Manifest != s.parsedText && s.checkManifest(e.Manifest) != nil {
 		return nil
 	}
 
+	parsed := s.parsed
 	effects := s.fromRouting(now, s.routing.Apply(now, routing.PolicyChanged{Services: parsed.Services}))
 	effects = append(effects, s.fromKeys(now, s.keys.Apply(now, keys.PolicyChanged{Keys: parsed.Keys}))...)
 
--- a/internal/ini/ini.go
+++ b/internal/ini/ini.go
@@ -126,9 +126,9 @@
 		case line == "" || isComment(line):
 		case line[0] == '[':
 			header = canonicalHeader(line[1:strings.IndexByte(line, ']')])
-			fmt.Fprintf(&out, "[%d %s]\n", number, header)
+			out.WriteString("[" + strconv.Itoa(number) + " " + header + "]\n")
 		default:
-			fmt.Fprintf(&out, "%d %s\n", number, line)
+			out.WriteString(strconv.Itoa(number) + " " + line + "\n")
 		}
 	}
 
--- a/pkg/manifest/codec.go
+++ b/pkg/manifest/codec.go
@@ -72,7 +72,8 @@
 
 	// Values that did not parse are zero and would only add consequential errors.
 	if !document.Faulty() {
-		for _, problem := range m.problems() {
+		_, problems := m.check()
+		for _, problem := range problems {
 			document.Fail(problem.Section, problem.Key, problem.Message)
 		}
 	}
--- a/pkg/manifest/match.go
+++ b/pkg/manifest/match.go
@@ -37,25 +37,12 @@
 
 // NewMatcher compiles a manifest. It returns the faults that Validate returns.
 func NewMatcher(m Manifest) (*Matcher, error) {
-	if err := m.Validate(); err != nil {
+	hosts, err := m.compile()
+	if err != nil {
 		return nil, err
 	}
 
-	matcher := &Matcher{hosts: map[string]*compiled{}}
-
-	for _, service := range m.Services {
-		c := &compiled{name: service.Name, mux: http.NewServeMux()}
-		for _, rule := range service.Rules {
-			if err := register(c.mux, rule); err != nil {
-				return nil, err
-			}
-		}
-		for _, host := range service.Hosts {
-			matcher.hosts[host] = c
-		}
-	}
-
-	return matcher, nil
+	return &Matcher{hosts: hosts}, nil
 }
 
 // Match finds the service for a Host header, with or without port, and its rule for the method and
--- a/pkg/manifest/match_test.go
+++ b/pkg/manifest/match_test.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// Guards against an empty file of a failed pipeline that would take every service away.
+func TestEmpty(t *testing.T) {
+	for _, text := range []string{"", "\n# no service\n[keys]\n"} {
+		_, err := manifest.Parse("empty.ini", []byte(text))
+		require.ErrorContains(t, err, "manifest has no service")
+	}
+
+	require.Error(t, manifest.Manifest{}.Validate())
+}
+
 // Guards against a crash on damaged input, and against a manifest that changes meaning when it is
 // published in its canonical form.
 func FuzzParse(f *testing.F) {
--- a/pkg/manifest/validate.go
+++ b/pkg/manifest/validate.go
@@ -37,7 +37,7 @@
 
 // Problem is a fault in a manifest.
 type Problem struct {
-	// Section is the header in the INI form, such as "rule stockdesk orders".
+	// Section is the header in the INI form, such as "rule stockdesk orders"; empty for the whole.
 	Section string
 	Key     string
 	Message string
@@ -45,6 +45,10 @@
 
 // Error implements error.
 func (p Problem) Error() string {
+	if p.Section == "" {
+		return p.Message
+	}
+
 	place := "[" + p.Section + "] "
 	if p.Key != "" {
 		place += p.Key + ": "
@@ -55,14 +59,21 @@
 
 // Validate returns all faults, each a Problem, joined; nil if the manifest can be put in force.
 func (m Manifest) Validate() error {
-	problems := m.problems()
+	_, err := m.compile()
+
+	return err
+}
+
+// compile returns the muxes by host, and all faults as an error.
+func (m Manifest) compile() (map[string]*compiled, error) {
+	hosts, problems := m.check()
 	faults := make([]error, 0, len(problems))
 
 	for _, problem := range problems {
 		faults = append(faults, problem)
 	}
 
-	return errors.Join(faults...)
+	return hosts, errors.Join(faults...)
 }
 
 // checker collects problems of one section at a time.
@@ -81,14 +92,20 @@
 	}
 }
 
-func (m Manifest) problems() []Problem {
-	c := &checker{section: keysSection}
+func (m Manifest) check() (map[string]*compiled, []Problem) {
+	c := &checker{}
+	// Such a manifest would refuse every request; it most likely comes from a fault in the pipeline.
+	if len(m.Services) == 0 {
+		c.fail("", "manifest has no service")
+	}
+
+	c.section = keysSection
 	within(c, "window", m.Keys.Window, MinWindow, MaxWindow)
 	within(c, "tolerance", m.Keys.Tolerance, 0, MaxTolerance)
 	within(c, "grant", m.Keys.Grant, MinGrant, MaxGrant)
 
 	services := map[string]bool{}
-	hosts := map[string]string{}
+	hosts := map[string]*compiled{}
 
 	for _, service := range m.Services {
 		c.section = serviceSection(service.Name)
@@ -101,15 +118,16 @@
 
 		services[service.Name] = true
 
-		c.checkHosts(service, hosts)
+		entry := &compiled{name: service.Name, mux: http.NewServeMux()}
+		c.checkHosts(service, entry, hosts)
 		c.checkLimits(service)
-		c.checkRules(service)
+		c.checkRules(service, entry.mux)
 	}
 
-	return c.problems
+	return hosts, c.problems
 }
 
-func (c *checker) checkHosts(service Service, hosts map[string]string) {
+func (c *checker) checkHosts(service Service, entry *compiled, hosts map[string]*compiled) {
 	if len(service.Hosts) == 0 {
 		c.fail("hosts", "service has no host")
 	}
@@ -119,10 +137,10 @@
 			c.fail("hosts", "%q is not a lower-case host without port", host)
 		}
 		if other, found := hosts[host]; found {
-			c.fail("hosts", "host %q already names service %s", host, other)
+			c.fail("hosts", "host %q already names service %s", host, other.name)
 		}
 
-		hosts[host] = service.Name
+		hosts[host] = entry
 	}
 }
 
@@ -149,13 +167,13 @@
 	}
 }
 
-func (c *checker) checkRules(service Service) {
+// checkRules registers the rules that it finds right.
+func (c *checker) checkRules(service Service, mux *http.ServeMux) {
 	if len(service.Rules) == 0 {
 		c.fail("", "service has no rule")
 	}
 
 	names := map[string]bool{}
-	mux := http.NewServeMux()
 
 	for index, rule := range service.Rules {
 		c.section = ruleSection(service.Name, rule.Name)
@@ -179,7 +197,7 @@
 			continue
 		}
 		if register(mux, rule) != nil {
-			c.fail("path", "%s", conflict(service.Rules[:index], rule))
+			c.fail("path", "%s", explain(service.Rules[:index], rule))
 		}
 	}
 }
@@ -218,10 +236,9 @@
 
 		return false
 	}
-	// With a method, http.ServeMux also refuses paths that can never match, such as "/a//b".
-	rule.Methods = []string{http.MethodGet}
-	if err := register(http.NewServeMux(), rule); err != nil {
-		c.fail("path", "%s", reason(err))
+	// http.ServeMux itself refuses such paths only together with a method.
+	if strings.Contains(rule.Path, "//") || strings.Contains(rule.Path+"/", "/./") || strings.Contains(rule.Path+"/", "/../") {
+		c.fail("path", "%q can never match, because paths with //, . or .. are not matched", rule.Path)
 
 		return false
 	}
@@ -229,9 +246,14 @@
 	return true
 }
 
-// conflict names the earlier rule that a rule conflicts with. The text of net/http is not used
+// explain says why a rule could not be registered. The text of net/http for a conflict is not used
 // because it contains the position of the call in this source.
-func conflict(earlier []Rule, rule Rule) string {
+func explain(earlier []Rule, rule Rule) string {
+	// Without a method, the offset in the text is that in the path.
+	if err := register(http.NewServeMux(), Rule{Path: rule.Path}); err != nil {
+		return "bad pattern: " + reason(err)
+	}
+
 	for _, other := range earlier {
 		mux := http.NewServeMux()
 		if register(mux, other) == nil && register(mux, rule) != nil {
@@ -247,10 +269,10 @@
 func reason(err error) string {
 	text := err.Error()
 	if _, rest, found := strings.Cut(text, "\": "); found {
-		text = rest
+		return rest
 	}
 
-	return "bad pattern: " + text
+	return text
 }
 
 // register adds a rule for each of its methods. http.ServeMux panics on a pattern that is wrong or
