membership: push own changes without delay

A daemon announces that it leaves up to 0.2 s before its sockets close, but a push could wait 0.3 s behind an earlier one, so that the announcement was lost. Own changes are now pushed at once. The fleet's handler follows the extended peer interface.

--- a/internal/membership/fleet/daemon.go
+++ b/internal/membership/fleet/daemon.go
@@ -12,16 +12,12 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
-	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/peer"
 )
 
 const secret = "fleet"
 
-// ErrUnsupported is returned for calls that have nothing to do with membership.
-var ErrUnsupported = errors.New("not supported by the test fleet")
-
 // watch is a status of one member, and where daemons report that they know of it.
 type watch struct {
 	member  instance.ID
@@ -86,7 +82,7 @@
 		return nil, err
 	}
 
-	if d.server, err = peer.NewServer(secret, handler{d}); err != nil {
+	if d.server, err = peer.NewServer(secret, handler{daemon: d}); err != nil {
 		return nil, err
 	}
 
@@ -236,8 +232,12 @@
 	}
 }
 
-// handler passes calls of peers to the loop.
-type handler struct{ daemon *Daemon }
+// handler passes calls of peers to the loop. The embedded interface is nil: no daemon of a fleet makes
+// calls other than those below.
+type handler struct {
+	peer.Handler
+	daemon *Daemon
+}
 
 func (h handler) ask(ctx context.Context, event membership.Event) (membership.Effect, error) {
 	answer := make(chan membership.Effect, 1)
@@ -277,17 +277,3 @@
 
 	return peer.Page{Members: reply.Members, More: reply.More, Busy: reply.Busy}, nil
 }
-
-// Records implements peer.Handler.
-func (handler) Records(context.Context, peer.RecordsRequest) (peer.Records, error) {
-	return peer.Records{}, ErrUnsupported
-}
-
-// Handover implements peer.Handler.
-func (handler) Handover(context.Context, peer.Handover) error { return ErrUnsupported }
-
-// Report implements peer.Handler.
-func (handler) Report(context.Context, []peer.Suspect) error { return ErrUnsupported }
-
-// Probe implements peer.Handler.
-func (handler) Probe(context.Context) (load.Hint, error) { return load.Hint{}, ErrUnsupported }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -158,7 +158,8 @@
 // announce changes this daemon's own status and tells its neighbours at once.
 func (s *State) announce(status instance.Status) {
 	s.store(s.self.member.WithStatus(status, s.self.member.Counter+1), s.self.member.ID)
-	s.urgent = true
+	// Not delayed by an earlier push: a daemon that leaves ends soon after.
+	s.push()
 }
 
 // store puts a changed announcement into the table.
