membership: faster start of a whole fleet, cheaper choice of changes and neighbours

Changes after a version are found in a log ordered by version instead of by a scan and a sort, and neighbours by selection instead of by sorting the region.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -34,6 +34,75 @@
 	require.Empty(t, s.differences())
 }
 
+// Guards against changes that are sent to a neighbour more than once.
+func TestQuiet(t *testing.T) {
+	s := newSimulation(3, 40, places())
+	s.startAll(30 * time.Second)
+
+	before := s.told
+	s.run(10 * time.Second)
+	require.Equal(t, before, s.told)
+}
+
+// Guards against a difference that no delta repairs: one table lost a member, another one an update.
+func TestRepair(t *testing.T) {
+	s := newSimulation(4, 20, places())
+	s.startAll(20 * time.Second)
+
+	table := &s.nodes[5].state.table
+	table.put(s.now, table.index[s.nodes[6].id].member.WithStatus(instance.Dead, 0), "")
+	table.remove(s.now.Add(time.Second))
+	s.nodes[7].state.table.put(s.now, instance.Member{ID: s.nodes[8].id, Place: s.nodes[8].place}, "")
+	require.NotEmpty(t, s.differences())
+
+	s.run(20 * time.Second)
+	require.Empty(t, s.differences())
+}
+
+// Guards against fleets that stay apart after a partition that outlasted the time for which members
+// are held.
+func TestLongPartition(t *testing.T) {
+	s := newSimulation(5, 30, places(), WithHold(30*time.Second))
+	s.startAll(20 * time.Second)
+
+	s.blocked = func(a, b *node) bool { return a.place.Region != b.place.Region }
+	s.run(5 * time.Minute)
+	require.NotEmpty(t, s.differences())
+
+	s.heal()
+	s.run(time.Minute)
+	require.Empty(t, s.differences())
+}
+
+// Guards against a seed that many starting daemons overload.
+func TestBusy(t *testing.T) {
+	s := newSimulation(6, 200, places())
+	s.startAll(20 * time.Second)
+
+	page := func(from string) ReplyPage {
+		for _, effect := range s.nodes[0].state.Apply(s.now, PageRequested{From: instance.ID(from), Limit: pageSize}) {
+			if reply, ok := effect.(ReplyPage); ok {
+				return reply
+			}
+		}
+
+		return ReplyPage{}
+	}
+	for at := range pullLimit {
+		reply := page(string(rune('a' + at)))
+		require.False(t, reply.Busy)
+		require.Len(t, reply.Members, pageSize)
+		require.True(t, reply.More)
+	}
+
+	refused := page("z")
+	require.True(t, refused.Busy)
+	require.Len(t, refused.Members, contactLimit)
+
+	s.now = s.now.Add(pullTimeout)
+	require.False(t, page("z").Busy)
+}
+
 // Guards against a pause that leads to a death although the daemon is back, or to a daemon that blames
 // its own silence on others.
 func TestPause(t *testing.T) {
@@ -69,3 +138,22 @@
 	require.Contains(t, s.Apply(now, Tick{}), Ready{Alone: true})
 	require.Contains(t, heard(10), Superseded{By: instance.Member{ID: "a", Incarnation: 10}})
 }
+
+// Guards against a reducer that depends on anything but its events: a recording could not be replayed.
+func TestDeterminism(t *testing.T) {
+	run := func() []Dump {
+		s := newSimulation(7, 30, places())
+		s.startAll(10 * time.Second)
+		s.loss, s.repeat = 0.2, 0.2
+		s.nodes[4].up = false
+		s.run(20 * time.Second)
+
+		dumps := make([]Dump, 0, len(s.nodes))
+		for _, n := range s.nodes {
+			dumps = append(dumps, n.state.Dump())
+		}
+
+		return dumps
+	}
+	require.Equal(t, run(), run())
+}
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,23 +38,34 @@
 	return x ^ x>>31
 }
 
-// ranked sorts entries by a score, lowest first.
-func ranked(entries []*entry, score func(*entry) uint64) []*entry {
-	slices.SortFunc(entries, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.member.ID, b.member.ID))
-	})
+// nearest returns the entries with the lowest scores up to a number of ones that are not accused, and
+// the accused ones between them.
+func nearest(entries []*entry, number int, score func(*entry) uint64) []*entry {
+	limit := number + spare
+	found := make([]*entry, 0, limit+1)
+	scores := make([]uint64, 0, limit+1)
 
-	return entries
-}
+	for _, e := range entries {
+		value := score(e)
+		if len(found) == limit && value >= scores[limit-1] {
+			continue
+		}
+
+		// Entries come in the order of IDs, so that equal scores keep that order.
+		at := len(found)
+		for at > 0 && value < scores[at-1] {
+			at--
+		}
+
+		found, scores = slices.Insert(found, at, e), slices.Insert(scores, at, value)
+		found, scores = found[:min(len(found), limit)], scores[:min(len(scores), limit)]
+	}
 
-// first returns the first entries up to a number of ones that are not accused, and the accused ones
-// between them.
-func first(entries []*entry, number int) []*entry {
 	sound := 0
 
-	for i, e := range entries {
-		if sound == number || i == number+spare {
-			return entries[:i]
+	for i, e := range found {
+		if sound == number {
+			return found[:i]
 		}
 
 		if e.member.Status != instance.Accused {
@@ -63,7 +73,7 @@
 		}
 	}
 
-	return entries
+	return found
 }
 
 // layout is a copy of the live members by place, in the order of the table.
@@ -114,7 +124,7 @@
 func gates(members []*entry, name string, number int) []*entry {
 	salt := xxhash.Sum64String(name)
 
-	return first(ranked(slices.Clone(members), func(e *entry) uint64 { return mix(e.hash ^ salt) }), number)
+	return nearest(members, number, func(e *entry) uint64 { return mix(e.hash ^ salt) })
 }
 
 // next returns the name after another one in a ring of sorted names, or none for an empty ring.
@@ -136,10 +146,10 @@
 	domains := l.regions[place.Region]
 
 	ring := slices.DeleteFunc(slices.Clone(domains[place.Domain]), func(e *entry) bool { return e == self })
-	chosen = append(chosen, first(ranked(ring, func(e *entry) uint64 { return e.hash - self.hash }), successors)...)
+	chosen = append(chosen, nearest(ring, successors, func(e *entry) uint64 { return e.hash - self.hash })...)
 
 	others := slices.DeleteFunc(l.region(place.Region), func(e *entry) bool { return e.member.Place == place })
-	chosen = append(chosen, first(ranked(others, func(e *entry) uint64 { return mix(e.hash ^ mix(self.hash)) }), elsewhere)...)
+	chosen = append(chosen, nearest(others, elsewhere, func(e *entry) uint64 { return mix(e.hash ^ mix(self.hash)) })...)
 
 	names := sortedKeys(domains)
 	if slices.Contains(gates(domains[place.Domain], "domain "+place.Domain, domainGates), self) {
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -21,7 +21,7 @@
 	// hops a change still spreads within 2 s.
 	pushInterval = 300 * time.Millisecond
 	// messageLimit is the largest number of members in an exchange.
-	messageLimit = 64
+	messageLimit = 256
 	// pageSize is the number of members per page of a pull.
 	pageSize = 128
 	// pullLimit is the number of pulls served at once.
--- a/internal/membership/scenario_test.go
+++ b/internal/membership/scenario_test.go
@@ -152,7 +152,7 @@
 // dead, and what is wrong after the partition has healed.
 func cut(draw draw, options ...Option) (dead, wrong []string) {
 	s := newSimulation(uint64(draw(1<<30, "seed")), 10+draw(20, "size"), places(), options...)
-	s.startAll(20 * time.Second)
+	s.startAll(8 * time.Second)
 
 	place, region := places()[draw(5, "place")], draw(2, "region") == 1
 	inside := func(n *node) bool { return n.place == place || region && n.place.Region == place.Region }
@@ -168,7 +168,7 @@
 	}
 
 	s.heal()
-	s.run(20 * time.Second)
+	s.run(15 * time.Second)
 
 	return dead, s.differences()
 }
@@ -239,3 +239,37 @@
 		}
 	})
 }
+
+// Guards against a change that takes more than 2 s, or a start that takes more than 1 s, at the target
+// size while daemons are replaced.
+func TestTargetSize(t *testing.T) {
+	const size, drained = 610, 300
+
+	s := newSimulation(1, size, places())
+	s.far = 20 * time.Millisecond
+	s.preload()
+	s.run(3 * time.Second)
+	require.Empty(t, s.differences())
+
+	for at := range 10 {
+		n := s.nodes[10+at]
+		s.apply(n, LeaveStarted{})
+		s.run(100 * time.Millisecond)
+		n.up = false
+		s.start(n)
+		s.run(200 * time.Millisecond)
+	}
+
+	s.run(800 * time.Millisecond)
+
+	for _, n := range s.nodes {
+		require.True(t, n.ready, n.id)
+	}
+
+	s.apply(s.nodes[drained], DrainStarted{})
+	s.run(2 * time.Second)
+
+	for _, n := range s.nodes {
+		require.Equal(t, instance.Draining, n.state.table.index[s.nodes[drained].id].member.Status, n.id)
+	}
+}
--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -23,6 +23,10 @@
 	// loss and repeat are probabilities per message.
 	loss, repeat float64
 	delay        time.Duration
+	// told counts the members in exchanges.
+	told int
+	// far is added between regions.
+	far time.Duration
 	// blocked reports whether two nodes can't reach each other.
 	blocked func(a, b *node) bool
 	// captured are the exchanges with members, for replay.
@@ -173,6 +177,10 @@
 			}
 		})
 	}
+	if exchange, ok := request.(ExchangeReceived); ok {
+		s.told += len(exchange.Message.Members)
+	}
+
 	s.after(CallTimeout, func() { finish(nil) })
 
 	at := slices.IndexFunc(s.nodes, func(n *node) bool { return n.address == address })
@@ -214,7 +222,12 @@
 			continue
 		}
 
-		s.after(s.delay/2+time.Duration(s.random.Int64N(int64(s.delay))), func() {
+		delay := s.delay/2 + time.Duration(s.random.Int64N(int64(s.delay)))
+		if from.place.Region != to.place.Region {
+			delay += s.far
+		}
+
+		s.after(delay, func() {
 			if to.up && !s.blocked(from, to) {
 				arrive()
 			}
@@ -243,6 +256,24 @@
 	s.run(duration)
 }
 
+// preload starts the nodes with full tables, as if they had run for long.
+func (s *simulation) preload() {
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+
+	for _, n := range s.nodes {
+		for _, other := range s.nodes {
+			if other != n {
+				n.state.table.put(s.now.Add(-time.Hour), other.state.Self(), "")
+			}
+		}
+
+		n.state.becomeReady(false)
+		n.ready = true
+	}
+}
+
 // differences lists what keeps the live nodes' tables from being correct.
 func (s *simulation) differences() []string {
 	var found []string
--- a/internal/membership/start.go
+++ b/internal/membership/start.go
@@ -8,8 +8,15 @@
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 )
 
-// retryDelay is the largest delay before the next peer is asked for the table.
-const retryDelay = 100 * time.Millisecond
+const (
+	// retryDelay is the largest delay before the next peer is asked for the table. It doubles with
+	// each refusal, up to retryDoublings times, so that a mass start does not flood the seeds.
+	retryDelay     = 100 * time.Millisecond
+	retryDoublings = 3
+	// patience multiplies the start timeout of a daemon whose peers respond but are starting
+	// themselves: the seeds start first, and the others then find one fleet.
+	patience = 3
+)
 
 // pull is the state of pulling a table in pages, at the start or to repair a difference.
 type pull struct {
@@ -24,6 +31,10 @@
 	sentAt   time.Time
 	after    instance.ID
 	next     time.Time
+	// refused counts busy peers in a row.
+	refused int
+	// isSeed is set if others start from this daemon.
+	isSeed   bool
 	deadline time.Time
 	// repair is the peer whose table is compared, or empty while starting.
 	repair     instance.ID
@@ -53,6 +64,7 @@
 	s.startedAt, s.reuniteAt = s.now, s.now.Add(s.interval)
 	s.pull.deadline = s.now.Add(s.start)
 
+	s.pull.isSeed = slices.Contains(e.Seeds, e.Self.Peer)
 	seeds := slices.DeleteFunc(slices.Clone(e.Seeds), func(a netip.AddrPort) bool { return a == e.Self.Peer })
 	s.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	s.pull.add(seeds...)
@@ -125,6 +137,12 @@
 	p.inflight = false
 
 	if e.Busy {
+		p.refused = min(p.refused+1, retryDoublings)
+
+		if !p.isSeed {
+			p.deadline = s.startedAt.Add(patience * s.start)
+		}
+
 		for _, member := range e.Members {
 			if member.Peer != s.self.member.Peer && !slices.Contains(p.peers, member.Peer) {
 				p.peers = append(p.peers, member.Peer)
@@ -151,7 +169,7 @@
 		return
 	}
 
-	p.repair = ""
+	p.repair, p.refused = "", 0
 
 	if !s.alone() {
 		p.peers = slices.Clone(p.seeds)
@@ -184,7 +202,7 @@
 
 // retryPull sets when the next peer is asked: soon during the start, once a second after it.
 func (s *State) retryPull() {
-	delay := time.Duration(s.random.Int64N(int64(retryDelay)))
+	delay := time.Duration(s.random.Int64N(int64(retryDelay << s.pull.refused)))
 	if s.ready {
 		delay += s.interval
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -35,14 +35,30 @@
 	return status != instance.Dead && status != instance.Left
 }
 
+// The log is compacted when it holds this many places per entry, and a few more.
+const (
+	logFactor = 2
+	logSlack  = 64
+)
+
 // table holds the members. Entries are sorted by ID.
 type table struct {
 	entries []*entry
 	index   map[instance.ID]*entry
-	seq     uint64
-	digest  uint64
+	// log holds the entries by version; an entry that changed again has a later place too.
+	log    []change
+	seq    uint64
+	digest uint64
 }
 
+// change is the place of an entry in the order of versions.
+type change struct {
+	seq   uint64
+	entry *entry
+}
+
+func (c change) current() bool { return c.seq == c.entry.seq }
+
 // compare orders two announcements of one member; the later one wins.
 func compare(a, b instance.Member) int {
 	return cmp.Or(
@@ -69,6 +85,11 @@
 	e.member, e.seq, e.changed, e.source = member, t.seq, now, source
 	e.mark = mark(member)
 	t.digest += e.mark
+	t.log = append(t.log, change{seq: t.seq, entry: e})
+
+	if len(t.log) > logFactor*len(t.entries)+logSlack {
+		t.log = slices.DeleteFunc(t.log, func(c change) bool { return !c.current() })
+	}
 
 	return e
 }
@@ -96,18 +117,18 @@
 
 	var changes []*entry
 
-	for _, e := range t.entries {
-		if e.seq > version && e.source != peer {
-			changes = append(changes, e)
-		}
-	}
+	at, _ := slices.BinarySearchFunc(t.log, version+1, func(c change, seq uint64) int { return cmp.Compare(c.seq, seq) })
 
-	slices.SortFunc(changes, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	for _, c := range t.log[at:] {
+		if !c.current() || c.entry.source == peer {
+			continue
+		}
 
-	if len(changes) > limit {
-		changes = changes[:limit]
+		if len(changes) == limit {
+			return changes, changes[limit-1].seq
+		}
 
-		return changes, changes[limit-1].seq
+		changes = append(changes, c.entry)
 	}
 
 	return changes, t.seq
@@ -154,6 +175,8 @@
 		old := !e.live() && e.changed.Before(before)
 		if old {
 			delete(t.index, e.member.ID)
+			// The log's places of the entry are out of date from now on.
+			e.seq = 0
 		}
 
 		return old
