--- a/internal/keys/arrive.go
+++ b/internal/keys/arrive.go
@@ -107,7 +107,7 @@
 // own reports whether this daemon alone can have accepted the key.
 func (s *State) own(key Key) bool {
 	g, ok := s.ledger.partition(s.service, key.Partition).covering(key.Issued)
-	if !ok || !s.mine(key.Partition, g) {
+	if !ok || !s.mine(g) {
 		return false
 	}
 
@@ -115,10 +115,8 @@
 	return !s.drain.started || key.Issued < s.drain.end
 }
 
-// mine reports whether a grant was claimed by this State.
-func (s *State) mine(partition int, g Grant) bool {
-	return g.heldBy(s.self.id, s.self.incarnation) && slices.Contains(s.claims[partition].from, g.From)
-}
+// mine reports whether a grant is held by this incarnation.
+func (s *State) mine(g Grant) bool { return g.heldBy(s.self.id, s.self.incarnation) }
 
 // refuseForeign answers a key that another daemon may have accepted.
 func (s *State) refuseForeign(r request.Request, key Key) {
@@ -127,7 +125,7 @@
 	g, ok := h.covering(key.Issued)
 
 	switch {
-	case ok && r.Service == s.service && s.drain.started && s.mine(key.Partition, g):
+	case ok && r.Service == s.service && s.drain.started && s.mine(g):
 		s.refuse(r.ID, verdict.MayHaveRun, IsDraining, retryAfter)
 	case !ok || s.reachable(r.Service, g):
 		s.refuse(r.ID, verdict.MayHaveRun, NotOwner, retryAfter)
--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -21,18 +21,8 @@
 	// appendRetry is the time after which an append that was not read back is repeated; the delay is
 	// jittered by up to as much again, so that the daemons do not append together after an outage.
 	appendRetry = 5 * time.Second
-	// fromRemembered bounds the claims remembered per partition.
-	fromRemembered = 2 * historyLength
 )
 
-// claiming is what this daemon has asked for in a partition.
-type claiming struct {
-	// from holds the starts of the claims that this State has emitted.
-	from []int64
-	// retry is when a claim may be repeated.
-	retry time.Time
-}
-
 // claim asks for partitions that need a new owner and of which this daemon is the rendezvous choice.
 func (s *State) claim() {
 	if s.policy.Grant <= 0 || !s.ledger.heard || !s.ledger.caughtUp() {
@@ -45,13 +35,12 @@
 
 	for p := range Partitions {
 		from, ok := s.claimable(p)
-		if !ok || s.now.Before(s.claims[p].retry) || s.choice(p, s.stuck(p)) != s.self.id {
+		if !ok || s.now.Before(s.claimed[p]) || s.choice(p, s.stuck(p)) != s.self.id {
 			continue
 		}
 
 		until := max(from, s.milliseconds()) + s.policy.Grant.Milliseconds()
-		s.claims[p].retry = s.retryTime()
-		s.claims[p].remember(from)
+		s.claimed[p] = s.retryTime()
 
 		at, ok := index[[2]int64{from, until}]
 		if !ok {
@@ -77,18 +66,6 @@
 	s.emit(AppendGrants{Record: record})
 }
 
-func (c *claiming) remember(from int64) {
-	if slices.Contains(c.from, from) {
-		return
-	}
-
-	if len(c.from) == fromRemembered {
-		c.from = slices.Delete(c.from, 0, 1)
-	}
-
-	c.from = append(c.from, from)
-}
-
 // claimable reports whether a partition needs a new owner, and from which issue time on. The claim
 // starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
 func (s *State) claimable(p int) (int64, bool) {
@@ -103,9 +80,8 @@
 	switch {
 	case last.Ended:
 		return last.Until, true
-	case last.heldBy(s.self.id, s.self.incarnation):
-		// A grant of this incarnation that this State did not claim is left to run out.
-		return last.Until, !s.mine(p, last) && now >= last.Until-ahead
+	case s.mine(last):
+		return 0, false
 	case s.usable(s.service, last):
 		// The owner lives but does not extend, for example because its appends are lost.
 		return last.Until, now >= last.Until+ahead
@@ -188,7 +164,7 @@
 
 	for p := range Partitions {
 		last, ok := s.ledger.partition(s.service, p).last()
-		if ok && !last.Ended && s.mine(p, last) {
+		if ok && !last.Ended && s.mine(last) {
 			earliest = min(earliest, last.Until)
 		}
 	}
--- a/internal/keys/handover.go
+++ b/internal/keys/handover.go
@@ -12,8 +12,6 @@
 const (
 	// chunkBytes bounds the stored responses in one message of a handover.
 	chunkBytes = 256 << 10
-	// chunkEntries bounds the keys in one message of a handover.
-	chunkEntries = 2000
 	// handoverRetry is the time after which an unanswered message is repeated.
 	handoverRetry = time.Second
 )
@@ -75,11 +73,11 @@
 // claim it.
 func (s *State) target(p int) (instance.ID, bool) {
 	h := s.ledger.partition(s.service, p)
-	if !slices.ContainsFunc(h, func(g Grant) bool { return s.mine(p, g) }) {
+	if !slices.ContainsFunc(h, s.mine) {
 		return "", false
 	}
 
-	if last, _ := h.last(); !s.mine(p, last) && s.usable(s.service, last) {
+	if last, _ := h.last(); !s.mine(last) && s.usable(s.service, last) {
 		return last.Owner, true
 	}
 
@@ -111,7 +109,7 @@
 
 	for _, e := range s.entriesOf(partitions) {
 		last := len(chunks) - 1
-		if len(chunks[last]) == chunkEntries || (size > 0 && size+e.Response.size() > chunkBytes) {
+		if len(chunks[last]) == s.chunk || (size > 0 && size+e.Response.size() > chunkBytes) {
 			chunks = append(chunks, nil)
 			last, size = last+1, 0
 		}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -11,7 +11,7 @@
 //     a grant that an owner has read back stays its own unless it signs off itself. Ranges are half
 //     open: t = From is inside, t = Until is outside.
 //  2. A key is admitted only if it is not in the table, t is in a grant of this incarnation that was
-//     claimed by this State and read back, t is not before the table's floor, and the daemon does not
+//     read back, t is not before the table's floor, and the daemon does not
 //     drain. No clock takes part, so that a pause or clock skew makes no second owner.
 //  3. The window and the tolerance use the owner's clock. They only refuse.
 //  4. A missing key proves that it was not run only if this daemon alone can have accepted it (t in its
@@ -30,8 +30,7 @@
 //   - The answer to an append is never used. What is read back counts. An append is repeated after a
 //     delay; a repeated claim is rejected by rule 1, repeated extensions and sign-offs change nothing.
 //   - A restart under the same ID has another incarnation and an empty table; it starts as a stranger to
-//     the old grant. A grant that this State did not claim is not used either, so that a reused
-//     incarnation number does no harm.
+//     the old grant.
 //   - A leaving owner stops admitting before it asks for the sign-off. Its handover lists what is
 //     running; later outcomes follow one by one. While chunks are missing, missing keys are in doubt.
 //     Repeated and late chunks change nothing, because an entry only moves from running to an outcome.
@@ -42,7 +41,7 @@
 //     knows of its own grants stays true by rule 1. Old data from the log is skipped by offset.
 //   - A resend that reaches the successor before the handover is in doubt, and later answered from it.
 //
-// Limits: incarnations of one ID differ between runs; the log never replaces a record by another; the
+// Limits: no two runs of one ID share an incarnation, which its start time in nanoseconds gives; the log never replaces a record by another; the
 // daemon reports Finished exactly once for an admitted request, and only with a true verdict.
 package keys
 
@@ -65,6 +64,8 @@
 	DefaultStore = 32 << 20
 	// DefaultBaseRecords is the least number of records between two bases in the log.
 	DefaultBaseRecords = 256
+	// DefaultChunk is the number of keys in one message of a handover.
+	DefaultChunk = 2000
 )
 
 // State is the reducer's state. It is owned by the daemon's event loop.
@@ -74,17 +75,19 @@
 	maximum int
 	store   int
 	random  *rand.Rand
-	// baseRecords is at least 1.
+	// baseRecords and chunk are at least 1.
 	baseRecords uint64
-
-	policy   manifest.Keys
-	now      time.Time
-	members  map[string][]instance.Member
-	ledger   ledger
-	table    table
-	claims   [Partitions]claiming
-	extended time.Time
+	chunk       int
+
+	policy  manifest.Keys
+	now     time.Time
+	members map[string][]instance.Member
+	ledger  ledger
+	table   table
+	// claimed and based are the times from which a claim or a base may be appended again.
+	claimed  [Partitions]time.Time
 	based    time.Time
+	extended time.Time
 
 	// accepted is the highest issue time admitted, in Unix milliseconds.
 	accepted int64
@@ -119,10 +122,13 @@
 	return func(s *State) { s.baseRecords = max(1, records) }
 }
 
+// WithChunk limits the number of keys in one message of a handover, at least 1.
+func WithChunk(entries int) Option { return func(s *State) { s.chunk = max(1, entries) } }
+
 // New returns a state without grants and policy.
 func New(options ...Option) *State {
 	s := &State{
-		maximum: DefaultEntries, store: DefaultStore, baseRecords: DefaultBaseRecords,
+		maximum: DefaultEntries, store: DefaultStore, baseRecords: DefaultBaseRecords, chunk: DefaultChunk,
 		members: map[string][]instance.Member{}, ledger: newLedger(), table: newTable(),
 		received: map[run]*[Partitions]receipt{},
 	}
