logrelay: state-machine test over a fleet, a log and a network

Several daemons with both reducers read one model log under loss, duplication, delay, reordering, restarts, expiry, stale reads, outages and lost append answers. The test found that a reader without a base ignored records before the point to which it had read; it now starts over where more is to be had.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -188,8 +188,8 @@
 	}
 
 	switch {
-	case !s.log.started:
-		// A stream that starts at offset 0 has version 0 before it.
+	case !s.log.started, !s.log.based && start < s.log.first:
+		// A reader that decided nothing yet may start over where more is to be had. A stream that starts at offset 0 has version 0 before it.
 		s.log = position{started: true, first: start, through: start, based: start == 0}
 	case start > s.log.through:
 		// Records between through and start cannot be had: one of them may have been decisive.
--- a/internal/logrelay/logrelay.go
+++ b/internal/logrelay/logrelay.go
@@ -8,6 +8,7 @@
 package logrelay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -23,6 +24,9 @@
 	Name string
 	// Baseless streams have no reducer whose state could replace old records; these are dropped.
 	Baseless bool
+	// Bytes and Records limit the tail of recent records; zero means the default.
+	Bytes   int
+	Records int
 }
 
 // State is the reducer's state. It has a single owner.
@@ -57,7 +61,11 @@
 	return func(s *State) {
 		s.streams = nil
 		for _, config := range streams {
-			s.streams = append(s.streams, &stream{name: config.Name, baseless: config.Baseless})
+			s.streams = append(s.streams, &stream{
+				name: config.Name, baseless: config.Baseless,
+				maxBytes:   cmp.Or(config.Bytes, defaultBytes),
+				maxRecords: cmp.Or(config.Records, defaultRecords),
+			})
 		}
 	}
 }
--- /dev/null
+++ b/internal/logrelay/model_test.go
@@ -0,0 +1,428 @@
+package logrelay_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/config"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/logrelay"
+	"github.com/tarragonmill/tarragonmill/internal/logservice"
+	"github.com/tarragonmill/tarragonmill/internal/logservice/record"
+)
+
+const invalidManifest = "invalid"
+
+func validate(manifest string) error {
+	if manifest == invalidManifest {
+		return errors.New("invalid")
+	}
+
+	return nil
+}
+
+// node is a daemon of the model: the two reducers and the glue between them.
+type node struct {
+	id        instance.ID
+	run       int
+	relay     *logrelay.State
+	config    *config.State
+	up        bool
+	cut       bool
+	isRelay   bool
+	forced    uint64
+	neighbors []instance.ID
+}
+
+// accepted is what the oracle knows of a version.
+type accepted struct{ id, manifest string }
+
+// model is a fleet, a log and the network between them in virtual time.
+type model struct {
+	fail   func(format string, args ...any)
+	random *rand.Rand
+	now    time.Time
+	queue  schedule
+	seq    int
+	nodes  []*node
+
+	// records are never removed; first is the first one that the log still shows.
+	records [][]byte
+	first   uint64
+	// views are earlier states of the log, which stale reads show.
+	views   [][2]uint64
+	outage  bool
+	stale   bool
+	lose    bool
+	netLoss float64
+	netDup  float64
+	delay   time.Duration
+
+	versions  []accepted
+	decisions map[uint64]config.Decided
+	tokens    map[uint64][]byte
+	token     uint64
+	calls     map[uint64]func(logrelay.Page)
+	reached   map[string]uint64
+}
+
+type item struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type schedule []item
+
+func (s schedule) Len() int      { return len(s) }
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(item)) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at.Before(s[j].at) || (s[i].at.Equal(s[j].at) && s[i].seq < s[j].seq)
+}
+
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+
+	return last
+}
+
+func newModel(seed uint64, size int, fail func(string, ...any)) *model {
+	m := &model{
+		fail: fail, random: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1_000_000, 0),
+		versions: []accepted{{}}, decisions: map[uint64]config.Decided{}, tokens: map[uint64][]byte{},
+		calls: map[uint64]func(logrelay.Page){}, reached: map[string]uint64{},
+	}
+	m.heal()
+	m.views = [][2]uint64{{0, 0}}
+
+	for i := range size {
+		n := &node{id: instance.ID(fmt.Sprint("n", i)), isRelay: i == 0}
+		// A ring with one chord: news takes several hops.
+		for _, j := range []int{i + 1, i + size - 1, i + size/2} {
+			if id := instance.ID(fmt.Sprint("n", j%size)); id != n.id && !slices.Contains(n.neighbors, id) {
+				n.neighbors = append(n.neighbors, id)
+			}
+		}
+
+		m.nodes = append(m.nodes, n)
+		m.start(n)
+	}
+
+	return m
+}
+
+func (m *model) heal() {
+	m.outage, m.stale, m.lose, m.netLoss, m.netDup, m.delay = false, false, false, 0, 0, 40*time.Millisecond
+	for _, n := range m.nodes {
+		n.cut = false
+	}
+}
+
+// start begins a run of a daemon, which remembers nothing.
+func (m *model) start(n *node) {
+	m.stop(n)
+	n.run++
+	n.up, n.forced = true, 0
+	seed := m.random.Uint64()
+	n.config = config.New(config.WithSeed(seed), config.WithValidation(validate), config.WithRetention(2*time.Minute))
+	n.relay = logrelay.New(logrelay.WithSeed(seed), logrelay.WithStreams(logrelay.Stream{Name: record.ConfigStream, Records: 6}))
+	m.apply(n, logrelay.NeighboursChanged{Neighbours: n.neighbors})
+	m.role(n, n.isRelay)
+	m.every(n, logrelay.TickInterval, func() { m.apply(n, logrelay.Tick{}) })
+	m.every(n, config.TickInterval, func() { m.configure(n, config.Tick{}) })
+	m.every(n, time.Second, func() { m.announce(n, n.neighbors, n.relay.Throughs(m.now)) })
+}
+
+func (m *model) stop(n *node) {
+	if n.up {
+		m.count("relay", n.relay.Dump().Counts)
+		m.count("config", n.config.Dump().Counts)
+	}
+
+	n.up = false
+}
+
+func (m *model) count(prefix string, counts any) {
+	v := reflect.ValueOf(counts)
+	for i := range v.NumField() {
+		m.reached[prefix+"."+v.Type().Field(i).Name] += v.Field(i).Uint()
+	}
+}
+
+func (m *model) role(n *node, relay bool) {
+	n.isRelay = relay
+	m.apply(n, logrelay.RoleChanged{Relay: relay})
+	m.configure(n, config.RoleChanged{Relay: relay})
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	m.seq++
+	heap.Push(&m.queue, item{at: m.now.Add(d), seq: m.seq, do: do})
+}
+
+// on runs a step of a daemon later, unless it has stopped by then.
+func (m *model) on(n *node, d time.Duration, do func()) {
+	run := n.run
+	m.after(d, func() {
+		if n.up && n.run == run {
+			do()
+		}
+	})
+}
+
+func (m *model) every(n *node, d time.Duration, do func()) {
+	m.on(n, d, func() {
+		do()
+		m.every(n, d, do)
+	})
+}
+
+func (m *model) advance(d time.Duration) {
+	end := m.now.Add(d)
+	for len(m.queue) > 0 && !m.queue[0].at.After(end) {
+		next := heap.Pop(&m.queue).(item)
+		m.now = next.at
+		next.do()
+	}
+
+	m.now = end
+}
+
+func (m *model) latency() time.Duration { return time.Duration(m.random.Int64N(int64(m.delay))) }
+
+func (m *model) chance(p float64) bool { return m.random.Float64() < p }
+
+// send delivers a message between daemons: late, twice, out of order or never.
+func (m *model) send(from, to *node, deliver func()) {
+	if from.cut != to.cut || m.chance(m.netLoss) {
+		return
+	}
+
+	m.on(to, m.latency(), deliver)
+
+	if m.chance(m.netDup) {
+		m.on(to, m.latency(), deliver)
+	}
+}
+
+func (m *model) node(id instance.ID) *node {
+	return m.nodes[slices.IndexFunc(m.nodes, func(n *node) bool { return n.id == id })]
+}
+
+func (m *model) announce(n *node, peers []instance.ID, throughs []logrelay.Through) {
+	for _, id := range peers {
+		to := m.node(id)
+		m.send(n, to, func() { m.apply(to, logrelay.ThroughsHeard{From: n.id, Throughs: throughs}) })
+	}
+}
+
+func (m *model) apply(n *node, event logrelay.Event) {
+	for _, effect := range n.relay.Apply(m.now, event) {
+		m.perform(n, effect)
+	}
+}
+
+func (m *model) perform(n *node, effect logrelay.Effect) {
+	switch e := effect.(type) {
+	case logrelay.Read:
+		m.on(n, m.latency(), func() { m.read(n, e) })
+	case logrelay.Pull:
+		m.pull(n, e)
+	case logrelay.Answer:
+		m.calls[e.Call](e.Page)
+		delete(m.calls, e.Call)
+	case logrelay.Announce:
+		m.announce(n, e.Peers, e.Throughs)
+	case logrelay.Deliver:
+		m.configure(n, config.RecordsRead{First: e.First, Records: e.Records, Next: e.Next})
+	case logrelay.Offer:
+		decoded, err := record.DecodeConfig(e.Data)
+		if err != nil {
+			m.fail("base does not decode: %v", err)
+		}
+
+		s := decoded.(record.Snapshot)
+		m.configure(n, config.BaseOffered{Base: config.Base{
+			Version: s.Version, Through: s.Through, Manifest: s.Manifest, ID: s.ID,
+		}})
+	case logrelay.SaveBase:
+		saved := logrelay.BaseSaved{Stream: e.Stream}
+		if base, ok := n.config.Base(); ok && base.Version > 0 {
+			saved.Through, saved.Data = base.Through, record.EncodeConfig(record.Snapshot(base))
+		}
+
+		m.apply(n, saved)
+	case logrelay.Append:
+		m.on(n, m.latency(), func() { m.append(n, e) })
+	case logrelay.AppendDone:
+		m.appendDone(e)
+	}
+}
+
+func (m *model) configure(n *node, event config.Event) {
+	for _, effect := range n.config.Apply(m.now, event) {
+		switch e := effect.(type) {
+		case config.InForce:
+			m.inForce(n, e)
+		case config.Append:
+			m.token++
+			m.tokens[m.token] = e.Data
+			m.apply(n, logrelay.AppendRequested{Token: m.token, Stream: record.ConfigStream, Data: e.Data})
+		case config.NeedBase:
+			m.apply(n, logrelay.BaseMissing{Stream: record.ConfigStream})
+		case config.Decided:
+			if want := m.decisions[e.Offset]; e != want {
+				m.fail("%s decided %+v, the log's order says %+v", n.id, e, want)
+			}
+		}
+	}
+}
+
+// inForce checks that a version is the one of the log's order and higher than the one before.
+func (m *model) inForce(n *node, e config.InForce) {
+	if e.Version <= n.forced {
+		m.fail("%s went from version %d to %d", n.id, n.forced, e.Version)
+	}
+
+	if e.Version >= uint64(len(m.versions)) || m.versions[e.Version] != (accepted{e.ID, e.Manifest}) {
+		m.fail("%s has version %d (%s) in force, which was not accepted", n.id, e.Version, e.ID)
+	}
+
+	n.forced = e.Version
+}
+
+func (m *model) next() uint64 { return uint64(len(m.records)) }
+
+func (m *model) read(n *node, e logrelay.Read) {
+	first, next := m.first, m.next()
+	if m.stale && m.chance(0.7) {
+		view := m.views[m.random.IntN(len(m.views))]
+		first, next = view[0], view[1]
+	}
+
+	ended := logrelay.ReadEnded{Stream: e.Stream, Failed: m.outage}
+	if !m.outage {
+		ended.Page = logservice.Page{First: first, Next: next}
+		for offset := max(first, e.From); offset < next && len(ended.Page.Records) < 8; offset++ {
+			ended.Page.Records = append(ended.Page.Records, logservice.Record{Offset: offset, Data: m.records[offset]})
+		}
+	}
+
+	m.on(n, m.latency(), func() { m.apply(n, ended) })
+}
+
+func (m *model) pull(n *node, e logrelay.Pull) {
+	peer := m.node(e.Peer)
+	m.token++
+	call := m.token
+	m.calls[call] = func(page logrelay.Page) {
+		m.send(peer, n, func() { m.apply(n, logrelay.PullEnded{Stream: e.Stream, Peer: e.Peer, Page: page}) })
+	}
+	m.send(n, peer, func() {
+		if m.calls[call] != nil {
+			m.apply(peer, logrelay.PullRequested{Call: call, Stream: e.Stream, From: e.From})
+		}
+	})
+}
+
+func (m *model) append(n *node, e logrelay.Append) {
+	ended := logrelay.AppendEnded{Token: e.Token, Failed: m.outage, Effect: logservice.NotAppended}
+	if !m.outage {
+		ended.Offset = m.next()
+		m.write(e.Data)
+
+		if m.lose && m.chance(0.7) {
+			ended.Failed, ended.Effect = true, logservice.MayBeAppended
+		}
+	} else if m.lose {
+		// The request is lost before it takes effect, which the client cannot tell apart.
+		ended.Effect = logservice.MayBeAppended
+	}
+
+	m.on(n, m.latency(), func() { m.apply(n, ended) })
+}
+
+func (m *model) appendDone(e logrelay.AppendDone) {
+	data := m.tokens[e.Token]
+
+	switch found := slices.ContainsFunc(m.records, func(r []byte) bool { return string(r) == string(data) }); e.Result {
+	case logrelay.Appended:
+		if string(m.records[e.Offset]) != string(data) {
+			m.fail("append of token %d reported at offset %d, where another record is", e.Token, e.Offset)
+		}
+	case logrelay.NotAppended:
+		if found {
+			m.reached["model.TwinOfRefused"]++
+		}
+	case logrelay.NotFound, logrelay.Unresolved:
+		m.reached["model."+e.Result.String()]++
+	}
+}
+
+// write adds a record to the log, and to the oracle what it decides.
+func (m *model) write(data []byte) {
+	offset := m.next()
+	m.records = append(m.records, data)
+
+	if decoded, err := record.DecodeConfig(data); err == nil {
+		if p, ok := decoded.(record.Publish); ok {
+			current := uint64(len(m.versions) - 1)
+			decided := config.Decided{Offset: offset, ID: p.ID}
+
+			switch {
+			case p.Base != current:
+				decided.Reason = config.Outdated
+			case validate(p.Manifest) != nil:
+				decided.Reason = config.Invalid
+			default:
+				decided.Accepted = true
+				current++
+				m.versions = append(m.versions, accepted{p.ID, p.Manifest})
+			}
+
+			decided.Version, decided.Winner = current, m.versions[current].id
+			m.decisions[offset] = decided
+		}
+	}
+
+	m.views = append(m.views, [2]uint64{m.first, m.next()})
+}
+
+func (m *model) publish(base uint64, manifest string) {
+	m.token++
+	m.write(record.EncodeConfig(record.Publish{ID: fmt.Sprint("p", m.token), Base: base, Manifest: manifest}))
+}
+
+func (m *model) expire(before uint64) {
+	m.first = max(m.first, min(before, m.next()))
+	m.views = append(m.views, [2]uint64{m.first, m.next()})
+}
+
+// recoverable reports whether the current version can still be known to anybody.
+func (m *model) recoverable() bool {
+	for _, n := range m.nodes {
+		if base, ok := n.config.Base(); n.up && ok && base.Through >= m.first {
+			return true
+		}
+	}
+
+	reader := config.New(config.WithValidation(validate))
+	page := config.RecordsRead{First: m.first, Next: m.next()}
+
+	for offset := m.first; offset < m.next(); offset++ {
+		page.Records = append(page.Records, logservice.Record{Offset: offset, Data: m.records[offset]})
+	}
+
+	reader.Apply(m.now, page)
+	_, based := reader.Base()
+
+	return based
+}
--- a/internal/logrelay/stream.go
+++ b/internal/logrelay/stream.go
@@ -9,10 +9,10 @@
 
 // Limits of the tail that a daemon keeps per stream.
 const (
-	// maxTail holds about 15 publish records of 120 services, so that a neighbour that missed a few
-	// changes gets them as records.
-	maxTail    = 1 << 20
-	maxRecords = 4096
+	// defaultBytes holds about 15 publish records of 120 services, so that a neighbour that missed a
+	// few changes gets them as records.
+	defaultBytes   = 1 << 20
+	defaultRecords = 4096
 	// slack is by how much the tail may exceed its limits while the stream's reducer cannot give
 	// its state.
 	slack = 4
@@ -22,6 +22,9 @@
 type stream struct {
 	name     string
 	baseless bool
+	// maxBytes and maxRecords limit the tail.
+	maxBytes   int
+	maxRecords int
 
 	// started is set once first and next are known.
 	started     bool
@@ -144,7 +147,7 @@
 
 	// The next base is asked for at half of the limits, so that half of the tail follows it. Without
 	// a base, no daemon could start from this one.
-	half := st.size > maxTail/2 || len(st.records) > maxRecords/2
+	half := st.size > st.maxBytes/2 || len(st.records) > st.maxRecords/2
 	if (half || st.baseMissing()) && st.saved == nil && !st.saving {
 		st.saving = true
 
@@ -155,7 +158,7 @@
 }
 
 func (st *stream) over(factor int) bool {
-	return st.size > maxTail*factor || len(st.records) > maxRecords*factor
+	return st.size > st.maxBytes*factor || len(st.records) > st.maxRecords*factor
 }
 
 func (st *stream) baseMissing() bool { return st.base == nil && st.first > 0 }
@@ -163,7 +166,7 @@
 // shrink drops the oldest records, and with them the base, until the limits hold.
 func (st *stream) shrink(factor int) {
 	drop, size := 0, st.size
-	for drop < len(st.records)-1 && (size > maxTail*factor || len(st.records)-drop > maxRecords*factor) {
+	for drop < len(st.records)-1 && (size > st.maxBytes*factor || len(st.records)-drop > st.maxRecords*factor) {
 		size -= len(st.records[drop].Data)
 		drop++
 	}
