logrelay, config: faults found by the state-machine test

A relay asked for a base only when records arrived, so that one whose reducer got its base later could not serve newcomers; it now asks again. A reader without a base refused to read again from earlier offsets as old data. A lone daemon without a base never re-read the log.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -155,8 +155,8 @@
 }
 
 func (s *State) read(now time.Time, e RecordsRead) []Effect {
-	if s.log.started && e.Next < s.log.through {
-		// The source answers with old data.
+	if s.log.based && e.Next < s.log.through {
+		// The source answers with old data. A reader without a base may be reading again.
 		s.counts.Stale++
 
 		return nil
@@ -248,7 +248,8 @@
 // record from Through on and none of them is a publish record: then nothing was decided between
 // Through and the snapshot. Both conditions give the same result for all readers that they hold for.
 func (s *State) adopt(now time.Time, offset uint64, r record.Snapshot) {
-	if r.Through > offset || r.Through < s.log.first || r.Through < s.log.published ||
+	// Version 0 holds no manifest; only a base between daemons has it.
+	if r.Version == 0 || r.Through > offset || r.Through < s.log.first || r.Through < s.log.published ||
 		s.validate(r.Manifest) != nil {
 		s.counts.Unusable++
 
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -66,7 +66,8 @@
 
 // wanted reports whether a daemon that starts from the log alone is, or soon will be, unable to.
 func (s *State) wanted(now time.Time) bool {
-	if !s.log.based || s.log.current.number == 0 {
+	// A reader that is behind the first retained offset could only write an unusable snapshot.
+	if !s.log.based || s.log.current.number == 0 || s.log.through < s.snapshot.first {
 		return false
 	}
 
--- a/internal/logrelay/logrelay.go
+++ b/internal/logrelay/logrelay.go
@@ -131,6 +131,10 @@
 	for _, st := range s.streams {
 		effects = s.pullOverdue(now, st, effects)
 		effects = s.read(now, st, effects)
+
+		if st.baseMissing() {
+			effects = s.askBase(now, st, effects)
+		}
 	}
 
 	return s.sendAppend(now, effects)
--- a/internal/logrelay/machine_test.go
+++ b/internal/logrelay/machine_test.go
@@ -1,7 +1,9 @@
 package logrelay_test
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,6 +45,22 @@
 				m.expire(m.next() - min(m.next(), rapid.Uint64Range(0, 6).Draw(t, "keep")))
 			}
 		},
+		"expireBetween": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "rare") == 0 {
+				m.expire(m.usable() + 1)
+			}
+		},
+		"request": func(t *rapid.T) {
+			if n := pick(t); n.up {
+				m.request(n)
+			}
+		},
+		"direct": func(t *rapid.T) {
+			if n := pick(t); n.up {
+				m.direct(n, rapid.Uint64Range(0, m.next()).Draw(t, "from"))
+			}
+		},
+		"race":    func(*rapid.T) { m.race = !m.race },
 		"restart": func(t *rapid.T) { m.start(pick(t)) },
 		"kill":    func(t *rapid.T) { m.stop(pick(t)) },
 		"relay":   func(t *rapid.T) { m.toggle(pick(t)) },
@@ -108,8 +126,8 @@
 func (m *model) check(when string) {
 	for _, n := range m.nodes {
 		if current := uint64(len(m.versions) - 1); n.forced != current {
-			m.fail("%s has version %d in force, not %d, %s: %+v %+v", n.id, n.forced, current, when,
-				n.config.Dump(), n.relay.Dump())
+			m.fail("%s has version %d in force, not %d, %s; log from %d to %d; daemons: %s",
+				n.id, n.forced, current, when, m.first, m.next(), m.describe())
 		}
 	}
 
@@ -128,6 +146,21 @@
 	}
 }
 
+func (m *model) describe() string {
+	var text strings.Builder
+	for _, n := range m.nodes {
+		fmt.Fprintf(&text, "\n%s run %d cut %v neighbours %v: %+v %+v", n.id, n.run, n.cut, n.neighbors,
+			n.config.Dump(), n.relay.Dump())
+	}
+
+	for offset, data := range m.records {
+		decoded, _ := record.DecodeConfig(data)
+		fmt.Fprintf(&text, "\n%d %+v", offset, decoded)
+	}
+
+	return text.String()
+}
+
 // Guards against versions that go back, differ between daemons, are taken although a decisive record
 // may be missing, or do not reach a daemon in time; and against appends that are repeated blindly.
 // Several daemons read one log under loss, duplication, delay, reordering, restarts, expiry, stale
@@ -136,7 +169,7 @@
 	reached := map[string]uint64{}
 
 	rapid.Check(t, func(rt *rapid.T) {
-		size := rapid.IntRange(1, 6).Draw(rt, "daemons")
+		size := rapid.IntRange(1, 9).Draw(rt, "daemons")
 		m := newModel(rapid.Uint64().Draw(rt, "seed"), size, rt.Fatalf)
 		rt.Repeat(m.actions())
 		m.finish()
--- a/internal/logrelay/model_test.go
+++ b/internal/logrelay/model_test.go
@@ -56,10 +56,16 @@
 	records [][]byte
 	first   uint64
 	// views are earlier states of the log, which stale reads show.
-	views   [][2]uint64
-	outage  bool
-	stale   bool
-	lose    bool
+	views  [][2]uint64
+	outage bool
+	stale  bool
+	// wasStale is set once the log has answered with old data in this run.
+	wasStale bool
+	lose     bool
+	// race has publish records overtake the snapshots that daemons write.
+	race bool
+	// refresh is the retention that daemons assume.
+	refresh time.Duration
 	netLoss float64
 	netDup  float64
 	delay   time.Duration
@@ -101,12 +107,14 @@
 		calls: map[uint64]func(logrelay.Page){}, reached: map[string]uint64{},
 	}
 	m.heal()
+	chord := []int{1, size / 2}[m.random.IntN(2)]
+	m.refresh = []time.Duration{2 * time.Minute, time.Hour}[m.random.IntN(2)]
 	m.views = [][2]uint64{{0, 0}}
 
 	for i := range size {
 		n := &node{id: instance.ID(fmt.Sprint("n", i)), isRelay: i == 0}
-		// A ring with one chord: news takes several hops.
-		for _, j := range []int{i + 1, i + size - 1, i + size/2} {
+		// A ring, or one with chords: news takes several hops.
+		for _, j := range []int{i + 1, i + size - 1, i + chord} {
 			if id := instance.ID(fmt.Sprint("n", j%size)); id != n.id && !slices.Contains(n.neighbors, id) {
 				n.neighbors = append(n.neighbors, id)
 			}
@@ -120,7 +128,8 @@
 }
 
 func (m *model) heal() {
-	m.outage, m.stale, m.lose, m.netLoss, m.netDup, m.delay = false, false, false, 0, 0, 40*time.Millisecond
+	m.outage, m.stale, m.lose, m.race = false, false, false, false
+	m.netLoss, m.netDup, m.delay = 0, 0, 40*time.Millisecond
 	for _, n := range m.nodes {
 		n.cut = false
 	}
@@ -132,7 +141,7 @@
 	n.run++
 	n.up, n.forced = true, 0
 	seed := m.random.Uint64()
-	n.config = config.New(config.WithSeed(seed), config.WithValidation(validate), config.WithRetention(2*time.Minute))
+	n.config = config.New(config.WithSeed(seed), config.WithValidation(validate), config.WithRetention(m.refresh))
 	n.relay = logrelay.New(logrelay.WithSeed(seed), logrelay.WithStreams(logrelay.Stream{Name: record.ConfigStream, Records: 6}))
 	m.apply(n, logrelay.NeighboursChanged{Neighbours: n.neighbors})
 	m.role(n, n.isRelay)
@@ -255,7 +264,7 @@
 		}})
 	case logrelay.SaveBase:
 		saved := logrelay.BaseSaved{Stream: e.Stream}
-		if base, ok := n.config.Base(); ok && base.Version > 0 {
+		if base, ok := n.config.Base(); ok {
 			saved.Through, saved.Data = base.Through, record.EncodeConfig(record.Snapshot(base))
 		}
 
@@ -304,6 +313,7 @@
 func (m *model) read(n *node, e logrelay.Read) {
 	first, next := m.first, m.next()
 	if m.stale && m.chance(0.7) {
+		m.wasStale = true
 		view := m.views[m.random.IntN(len(m.views))]
 		first, next = view[0], view[1]
 	}
@@ -336,6 +346,10 @@
 func (m *model) append(n *node, e logrelay.Append) {
 	ended := logrelay.AppendEnded{Token: e.Token, Failed: m.outage, Effect: logservice.NotAppended}
 	if !m.outage {
+		if m.race && m.chance(0.5) {
+			m.publish(uint64(len(m.versions)-1), "overtaking")
+		}
+
 		ended.Offset = m.next()
 		m.write(e.Data)
 
@@ -362,11 +376,36 @@
 		if found {
 			m.reached["model.TwinOfRefused"]++
 		}
-	case logrelay.NotFound, logrelay.Unresolved:
-		m.reached["model."+e.Result.String()]++
+	case logrelay.NotFound:
+		if found && !m.wasStale {
+			m.fail("append of token %d reported as not found, but it is in the log", e.Token)
+		}
+
+		m.reached["model.NotFound"]++
+	case logrelay.Unresolved:
+		m.reached["model.Unresolved"]++
 	}
 }
 
+// request queues a record of its own kind, to have more appends than snapshots.
+func (m *model) request(n *node) {
+	m.token++
+	m.tokens[m.token] = fmt.Appendf(nil, "\xff%d", m.token)
+	m.apply(n, logrelay.AppendRequested{Token: m.token, Stream: record.ConfigStream, Data: m.tokens[m.token]})
+}
+
+// direct hands a page to the reducer of a daemon, past the relay: repeated, old or with a gap.
+func (m *model) direct(n *node, from uint64) {
+	view := m.views[m.random.IntN(len(m.views))]
+	page := config.RecordsRead{First: view[0], Next: view[1]}
+
+	for offset := max(view[0], from); offset < view[1]; offset++ {
+		page.Records = append(page.Records, logservice.Record{Offset: offset, Data: m.records[offset]})
+	}
+
+	m.configure(n, page)
+}
+
 // write adds a record to the log, and to the oracle what it decides.
 func (m *model) write(data []byte) {
 	offset := m.next()
@@ -409,7 +448,10 @@
 // recoverable reports whether the current version can still be known to anybody.
 func (m *model) recoverable() bool {
 	for _, n := range m.nodes {
-		if base, ok := n.config.Base(); n.up && ok && base.Through >= m.first {
+		// Records handed over directly may leave the reducer behind the relay, which then skips some.
+		// No daemon has this case: all its records pass through the relay.
+		base, ok := n.config.Base()
+		if n.up && ok && base.Through >= max(m.first, n.relay.Dump().Streams[0].Next) {
 			return true
 		}
 	}
--- a/internal/logrelay/pull.go
+++ b/internal/logrelay/pull.go
@@ -17,6 +17,8 @@
 	maxAnswer = 512 << 10
 	// peerTime is how long a daemon that is no neighbour is told of new offsets after it was heard.
 	peerTime = 5 * time.Second
+	// rereadInterval is the time between reads of the whole log while no peer has a base.
+	rereadInterval = 30 * time.Second
 	// maxPeers bounds the daemons remembered per stream.
 	maxPeers = 64
 )
@@ -231,11 +233,15 @@
 // baseMissing starts over: a neighbour may have a base, and a later read of the log a snapshot.
 func (s *State) baseMissing(now time.Time, name string) []Effect {
 	st := s.stream(name)
-	if st == nil || now.Before(st.missingDue) || !s.anyBeyond(st) {
+	if st == nil || now.Before(st.missingDue) {
 		return nil
 	}
 
 	st.missingDue = now.Add(silence)
+	if !st.anyBeyond() {
+		st.missingDue = now.Add(rereadInterval)
+	}
+
 	effects := s.orphan(st, st.next, nil)
 	st.started, st.reset = false, now
 	st.first, st.next, st.records, st.size, st.base = 0, 0, nil, 0, nil
@@ -244,6 +250,6 @@
 }
 
 // anyBeyond reports whether a peer was heard that has read something.
-func (s *State) anyBeyond(st *stream) bool {
+func (st *stream) anyBeyond() bool {
 	return slices.ContainsFunc(st.peers, func(p peer) bool { return p.offset > 0 })
 }
--- a/internal/logrelay/stream.go
+++ b/internal/logrelay/stream.go
@@ -16,6 +16,8 @@
 	// slack is by how much the tail may exceed its limits while the stream's reducer cannot give
 	// its state.
 	slack = 4
+	// saveInterval limits how often the stream's reducer is asked for its state.
+	saveInterval = time.Second
 )
 
 // stream is what is known of one stream. The tail is the records in [first, next).
@@ -36,7 +38,8 @@
 	// saved is a base at a later offset, to which the tail is cut when it is full.
 	saved        []byte
 	savedThrough uint64
-	saving       bool
+	// saveDue is when a base may be asked for again; the reducer may have had none to give.
+	saveDue time.Time
 	// logFirst is the first offset that the log still has, as far as known.
 	logFirst uint64
 
@@ -80,7 +83,7 @@
 	st.started = true
 	st.first, st.next = at, at
 	st.records, st.size = nil, 0
-	st.base, st.saved, st.saving = base, nil, false
+	st.base, st.saved, st.saveDue = base, nil, time.Time{}
 }
 
 // ingest takes records from any source, delivers the new ones and announces them. A gap is accepted
@@ -121,7 +124,7 @@
 	}
 
 	effects = s.resolve(st, fresh, effects)
-	effects = s.trim(st, effects)
+	effects = s.trim(now, st, effects)
 
 	if len(fresh) > 0 {
 		effects = s.announce(now, st, effects)
@@ -131,7 +134,7 @@
 }
 
 // trim keeps the tail within its limits.
-func (s *State) trim(st *stream, effects []Effect) []Effect {
+func (s *State) trim(now time.Time, st *stream, effects []Effect) []Effect {
 	if st.baseless {
 		st.shrink(1)
 
@@ -148,8 +151,17 @@
 	// The next base is asked for at half of the limits, so that half of the tail follows it. Without
 	// a base, no daemon could start from this one.
 	half := st.size > st.maxBytes/2 || len(st.records) > st.maxRecords/2
-	if (half || st.baseMissing()) && st.saved == nil && !st.saving {
-		st.saving = true
+	if half || st.baseMissing() {
+		return s.askBase(now, st, effects)
+	}
+
+	return effects
+}
+
+// askBase asks the stream's reducer for its state. It may have none yet, and is asked again then.
+func (s *State) askBase(now time.Time, st *stream, effects []Effect) []Effect {
+	if st.saved == nil && !now.Before(st.saveDue) {
+		st.saveDue = now.Add(saveInterval)
 
 		return append(effects, SaveBase{Stream: st.name})
 	}
@@ -161,7 +173,9 @@
 	return st.size > st.maxBytes*factor || len(st.records) > st.maxRecords*factor
 }
 
-func (st *stream) baseMissing() bool { return st.base == nil && st.first > 0 }
+func (st *stream) baseMissing() bool {
+	return st.started && !st.baseless && st.base == nil && st.first > 0
+}
 
 // shrink drops the oldest records, and with them the base, until the limits hold.
 func (st *stream) shrink(factor int) {
@@ -195,7 +209,6 @@
 		return nil
 	}
 
-	st.saving = false
 	if e.Data != nil && st.started && e.Through >= st.first && e.Through <= st.next {
 		st.saved, st.savedThrough = e.Data, e.Through
 	}
--- a/internal/logservice/record/codec.go
+++ b/internal/logservice/record/codec.go
@@ -73,9 +73,6 @@
 		return Publish{ID: p.GetId(), Base: p.GetBase(), Manifest: string(p.GetManifest())}, nil
 	case *recordpb.ConfigRecord_Snapshot:
 		s := kind.Snapshot
-		if s.GetVersion() == 0 {
-			return nil, errors.Wrap(ErrMalformed, "snapshot of version 0")
-		}
 
 		return Snapshot{
 			Version: s.GetVersion(), Through: s.GetThrough(), Manifest: string(s.GetManifest()), ID: s.GetId(),
