--- a/internal/logrelay/read.go
+++ b/internal/logrelay/read.go
@@ -137,6 +137,10 @@
 	st.logFirst = max(st.logFirst, e.Page.First)
 	st.expect(now, e.Page.Next)
 
+	if p.start+uint64(len(p.records)) >= st.target {
+		st.confirmed = now
+	}
+
 	effects := s.ingest(now, st, p, changed, nil)
 	if st.next < e.Page.Next && len(e.Page.Records) > 0 {
 		return s.startRead(now, st, effects)
@@ -147,8 +151,6 @@
 		return effects
 	}
 
-	st.confirmed = now
-
 	return s.settle(st, effects)
 }
 
