--- a/cmd/tarragonmill/process_test.go
+++ b/cmd/tarragonmill/process_test.go
@@ -20,6 +20,9 @@
 // waitLimit bounds the wait for a status. A dead owner's keys may need several resends to other owners.
 const waitLimit = 20 * time.Second
 
+// freezeLimit is the longest time that a process stays frozen.
+const freezeLimit = 10 * time.Second
+
 // TestProcesses runs the log service, backend servers and daemons as separate processes. It guards
 // against faults that one process hides: real signals, kills, freezes and restarts.
 func TestProcesses(t *testing.T) {
@@ -202,8 +205,13 @@
 		"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL,
 	}
 
-	command := find(ts, args[1])
-	ts.Check(command.Process.Signal(signals[args[0]]))
+	process := find(ts, args[1]).Process
+	ts.Check(process.Signal(signals[args[0]]))
+
+	if args[0] == "STOP" {
+		// A script that fails meanwhile waits for its processes to end, which a frozen one never does.
+		time.AfterFunc(freezeLimit, func() { _ = process.Signal(syscall.SIGCONT) })
+	}
 }
 
 func find(ts *testscript.TestScript, argument string) *exec.Cmd {
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -324,13 +324,24 @@
 	return s.giveUp(f, CallerCancelled)
 }
 
+// unknownHedgePart is the part of the time left after which a second attempt is sent while the latency
+// distribution is unknown.
+const unknownHedgePart = 4
+
 // startTimer asks to be woken for the hedge or else for the deadline.
 func (s *State) startTimer(now time.Time, f *flight) Effect {
 	at := f.request.Deadline
 	policy := f.service.policy.Hedge
 
 	if f.request.Idempotent() && !f.request.Alone && policy.Share > 0 && s.uses(Hedging) && len(f.attempts) > 0 {
-		if delay := f.service.spread.quantile(policy.Quantile); delay > 0 && now.Add(delay).Before(at) {
+		delay := f.service.spread.quantile(policy.Quantile)
+		if delay == 0 {
+			// Nothing is known of the latency yet; without a second attempt the first requests of a
+			// service would wait for a frozen server until their deadline.
+			delay = at.Sub(now) / unknownHedgePart
+		}
+
+		if delay > 0 && now.Add(delay).Before(at) {
 			f.hedgeAt = now.Add(delay)
 			at = f.hedgeAt
 		}
