demo: a fleet on loopback with incidents and checks of the guarantees

Cause: readers need one command that shows what the load balancer does. Change: internal/demo sends lookups, orders and simultaneous resends to a fleet while servers become slow, crash, fail and restart and the log service is down, and compares the verdicts that callers saw with what ran.

--- /dev/null
+++ b/internal/demo/callers.go
@@ -0,0 +1,264 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/task"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+const (
+	// orderShare of the requests are orders with an idempotency key.
+	orderShare = 0.2
+	// resendShare of the orders are sent twice at the same moment, through two entries.
+	resendShare = 0.2
+	// sends bounds how often a caller sends one request before it gives up.
+	sends = 4
+	// callerTimeout is above each deadline of the manifest, so that every request gets its final result.
+	callerTimeout = 10 * time.Second
+	warmUpTime    = 20 * time.Second
+	// resendPause is the shortest Retry-After.
+	resendPause = time.Second
+
+	verdictHeader = "Tarragonmill-Verdict"
+	// broken is the outcome of a request whose connection ended without a response.
+	broken = "connection lost"
+)
+
+// callers send requests at a fixed rate, whether earlier ones have been answered or not.
+type callers struct {
+	options Options
+	client  *http.Client
+	entries []string
+	random  *rand.Rand
+	report  *report
+}
+
+// call is one request. Resends have the same key and body.
+type call struct {
+	service string
+	method  string
+	target  string
+	key     string
+	// want is a part of the response's body that belongs to this request alone.
+	want    string
+	entries []string
+}
+
+func newCallers(f *fleet.Fleet, options Options) *callers {
+	c := &callers{
+		options: options, client: fleet.Client(), report: newReport(),
+		random: rand.New(rand.NewPCG(options.Seed, 0)),
+	}
+	c.client.Timeout = callerTimeout
+
+	for _, i := range f.Instances {
+		c.entries = append(c.entries, i.Caller())
+	}
+
+	return c
+}
+
+func (c *callers) close() { c.client.CloseIdleConnections() }
+
+// warmUp waits until each service takes orders: daemons claim key grants after their start.
+func (c *callers) warmUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, warmUpTime)
+	defer cancel()
+
+	for _, service := range []string{"stockdesk", "routehall"} {
+		for taken := 0; taken < len(c.entries); {
+			outcome := c.send(ctx, c.newOrder(service), 0)
+			if outcome.verdict == verdict.Answered {
+				taken++
+			}
+			if ctx.Err() != nil {
+				return errors.Newf("service %s takes no orders: %s", service, outcome.text)
+			}
+		}
+	}
+
+	return nil
+}
+
+// run sends requests until the duration has passed, and waits for all results.
+func (c *callers) run(ctx context.Context, group *task.Group) {
+	var (
+		interval = time.Duration(float64(time.Second) / c.options.Rate)
+		ticker   = time.NewTicker(interval)
+		end      = time.NewTimer(c.options.Duration)
+		results  = make(chan struct{}, 1)
+		done     = ctx.Done()
+		started  int
+	)
+
+	defer ticker.Stop()
+	defer end.Stop()
+
+	start := func(next call) {
+		if group.Go("caller", func(ctx context.Context) {
+			c.report.add(next, c.complete(ctx, next))
+			results <- struct{}{}
+		}) {
+			started++
+		}
+	}
+
+	for open := true; open || started > 0; {
+		select {
+		case <-results:
+			started--
+		case <-ticker.C:
+			if !open {
+				continue
+			}
+
+			next := c.next()
+			start(next)
+
+			if next.key != "" && c.random.Float64() < resendShare {
+				next.entries = c.shuffled()
+				start(next)
+			}
+		case <-end.C:
+			open = false
+		case <-done:
+			open, done = false, nil
+		}
+	}
+}
+
+func (c *callers) next() call {
+	service := "stockdesk"
+	if c.random.IntN(3) == 0 {
+		service = "routehall"
+	}
+
+	if c.random.Float64() < orderShare {
+		return c.newOrder(service)
+	}
+
+	item := c.random.IntN(1_000_000)
+
+	return call{
+		service: service, method: http.MethodGet, target: fmt.Sprintf("/stock/%d", item),
+		want: fmt.Sprintf("stock of %d at ", item), entries: c.shuffled(),
+	}
+}
+
+func (c *callers) newOrder(service string) call {
+	key := uuid.Must(uuid.NewV7()).String()
+
+	return call{
+		service: service, method: http.MethodPost, target: "/orders", key: key,
+		want: "order " + key + " taken by ", entries: c.shuffled(),
+	}
+}
+
+func (c *callers) shuffled() []string {
+	entries := append([]string{}, c.entries...)
+	c.random.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+
+	return entries[:sends]
+}
+
+// outcome is the result of one request.
+type outcome struct {
+	verdict verdict.Verdict
+	status  int
+	text    string
+	body    string
+	latency time.Duration
+	// refusals are the results of earlier sends.
+	refusals []string
+}
+
+// complete sends a request until it is answered, as a careful caller does: a lookup and a request with
+// a key can be sent again after any refusal.
+func (c *callers) complete(ctx context.Context, next call) outcome {
+	begun := time.Now()
+
+	var (
+		last     outcome
+		refusals []string
+	)
+
+	for n := range sends {
+		last = c.send(ctx, next, n)
+
+		if last.verdict == verdict.Answered || ctx.Err() != nil {
+			break
+		}
+
+		if n+1 < sends {
+			refusals = append(refusals, last.text)
+			pause(ctx, resendPause)
+		}
+	}
+
+	last.latency, last.refusals = time.Since(begun), refusals
+
+	return last
+}
+
+func (c *callers) send(ctx context.Context, next call, n int) outcome {
+	r, err := http.NewRequestWithContext(ctx, next.method, next.entries[n%len(next.entries)]+next.target, strings.NewReader(next.key))
+	if err != nil {
+		return outcome{text: err.Error()}
+	}
+
+	r.Host = next.service
+	// net/http would repeat the request by itself if it knew that it can.
+	r.GetBody = nil
+
+	if next.key != "" {
+		r.Header.Set("Idempotency-Key", next.key)
+	}
+
+	response, err := c.client.Do(r)
+	if err != nil {
+		return outcome{text: broken}
+	}
+
+	body, err := io.ReadAll(response.Body)
+	err = errors.CombineErrors(err, response.Body.Close())
+	if err != nil {
+		return outcome{text: broken}
+	}
+
+	stated, err := verdict.Parse(response.Header.Get(verdictHeader))
+	if err != nil {
+		return outcome{text: "no verdict"}
+	}
+
+	o := outcome{verdict: stated, status: response.StatusCode, body: string(body)}
+	o.text = fmt.Sprintf("%d %s", o.status, stated)
+
+	var problem struct{ Reason string }
+	if response.Header.Get("Content-Type") == "application/problem+json" && json.Unmarshal(body, &problem) == nil {
+		o.text += " " + problem.Reason
+	}
+
+	return o
+}
+
+func pause(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,114 @@
+// Package demo runs the Association's fleet on loopback, sends requests while parts of it fail, and
+// checks that the guarantees held. It does not simulate a network: failure domains and regions differ
+// in name only.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/tarragonmill/tarragonmill/internal/core"
+	"github.com/tarragonmill/tarragonmill/internal/daemon"
+	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/routing"
+	"github.com/tarragonmill/tarragonmill/internal/task"
+)
+
+// serviceTime is how long a backend server works on a request while it is well.
+const serviceTime = 5 * time.Millisecond
+
+// publishTime bounds the time until the manifest is in force everywhere.
+const publishTime = 10 * time.Second
+
+// ErrGuarantee is returned if a guarantee did not hold. The report says which one.
+var ErrGuarantee = errors.New("a guarantee did not hold")
+
+// Options of a demo.
+type Options struct {
+	// Duration of the load, without start and stop.
+	Duration time.Duration
+	// Rate of requests per second.
+	Rate float64
+	// Seed of the callers' choices. Timing and the choices of daemons differ between runs.
+	Seed uint64
+}
+
+// Run runs a demo and writes a report. Log lines of the daemons go to the logger.
+func Run(ctx context.Context, options Options, out io.Writer, logger zerolog.Logger) error {
+	say(out, 0, "starting 11 backend servers with their daemons and a log service on loopback")
+
+	probes := new(atomic.Uint64)
+
+	f, err := fleet.Start(ctx, fleet.Association(serviceTime), fleet.WithLogger(logger),
+		fleet.WithObserver(func(instance.ID) daemon.Observer { return countProbes(probes) }))
+	if err != nil {
+		return err
+	}
+
+	r, err := runFleet(ctx, f, options, out)
+	if err = errors.CombineErrors(err, f.Stop()); err != nil {
+		return err
+	}
+
+	r.probes = probes.Load()
+
+	return r.write(out, f.Executions())
+}
+
+// countProbes counts at the reducer, because the counts of a daemon end with its run.
+func countProbes(probes *atomic.Uint64) daemon.Observer {
+	return func(_ time.Time, _ core.Event, effects []core.Effect) {
+		for _, effect := range effects {
+			if _, ok := effect.(routing.Probe); ok {
+				probes.Add(1)
+			}
+		}
+	}
+}
+
+func runFleet(ctx context.Context, f *fleet.Fleet, options Options, out io.Writer) (*report, error) {
+	publishing, cancel := context.WithTimeout(ctx, publishTime)
+	defer cancel()
+
+	published := time.Now()
+
+	result, err := f.Publish(publishing, fleet.Manifest)
+	if err != nil {
+		return nil, err
+	}
+
+	say(out, 0, "manifest version %d is in force at every daemon after %s", result.Version, time.Since(published).Round(time.Millisecond))
+
+	c := newCallers(f, options)
+	if err := c.warmUp(ctx); err != nil {
+		return nil, err
+	}
+
+	group := task.NewGroup(ctx)
+	incidents := make(chan error, 1)
+	begun := time.Now()
+
+	group.Go("incidents", func(ctx context.Context) { incidents <- runIncidents(ctx, f, options.Duration, out) })
+	c.run(ctx, group)
+
+	err = <-incidents
+	r := c.report
+	r.elapsed, r.active = time.Since(begun), time.Since(published)
+	r.measure(f)
+	group.Stop()
+	c.close()
+
+	return r, errors.CombineErrors(err, ctx.Err())
+}
+
+// say writes a line with the time since the load began.
+func say(out io.Writer, at time.Duration, format string, arguments ...any) {
+	_, _ = fmt.Fprintf(out, "%6.1fs  %s\n", at.Seconds(), fmt.Sprintf(format, arguments...))
+}
--- /dev/null
+++ b/internal/demo/incidents.go
@@ -0,0 +1,92 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
+)
+
+// slowFactor is how much longer a slow server works.
+const slowFactor = 20
+
+// incident is something that happens after a share of the demo's duration.
+type incident struct {
+	share float64
+	text  string
+	run   func(ctx context.Context, f *fleet.Fleet) error
+}
+
+// incidents are in order of time. Each ends well before the end of the demo.
+func incidents() []incident {
+	behave := func(at int, behaviour backend.Behaviour) func(context.Context, *fleet.Fleet) error {
+		return func(_ context.Context, f *fleet.Fleet) error {
+			f.Instances[at].Server.Set(behaviour)
+
+			return nil
+		}
+	}
+	outage := func(kind logstore.Outage) func(context.Context, *fleet.Fleet) error {
+		return func(_ context.Context, f *fleet.Fleet) error {
+			f.Log.SetFaults(logstore.Faults{Outage: kind})
+
+			return nil
+		}
+	}
+
+	return []incident{
+		{0.1, "stockdesk-1 becomes 20 times slower", behave(0, backend.Behaviour{Service: slowFactor * serviceTime})},
+		{0.25, "stockdesk-1 is well again", behave(0, backend.Behaviour{Service: serviceTime})},
+		{0.3, "stockdesk-2 crashes", func(_ context.Context, f *fleet.Fleet) error {
+			f.Instances[1].Server.Crash()
+
+			return nil
+		}},
+		{0.4, "stockdesk-2 is started again", func(ctx context.Context, f *fleet.Fleet) error {
+			return f.RestartServer(ctx, f.Instances[1])
+		}},
+		{0.45, "the daemon of stockdesk-3 is restarted in order", func(ctx context.Context, f *fleet.Fleet) error {
+			return f.Restart(ctx, f.Instances[2])
+		}},
+		{0.6, "routehall-1 fails every request at once", behave(7, backend.Behaviour{Service: serviceTime, Failing: true})},
+		{0.7, "routehall-1 is well again", behave(7, backend.Behaviour{Service: serviceTime})},
+		{0.75, "the log service is down", outage(logstore.Refuse)},
+		{0.9, "the log service is back", outage(logstore.None)},
+	}
+}
+
+// runIncidents starts each incident at its time, also if an earlier one still runs: a restart in order
+// takes seconds.
+func runIncidents(ctx context.Context, f *fleet.Fleet, duration time.Duration, out io.Writer) error {
+	var (
+		failed  error
+		begun   = time.Now()
+		started int
+		ended   = make(chan error)
+	)
+
+	for _, i := range incidents() {
+		pause(ctx, time.Duration(i.share*float64(duration))-time.Since(begun))
+
+		if ctx.Err() != nil {
+			break
+		}
+
+		say(out, time.Since(begun), "%s", i.text)
+
+		started++
+
+		go func() { ended <- i.run(ctx, f) }()
+	}
+
+	for range started {
+		failed = errors.CombineErrors(failed, <-ended)
+	}
+
+	return failed
+}
--- /dev/null
+++ b/internal/demo/report.go
@@ -0,0 +1,194 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// report collects outcomes. It is safe for concurrent use until write.
+type report struct {
+	mutex    sync.Mutex
+	first    *hdrhistogram.Histogram
+	all      *hdrhistogram.Histogram
+	outcomes map[string]int
+	// refusals are the reasons met before the final result.
+	refusals map[string]int
+	resent   int
+	// wrong are answers that belong to another request.
+	wrong []string
+	// orders holds all verdicts by key.
+	orders map[string][]outcome
+
+	// elapsed is the time since the load began, active since the manifest was published.
+	elapsed time.Duration
+	active  time.Duration
+	probes  uint64
+	control int64
+	daemons int
+}
+
+func newReport() *report {
+	return &report{
+		first: newHistogram(), all: newHistogram(),
+		outcomes: map[string]int{}, refusals: map[string]int{}, orders: map[string][]outcome{},
+	}
+}
+
+// newHistogram returns a histogram of microseconds.
+func newHistogram() *hdrhistogram.Histogram {
+	const figures = 3
+
+	return hdrhistogram.New(1, int64(time.Minute/time.Microsecond), figures)
+}
+
+func (r *report) add(c call, o outcome) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	r.outcomes[o.text]++
+	// A value is longer than the range only if the caller's timeout fails.
+	_ = r.all.RecordValue(o.latency.Microseconds())
+
+	if len(o.refusals) > 0 {
+		r.resent++
+	} else {
+		_ = r.first.RecordValue(o.latency.Microseconds())
+	}
+
+	for _, reason := range o.refusals {
+		r.refusals[reason]++
+	}
+	if c.key != "" {
+		r.orders[c.key] = append(r.orders[c.key], o)
+	}
+
+	success := o.status == http.StatusOK || o.status == http.StatusCreated
+	if success && !strings.HasPrefix(o.body, c.want) {
+		r.wrong = append(r.wrong, fmt.Sprintf("%s %s got %q", c.method, c.target, o.body))
+	}
+}
+
+// measure reads what control work costs. The traffic of a daemon before its restart is not counted.
+func (r *report) measure(f *fleet.Fleet) {
+	for _, i := range f.Instances {
+		r.control += i.Daemon.Dump().Traffic.Control
+		r.daemons++
+	}
+}
+
+func (r *report) write(out io.Writer, executions map[string]int) error {
+	say(out, r.elapsed, "all requests have their final result")
+	_, _ = fmt.Fprintln(out, "\nFinal results:")
+	writeCounts(out, r.outcomes)
+	_, _ = fmt.Fprintf(out, "Refusals on the way, after which the caller sent the request again (%d requests):\n", r.resent)
+	writeCounts(out, r.refusals)
+	_, _ = fmt.Fprintf(out, "Latency, of which %s are work:\n", serviceTime)
+	writeLatency(out, "answered at once", r.first)
+	writeLatency(out, "with pauses and resends", r.all)
+	_, _ = fmt.Fprintf(out, "Control traffic: %.1f KB/s per daemon\n",
+		float64(r.control)/1000/r.active.Seconds()/float64(r.daemons))
+
+	return r.check(out, executions)
+}
+
+func writeCounts(out io.Writer, counts map[string]int) {
+	for _, text := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(out, "  %-28s %d\n", text, counts[text])
+	}
+}
+
+func writeLatency(out io.Writer, name string, histogram *hdrhistogram.Histogram) {
+	at := func(q float64) time.Duration {
+		return (time.Duration(histogram.ValueAtQuantile(q)) * time.Microsecond).Round(100 * time.Microsecond)
+	}
+	_, _ = fmt.Fprintf(out, "  %-28s p50 %s, p99 %s, max %s\n", name, at(50), at(99), at(100))
+}
+
+// check writes a line per guarantee.
+func (r *report) check(out io.Writer, executions map[string]int) error {
+	repeated, falseNotRun, falseAnswered := r.checkOrders(executions)
+	budget := r.budget()
+	held := true
+
+	_, _ = fmt.Fprintln(out, "\nGuarantees:")
+
+	for _, line := range []struct {
+		ok     bool
+		format string
+		args   []any
+	}{
+		{float64(r.probes) <= budget, "G1 probes within the budget: %d of %.0f", []any{r.probes, budget}},
+		{len(r.wrong) == 0, "G2 responses of another request: %d", []any{len(r.wrong)}},
+		{falseNotRun == 0, "G3 orders reported as not run that ran: %d", []any{falseNotRun}},
+		{repeated == 0, "G4 orders that ran more than once: %d of %d", []any{repeated, len(r.orders)}},
+		{falseAnswered == 0, "   orders reported as taken that did not run: %d", []any{falseAnswered}},
+	} {
+		mark := "held  "
+		if !line.ok {
+			mark, held = "BROKEN", false
+		}
+
+		_, _ = fmt.Fprintf(out, "  %s  %s\n", mark, fmt.Sprintf(line.format, line.args...))
+	}
+
+	for _, text := range r.wrong[:min(len(r.wrong), 3)] {
+		_, _ = fmt.Fprintln(out, "  "+text)
+	}
+
+	if !held {
+		return ErrGuarantee
+	}
+
+	return nil
+}
+
+// checkOrders compares verdicts with the executions at the backend servers. A verdict covers all
+// deliveries of a key so far; a later send of the same key may run, so that only keys whose last result
+// is "not run" for every sender count.
+func (r *report) checkOrders(executions map[string]int) (repeated, falseNotRun, falseAnswered int) {
+	for key, outcomes := range r.orders {
+		ran := executions[key]
+		if ran > 1 {
+			repeated++
+		}
+
+		notRun := !slices.ContainsFunc(outcomes, func(o outcome) bool { return o.verdict != verdict.NotRun })
+		if notRun && ran > 0 {
+			falseNotRun++
+		}
+
+		taken := slices.ContainsFunc(outcomes, func(o outcome) bool { return o.status == http.StatusCreated })
+		if taken && ran == 0 {
+			falseAnswered++
+		}
+	}
+
+	return repeated, falseNotRun, falseAnswered
+}
+
+// budget is the number of probes that the manifest allows since it was published.
+func (r *report) budget() float64 {
+	m, err := manifest.Parse("demo", []byte(fleet.Manifest))
+	if err != nil {
+		return 0
+	}
+
+	total := 0.0
+	for _, service := range m.Services {
+		total += service.Budget.Probes
+	}
+
+	return total * r.active.Seconds()
+}
