--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -40,6 +40,8 @@
 	ServerDials int64
 	// Foreign replies belonged to another attempt and were dropped.
 	Foreign int64
+	// Resumed downloads broke off and were continued at another server.
+	Resumed int64
 	// Control is the number of bytes of control traffic in both directions.
 	Control int64
 }
@@ -58,6 +60,7 @@
 func (d *Daemon) traffic() Traffic {
 	return Traffic{
 		PeerDials: d.attempts.Dials(), ServerDials: d.backend.Dials(), Foreign: d.attempts.Foreign(),
+		Resumed: d.resumes.Load(),
 		Control: d.control.Meter().Total() + d.server.Meter().Total(),
 	}
 }
@@ -139,6 +142,7 @@
 		"peer_dials":       float64(traffic.PeerDials),
 		"server_dials":     float64(traffic.ServerDials),
 		"foreign_replies":  float64(traffic.Foreign),
+		"resumed":          float64(traffic.Resumed),
 	}
 
 	o.daemon.mutex.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -96,6 +96,7 @@
 	version  atomic.Uint64
 	ready    atomic.Bool
 	calls    atomic.Uint64
+	resumes  atomic.Int64
 	drained  chan struct{}
 	// superseded is closed when a later run of this daemon was seen.
 	superseded chan struct{}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -43,7 +43,12 @@
 
 // Submit implements caller.Submitter.
 func (d *Daemon) Submit(ctx context.Context, submission caller.Submission) caller.Result {
-	return d.submit(ctx, submission, core.RequestArrived{Request: submission.Request})
+	result := d.submit(ctx, submission, core.RequestArrived{Request: submission.Request})
+	if result.Response != nil {
+		result.Response = d.resumable(ctx, submission, result.Response)
+	}
+
+	return result
 }
 
 func (d *Daemon) submit(ctx context.Context, submission caller.Submission, arrival core.Event) caller.Result {
