peer: bound the time in which a control call's response is read

A peer that never reads its response could hold a stream and its buffers without end. Control calls over HTTP/2 now have a write deadline of 15 s. A test covers the read deadline, which ends a call with half a message after 5 s.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,6 +22,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/logrelay"
 	"github.com/tarragonmill/tarragonmill/internal/logservice"
+	"github.com/tarragonmill/tarragonmill/internal/peer/peerpb/peerpbconnect"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 )
 
@@ -213,6 +215,27 @@
 	require.Zero(t, handler.calls.Load())
 }
 
+// Guards against a peer that sends half a message and holds its stream.
+func TestSlowMessage(t *testing.T) {
+	_, address := serve(t, &echo{})
+
+	reader, writer := io.Pipe()
+	defer writer.Close()
+
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
+		"http://"+address.String()+peerpbconnect.ControlExchangeProcedure, reader)
+	require.NoError(t, err)
+	request.Header.Set(authorization, scheme+"secret")
+	request.Header.Set("Content-Type", "application/proto")
+
+	begun := time.Now()
+	answer, err := client(t, "secret").transport.RoundTrip(request)
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	require.NotEqual(t, http.StatusOK, answer.StatusCode)
+	require.Less(t, time.Since(begun), readTimeout+time.Second)
+}
+
 // Guards against a new connection for each call, and against a meter that misses a direction: both
 // ends of the wire have to count the same bytes.
 func TestConnectionsAndMeter(t *testing.T) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,6 +25,8 @@
 	headerTimeout = 5 * time.Second
 	// readTimeout bounds how long a control call may take to send its message.
 	readTimeout = 5 * time.Second
+	// writeTimeout bounds how long a control call may take in all, with the reading of its response.
+	writeTimeout = 15 * time.Second
 	// shutdownTimeout bounds how long running calls may take after the context has ended.
 	shutdownTimeout = 5 * time.Second
 	maxStreams      = 250
@@ -141,7 +143,14 @@
 
 		// HTTP/2 streams and HTTP/1 connections both support deadlines; a failure to set one leaves
 		// the size limit and the caller's own timeout.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
+		controller, now := http.NewResponseController(w), time.Now()
+		_ = controller.SetReadDeadline(now.Add(readTimeout))
+
+		if r.ProtoMajor > 1 {
+			// On an HTTP/1 connection the deadline would hold for later requests too.
+			_ = controller.SetWriteDeadline(now.Add(writeTimeout))
+		}
+
 		r.Body = http.MaxBytesReader(w, r.Body, MaxMessage)
 		// The date costs 20 bytes in each response, and no peer reads it.
 		w.Header()["Date"] = nil
