membership: count a peer's silence from the first contact attempt

The silence now starts with the link, and an accusation has to stand in the daemon's own experience too. The measurement also times starts of the whole fleet and of a crashed failure domain.

--- a/internal/membership/fleet/fleet.go
+++ b/internal/membership/fleet/fleet.go
@@ -174,9 +174,9 @@
 		return err
 	}
 
-	var number int
-	if _, err := fmt.Sscanf(string(d.ID), "instance-%d", &number); err != nil {
-		return errors.Wrap(err, "reading a daemon's number")
+	number, err := d.number()
+	if err != nil {
+		return err
 	}
 
 	fresh, err := f.Launch(ctx, number)
@@ -190,14 +190,25 @@
 	return nil
 }
 
+// number returns the number that a daemon was launched with.
+func (d *Daemon) number() (int, error) {
+	var number int
+
+	_, err := fmt.Sscanf(string(d.ID), "instance-%d", &number)
+
+	return number, errors.Wrapf(err, "reading the number of %s", d.ID)
+}
+
 // Stop ends all daemons.
-func (f *Fleet) Stop() error {
-	for _, d := range f.Daemons {
+func (f *Fleet) Stop() error { return stopAll(f.Daemons) }
+
+func stopAll(daemons []*Daemon) error {
+	for _, d := range daemons {
 		d.cancel()
 	}
 
 	var err error
-	for _, d := range f.Daemons {
+	for _, d := range daemons {
 		err = errors.CombineErrors(err, <-d.ended)
 	}
 
--- a/internal/membership/fleet/measure.go
+++ b/internal/membership/fleet/measure.go
@@ -44,8 +44,14 @@
 	Config
 	Idle, Churning Load
 	Spread, Ready  Quantiles
-	// Settled is the time from the first start until all tables were equal, in seconds.
+	// Cold is the time from start to ready while the whole fleet starts, and Settled the time from the
+	// first start until all tables were equal, in seconds.
+	Cold    Quantiles
 	Settled float64
+	// Mass is the time from start to ready while a crashed failure domain starts at once, and Restored
+	// the time until all tables were equal again, in seconds.
+	Mass     Quantiles
+	Restored float64
 	// Heap per daemon in KiB, with stacks.
 	Heap float64
 }
@@ -59,6 +65,7 @@
 	calmDown = 35 * time.Second
 	// drainPause is longer than the period in which changes share a push.
 	drainPause = 400 * time.Millisecond
+	startPause = 100 * time.Millisecond
 	percent    = 100
 	kib        = 1024
 )
@@ -83,6 +90,11 @@
 	}
 
 	result.Settled = time.Since(begin).Seconds()
+
+	if result.Cold, err = readiness(f.Daemons); err != nil {
+		return result, err
+	}
+
 	time.Sleep(calmDown)
 
 	result.Heap = (memory() - before) / kib / float64(config.Size)
@@ -101,11 +113,77 @@
 		return result, err
 	}
 
+	begin = time.Now()
+	if result.Mass, err = f.restart(ctx); err != nil {
+		return result, err
+	}
+
+	if _, err := f.Settle(settleTimeout); err != nil {
+		return result, err
+	}
+
+	result.Restored = time.Since(begin).Seconds()
 	result.Spread, err = f.drains(config.Drains)
 
 	return result, err
 }
 
+// restart crashes the daemons of the last failure domain, which holds no seed, and starts them at once.
+func (f *Fleet) restart(ctx context.Context) (Quantiles, error) {
+	var (
+		kept, crashed []*Daemon
+		numbers       []int
+	)
+
+	for _, d := range f.Daemons {
+		number, err := d.number()
+		if err != nil {
+			return Quantiles{}, err
+		}
+
+		if number%domains != domains-1 {
+			kept = append(kept, d)
+
+			continue
+		}
+
+		numbers = append(numbers, number)
+		crashed = append(crashed, d)
+	}
+
+	f.Daemons = kept
+
+	if err := stopAll(crashed); err != nil {
+		return Quantiles{}, err
+	}
+
+	for _, number := range numbers {
+		if _, err := f.Launch(ctx, number); err != nil {
+			return Quantiles{}, err
+		}
+	}
+
+	return readiness(f.Daemons[len(kept):])
+}
+
+// readiness waits for daemons and returns how long each took from its start.
+func readiness(daemons []*Daemon) (Quantiles, error) {
+	var delays []time.Duration
+
+	timeout := time.After(settleTimeout)
+
+	for _, d := range daemons {
+		select {
+		case delay := <-d.ready:
+			delays = append(delays, delay)
+		case <-timeout:
+			return Quantiles{}, errors.Wrapf(ErrTimeout, "%s is not ready", d.ID)
+		}
+	}
+
+	return quantiles(delays), nil
+}
+
 // memory returns the bytes in use on heap and stacks.
 func memory() float64 {
 	// The second collection frees what pools held over the first.
@@ -165,13 +243,14 @@
 
 // churn replaces daemons beyond the seeds for a window.
 func (f *Fleet) churn(ctx context.Context, config Config) error {
-	for begin := time.Now(); time.Since(begin) < config.Window; {
+	begin := time.Now()
+	for next := begin; time.Since(begin) < config.Window; next = next.Add(config.Churn) {
+		time.Sleep(time.Until(next))
+
 		at := seedCount + f.random.IntN(len(f.Daemons)-seedCount)
 		if err := f.Replace(ctx, at); err != nil {
 			return err
 		}
-
-		time.Sleep(config.Churn - pollInterval)
 	}
 
 	return nil
@@ -179,23 +258,15 @@
 
 // starts times additional daemons from their start to Ready.
 func (f *Fleet) starts(ctx context.Context, number int) (Quantiles, error) {
-	var delays []time.Duration
-
 	for range number {
-		d, err := f.Launch(ctx, len(f.Daemons))
-		if err != nil {
+		if _, err := f.Launch(ctx, len(f.Daemons)); err != nil {
 			return Quantiles{}, err
 		}
 
-		select {
-		case delay := <-d.ready:
-			delays = append(delays, delay)
-		case <-time.After(spreadTimeout):
-			return Quantiles{}, errors.Wrap(ErrTimeout, "starting a daemon")
-		}
+		time.Sleep(startPause)
 	}
 
-	return quantiles(delays), nil
+	return readiness(f.Daemons[len(f.Daemons)-number:])
 }
 
 // drains times how long each daemon takes to learn that another one drains.
--- a/internal/membership/fleet/report.go
+++ b/internal/membership/fleet/report.go
@@ -84,7 +84,12 @@
 		{"spread of a drain, max", "ms", "2000", func(r Result) float64 { return r.Spread.Max }},
 		{"start to ready, p50", "ms", "", func(r Result) float64 { return r.Ready.P50 }},
 		{"start to ready, max", "ms", "1000", func(r Result) float64 { return r.Ready.Max }},
-		{"start of all to equal tables", "s", "", func(r Result) float64 { return r.Settled }},
+		{"start to ready, whole fleet starting, p50", "ms", "", func(r Result) float64 { return r.Cold.P50 }},
+		{"start to ready, whole fleet starting, max", "ms", "", func(r Result) float64 { return r.Cold.Max }},
+		{"start of whole fleet to equal tables", "s", "", func(r Result) float64 { return r.Settled }},
+		{"start to ready, failure domain restarting, p50", "ms", "", func(r Result) float64 { return r.Mass.P50 }},
+		{"start to ready, failure domain restarting, max", "ms", "", func(r Result) float64 { return r.Mass.Max }},
+		{"restart of a failure domain to equal tables", "s", "", func(r Result) float64 { return r.Restored }},
 		{"heap and stacks", "KiB", "131072", func(r Result) float64 { return r.Heap }},
 	}
 }
@@ -99,7 +104,7 @@
 	fmt.Fprintf(&b, "All daemons run in one process and exchange over loopback sockets. Each figure is per daemon. "+
 		"Bytes are counted at the connections in both directions, with HTTP/2 framing and headers and without TCP and IP "+
 		"headers. CPU is that of the process, with the harness, divided by the number of daemons. "+
-		"Loopback has no delay; add about 20 ms to the spread for the region link.\n\n")
+		"Loopback has no delay; the region link adds 20 ms to the spread and 40 ms per page to a start.\n\n")
 	fmt.Fprintf(&b, "- Command: `%s`\n- Seed: %d\n- Commit: %s\n- Go: %s, %d processors\n", command, config.Seed, commit, runtime.Version(), runtime.NumCPU())
 	fmt.Fprintf(&b, "- Phases: idle and churn %s each; churn replaces one daemon per %s in the whole fleet "+
 		"(the target is one per 6 min); %d drains and %d starts timed\n\n", config.Window, config.Churn, config.Drains, config.Starts)
@@ -117,7 +122,7 @@
 	}
 
 	fmt.Fprintf(&b, "\nThe line is a least-squares fit; n is the number of daemons. Error is the standard error of its "+
-		"residuals, and the figure at %d carries the standard error of the prediction.\n", target)
+		"residuals, with one degree of freedom for three sizes, and the figure at %d carries the standard error of the prediction.\n", target)
 
 	return b.String()
 }
--- a/internal/membership/links.go
+++ b/internal/membership/links.go
@@ -77,16 +77,16 @@
 	s.stale = false
 	wanted := neighbours(s.table.entries, s.self)
 
-	for _, l := range s.links {
-		_, l.out = slices.BinarySearch(wanted, l.id)
-	}
-
 	for _, id := range wanted {
 		if l := s.open(id); !l.out {
-			l.out = true
-			l.contact = s.now
+			// The silence of a peer counts from when this daemon begins to contact it.
+			l.out, l.contact = true, s.now
 		}
 	}
+
+	for _, l := range s.links {
+		_, l.out = slices.BinarySearch(wanted, l.id)
+	}
 }
 
 // dropLinks ends links that serve no purpose any more.
--- a/internal/membership/liveness.go
+++ b/internal/membership/liveness.go
@@ -62,19 +62,20 @@
 	}
 }
 
-// stood reports whether an accusation has stood long enough to become death. When a partition ends,
-// the others around the member respond before it does, so it gets the whole time from then on.
+// stood reports whether an accusation has stood long enough to become death, both in the table and in
+// this daemon's own experience. When a partition ends, the others around the member respond before it
+// does, so it gets the whole time from then on.
 func (s *State) stood(l *link, e *entry) bool {
-	since := e.changed
+	missed := s.now.Sub(l.contact.Add(s.accuse))
+
+	age := s.now.Sub(e.changed)
 	if e.member.Status == instance.Draining {
-		since = l.contact.Add(s.accuse)
+		age = missed
 	}
 
-	age := s.now.Sub(since)
-
 	if !s.hasty && s.partitioned(e) {
 		l.held = s.now
 	}
 
-	return age >= s.hold || min(age, s.now.Sub(l.held)) >= s.stand
+	return age >= s.hold || min(age, missed, s.now.Sub(l.held)) >= s.stand
 }
