daemon, caller: no request is cut off when a daemon restarts

Cause: (a) a restarted daemon took requests before it had a manifest and refused them (3 of 29,198 lookups in TestLeavingUnderLoad); (b) the kernel resets connections in the queue of a socket that closes, and net/http cuts off a connection that is accepted after Shutdown has returned (1 to 3 EOFs). Ruled out: idle connections, which the client retries; aborted handlers. Change: a starting daemon leaves connections in the queue until it is ready, at most 2 s; the caller's socket is swept before it closes and Shutdown follows the end of Serve; all daemons of a test fleet get the same seeds.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,10 @@
 	// drainLimit bounds the wait for requests in flight.
 	drainLimit = 60 * time.Second
 
+	// startLimit is the longest time that callers wait for a daemon that starts.
+	startLimit    = 2 * time.Second
+	readyInterval = 10 * time.Millisecond
+
 	headerTimeout = 5 * time.Second
 	// bodyTimeout bounds the time for a whole request of a caller.
 	bodyTimeout = 30 * time.Second
@@ -98,6 +102,8 @@
 	calls    atomic.Uint64
 	resumes  atomic.Int64
 	drained  chan struct{}
+	// unlistened is closed when no further connection of a caller is accepted.
+	unlistened chan struct{}
 	// superseded is closed when a later run of this daemon was seen.
 	superseded chan struct{}
 
@@ -121,6 +127,7 @@
 		logger:     zerolog.Nop(),
 		started:    time.Now(),
 		drained:    make(chan struct{}),
+		unlistened: make(chan struct{}),
 		superseded: make(chan struct{}),
 		entries:    make(map[request.ID]*entry),
 		jobs:       make(map[admission.Attempt]*job),
@@ -316,14 +323,21 @@
 	return nil
 }
 
+// serveCallers takes requests once the member table and a manifest are there; until then connections
+// wait in the socket's queue. After startLimit requests are refused rather than kept waiting.
 func (d *Daemon) serveCallers(ctx context.Context) error {
+	d.waitReady(ctx)
+
+	d.listeners.Caller = caller.NewListener(d.listeners.Caller)
 	ended := make(chan error, 1)
 
 	go func() { ended <- d.callers.Serve(d.listeners.Caller) }()
 
 	select {
 	case err := <-ended:
-		if errors.Is(err, http.ErrServerClosed) {
+		close(d.unlistened)
+
+		if errors.Is(err, net.ErrClosed) {
 			<-ctx.Done()
 
 			return nil
@@ -341,6 +355,14 @@
 	}
 }
 
+func (d *Daemon) waitReady(ctx context.Context) {
+	limit := time.Now().Add(startLimit)
+
+	for !d.Ready() && ctx.Err() == nil && time.Now().Before(limit) {
+		sleep(ctx, readyInterval)
+	}
+}
+
 func (d *Daemon) tick(ctx context.Context) error {
 	ticker := time.NewTicker(routing.TickInterval)
 	defer ticker.Stop()
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -44,8 +44,8 @@
 
 	sleep(limited, drainPeriod-time.Since(begun))
 
-	if err := d.callers.Shutdown(limited); err != nil {
-		result = errors.CombineErrors(result, errors.Wrap(err, "shut down caller interface"))
+	if err := d.stopCallers(limited); err != nil {
+		result = errors.CombineErrors(result, err)
 	}
 
 	d.apply(membership.LeaveStarted{})
@@ -55,6 +55,21 @@
 	return result
 }
 
+// stopCallers accepts the connections that wait, closes the socket, and only then waits for the requests
+// in flight: a connection accepted after Shutdown has returned would be cut off.
+func (d *Daemon) stopCallers(ctx context.Context) error {
+	if err := d.listeners.Caller.Close(); err != nil {
+		return errors.Wrap(err, "close caller socket")
+	}
+
+	select {
+	case <-d.unlistened:
+	case <-ctx.Done():
+	}
+
+	return errors.Wrap(d.callers.Shutdown(ctx), "shut down caller interface")
+}
+
 // Drain stops new work for the backend server. It can be called more than once.
 func (d *Daemon) Drain() {
 	d.mutex.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,6 +70,8 @@
 	LogURL    string
 	Instances []*Instance
 
+	// seeds are the peers that every daemon is given to start from.
+	seeds   []netip.AddrPort
 	logger  zerolog.Logger
 	observe func(instance.ID) daemon.Observer
 	ctx     context.Context
@@ -108,8 +110,19 @@
 
 	go func() { f.logDone <- f.Log.Serve(f.ctx, listener) }()
 
-	for _, node := range nodes {
-		if err := f.Add(node); err != nil {
+	sockets := make([]sockets, len(nodes))
+	for n := range nodes {
+		if sockets[n], err = openSockets(ctx); err != nil {
+			return nil, errors.CombineErrors(err, f.Stop())
+		}
+
+		if n < maxSeeds {
+			f.seeds = append(f.seeds, address(sockets[n].peer))
+		}
+	}
+
+	for n, node := range nodes {
+		if err := f.add(node, sockets[n]); err != nil {
 			return nil, errors.CombineErrors(err, f.Stop())
 		}
 	}
@@ -145,33 +158,49 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-// Add starts a further instance.
-func (f *Fleet) Add(node Node) error {
-	sockets := make([]net.Listener, 3)
+// sockets of one instance.
+type sockets struct{ caller, peer, server net.Listener }
+
+func openSockets(ctx context.Context) (sockets, error) {
+	var (
+		opened sockets
+		err    error
+	)
 
-	for i := range sockets {
-		listener, err := listen(f.ctx)
-		if err != nil {
-			return err
+	for _, socket := range []*net.Listener{&opened.caller, &opened.peer, &opened.server} {
+		if *socket, err = listen(ctx); err != nil {
+			return opened, err
 		}
+	}
+
+	return opened, nil
+}
 
-		sockets[i] = listener
+// Add starts a further instance.
+func (f *Fleet) Add(node Node) error {
+	opened, err := openSockets(f.ctx)
+	if err != nil {
+		return err
 	}
 
+	return f.add(node, opened)
+}
+
+func (f *Fleet) add(node Node, opened sockets) error {
 	started := &Instance{Node: node, Server: backend.New(string(node.ID), node.Slots, node.Behaviour)}
 	started.Settings = settings.Settings{
 		ID: node.ID, Service: node.Service, Place: node.Place,
-		Listen:    settings.Listen{Caller: address(sockets[0]), Peer: address(sockets[1])},
-		Advertise: address(sockets[1]),
+		Listen:    settings.Listen{Caller: address(opened.caller), Peer: address(opened.peer)},
+		Advertise: address(opened.peer),
 		Backend: settings.Backend{
-			Address: address(sockets[2]), Slots: node.Slots, Queue: node.Queue, Connections: 200,
+			Address: address(opened.server), Slots: node.Slots, Queue: node.Queue, Connections: 200,
 			Health: "/health", Interval: 100 * time.Millisecond,
 		},
-		Log: f.LogURL, Seeds: f.seeds(), Key: fleetKey, Trace: node.Trace,
+		Log: f.LogURL, Seeds: f.seeds, Key: fleetKey, Trace: node.Trace,
 	}
-	started.serveServer(f.ctx, sockets[2])
+	started.serveServer(f.ctx, opened.server)
 
-	if err := f.runDaemon(started, daemon.Listeners{Caller: sockets[0], Peer: sockets[1]}); err != nil {
+	if err := f.runDaemon(started, daemon.Listeners{Caller: opened.caller, Peer: opened.peer}); err != nil {
 		return err
 	}
 
@@ -180,16 +209,6 @@
 	return nil
 }
 
-func (f *Fleet) seeds() []netip.AddrPort {
-	seeds := make([]netip.AddrPort, 0, maxSeeds)
-
-	for _, other := range f.Instances[:min(maxSeeds, len(f.Instances))] {
-		seeds = append(seeds, other.Settings.Advertise)
-	}
-
-	return seeds
-}
-
 func (i *Instance) serveServer(ctx context.Context, listener net.Listener) {
 	ctx, i.stopServer = context.WithCancel(ctx)
 	i.serverDone = make(chan error, 1)
@@ -230,8 +249,6 @@
 		return errors.Wrapf(err, "stop daemon %s", i.Node.ID)
 	}
 
-	i.Settings.Seeds = f.seeds()
-
 	var (
 		config    net.ListenConfig
 		listeners daemon.Listeners
