--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -196,25 +196,20 @@
 func (s *State) signoffForOthers() {
 	var record Record
 
-	done := map[run]bool{}
-
 	for p := range Partitions {
 		last, ok := s.ledger.partition(s.service, p).last()
 		if !ok || last.Ended || s.reachable(s.service, last) {
 			continue
 		}
 
-		from := run{last.Owner, last.Incarnation}
-		parts, ok := s.received[from]
-
-		if !ok || done[from] || parts[p].round == 0 || s.now.Before(parts[p].retry) || s.choice(p, "") != s.self.id {
+		from, ok := s.received[run{last.Owner, last.Incarnation}]
+		if !ok || from.partitions[p].round == 0 || s.now.Before(from.retry) || s.choice(p, "") != s.self.id {
 			continue
 		}
 
-		done[from] = true
-		parts[p].retry = s.retryTime()
+		from.retry = s.retryTime()
 		record.Signoffs = append(record.Signoffs, Signoff{
-			Owner: last.Owner, Incarnation: last.Incarnation, End: parts[p].end,
+			Owner: last.Owner, Incarnation: last.Incarnation, End: from.partitions[p].end,
 		})
 	}
 
--- a/internal/keys/handover.go
+++ b/internal/keys/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"maps"
 	"slices"
 	"time"
 
@@ -34,6 +33,13 @@
 	retry time.Time
 }
 
+// reception is what arrived from one owner.
+type reception struct {
+	partitions [Partitions]receipt
+	// retry is when the owner's sign-off may be appended again.
+	retry time.Time
+}
+
 // receipt is what arrived of a partition's handover.
 type receipt struct {
 	// round is zero until a message arrived; chunks lists those of the round that arrived.
@@ -41,8 +47,6 @@
 	chunks     []int
 	floor, end int64
 	complete   bool
-	// retry is when the owner's sign-off may be appended again.
-	retry time.Time
 }
 
 func (s *State) startDrain() {
@@ -209,15 +213,15 @@
 		return
 	}
 
-	parts, ok := s.received[from]
+	received, ok := s.received[from]
 	if !ok {
-		parts = new([Partitions]receipt)
-		s.received[from] = parts
+		received = new(reception)
+		s.received[from] = received
 	}
 
 	for _, p := range h.Partitions {
 		if p >= 0 && p < Partitions {
-			parts[p].add(h)
+			received.partitions[p].add(h)
 		}
 	}
 }
@@ -228,7 +232,7 @@
 	}
 
 	if h.Round > r.round {
-		*r = receipt{round: h.Round, floor: h.Floor, end: h.End, complete: r.complete, retry: r.retry}
+		*r = receipt{round: h.Round, floor: h.Floor, end: h.End, complete: r.complete}
 	}
 
 	if !slices.Contains(r.chunks, h.Chunk) {
@@ -263,9 +267,16 @@
 
 // forgetReceived drops receipts of owners whose keys are all before the floor.
 func (s *State) forgetReceived() {
-	maps.DeleteFunc(s.received, func(_ run, parts *[Partitions]receipt) bool {
-		return !slices.ContainsFunc(parts[:], func(r receipt) bool { return r.end > s.table.floor })
-	})
+	for from, received := range s.received {
+		needed := false
+		for _, r := range received.partitions {
+			needed = needed || r.end > s.table.floor
+		}
+
+		if !needed {
+			delete(s.received, from)
+		}
+	}
 }
 
 // handedOver reports whether a complete handover shows that a missing key was not accepted.
@@ -275,12 +286,12 @@
 		return false
 	}
 
-	parts, ok := s.received[run{g.Owner, g.Incarnation}]
+	received, ok := s.received[run{g.Owner, g.Incarnation}]
 	if !ok {
 		return false
 	}
 
-	r := parts[key.Partition]
+	r := received.partitions[key.Partition]
 
 	return r.complete && r.floor <= key.Issued && key.Issued < r.end
 }
--- a/internal/keys/key.go
+++ b/internal/keys/key.go
@@ -32,7 +32,7 @@
 func ParseKey(text string) (Key, error) {
 	id, err := uuid.Parse(text)
 	if err != nil {
-		return Key{}, errors.Mark(err, ErrKey)
+		return Key{}, ErrKey
 	}
 
 	if id.Version() != uuidVersion || id.Variant() != uuid.RFC4122 {
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -92,7 +92,7 @@
 	// accepted is the highest issue time admitted, in Unix milliseconds.
 	accepted int64
 	drain    drain
-	received map[run]*[Partitions]receipt
+	received map[run]*reception
 
 	effects []Effect
 }
@@ -130,7 +130,7 @@
 	s := &State{
 		maximum: DefaultEntries, store: DefaultStore, baseRecords: DefaultBaseRecords, chunk: DefaultChunk,
 		members: map[string][]instance.Member{}, ledger: newLedger(), table: newTable(),
-		received: map[run]*[Partitions]receipt{},
+		received: map[run]*reception{},
 	}
 	WithSeed(1)(s)
 
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -2,16 +2,12 @@
 
 import (
 	"encoding/binary"
-	"testing"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
-	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
-	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
 const service = "shop"
@@ -35,38 +31,3 @@
 func alive(id instance.ID, incarnation instance.Incarnation) instance.Member {
 	return instance.Member{ID: id, Incarnation: incarnation, Service: service}
 }
-
-// A sole member claims all partitions, and accepts a key only once it has read its claim back.
-func TestClaimAndAdmit(t *testing.T) {
-	s := New(WithSelf("a", 1, service))
-	s.Apply(start, PolicyChanged{Keys: policy})
-	s.Apply(start, MembersChanged{Service: service, Members: []instance.Member{alive("a", 1)}})
-	effects := s.Apply(start, RecordsRead{})
-	require.Len(t, effects, 1)
-	record := effects[0].(AppendGrants).Record
-	require.Len(t, record.Claims, 1)
-	require.Len(t, record.Claims[0].Partitions, Partitions)
-
-	r := request.Request{ID: "1", Service: service, Key: testKey(start.UnixMilli(), 1).UUID.String(), Fingerprint: 7}
-	require.Equal(t, []Effect{Refuse{
-		ID: "1", Verdict: verdict.MayHaveRun, Delivery: verdict.NotRun, Reason: NotOwner, RetryAfter: retryAfter,
-	}}, s.Apply(start, Arrived{Request: r}))
-	s.Apply(start, RecordsRead{Records: []Entry{{Offset: 0, Record: record}}, Next: 1})
-
-	owner, incarnation, ok := s.Owner(service, r.Key)
-	require.True(t, ok)
-	require.Equal(t, instance.ID("a"), owner)
-	require.Equal(t, instance.Incarnation(1), incarnation)
-
-	require.Equal(t, []Effect{Admit{Request: r}}, s.Apply(start, Arrived{Request: r}))
-
-	again := r
-	again.ID = "2"
-	require.Equal(t, []Effect{Wait{ID: "2"}}, s.Apply(start, Arrived{Request: again}))
-
-	response := &Response{Status: 201, Body: []byte("done")}
-	require.Equal(t, []Effect{Replay{ID: "2", Response: response}},
-		s.Apply(start, Finished{ID: "1", Verdict: verdict.Answered, Response: response}))
-	again.ID = "3"
-	require.Equal(t, []Effect{Replay{ID: "3", Response: response}}, s.Apply(start, Arrived{Request: again}))
-}
--- a/internal/keys/model_test.go
+++ b/internal/keys/model_test.go
@@ -98,7 +98,7 @@
 		"advance": func(t *rapid.T) { w.advance(t) },
 		"read": func(t *rapid.T) {
 			d := any(t)
-			if d.state != nil && !w.down {
+			if d.state != nil && !w.down && !d.cut {
 				w.maybeLater(t, "read", d, w.read(d, uint64(len(w.log))))
 			}
 		},
@@ -129,23 +129,12 @@
 				-90*time.Second, 10*time.Minute, -10*time.Minute))
 		},
 		"drain": func(t *rapid.T) {
-			if d := any(t); draw(t, 3) == 0 {
-				w.apply(d, DrainStarted{})
-				w.setMember(d, instance.Draining)
-				w.rounds(draw(t, 3))
-			}
-		},
-		"leave": func(t *rapid.T) {
-			if d := any(t); d.state != nil && !d.paused && d.state.drain.started {
-				w.finishTrace(d)
-				w.stop(d, instance.Left)
-
-				for range 4 {
-					w.arrive(t)
-				}
+			if draw(t, 2) == 0 {
+				w.drain(t, any(t))
 			}
 		},
 		"outage": func(t *rapid.T) { w.down = draw(t, 3) == 0 },
+		"cut":    func(t *rapid.T) { any(t).cut = draw(t, 4) == 0 },
 		"expire": func(t *rapid.T) {
 			if draw(t, 8) == 0 {
 				w.first += uint64(draw(t, len(w.log)-int(w.first)+1))
@@ -181,6 +170,44 @@
 	return actions
 }
 
+// drain stops a daemon, mostly in order, and sends keys again to its successors.
+func (w *world) drain(t *rapid.T, d *daemon) {
+	d.cut = draw(t, 2) == 0
+	w.apply(d, DrainStarted{})
+	w.setMember(d, instance.Draining)
+	w.rounds(draw(t, 5))
+	w.arrive(t)
+
+	for _, k := range w.keys[max(0, len(w.keys)-4):] {
+		w.apply(d, w.send(d, k, 1))
+	}
+
+	if d.state == nil || d.paused || draw(t, 2) == 0 {
+		return
+	}
+
+	for range draw(t, 3) {
+		w.finishAny(t)
+	}
+
+	left := d.state
+
+	w.finishTrace(d)
+	w.stop(d, instance.Left)
+
+	for _, other := range w.daemons {
+		w.apply(other, MembersChanged{Service: service, Members: slices.Clone(w.members)})
+	}
+
+	for _, k := range slices.Backward(w.keys) {
+		if k.admitter == left {
+			w.sendKey(t, k)
+		}
+	}
+
+	w.arrive(t)
+}
+
 func (w *world) advance(t *rapid.T) {
 	w.now = w.now.Add(pick(t, time.Millisecond, time.Millisecond, 300*time.Millisecond, time.Second, time.Second,
 		time.Second, 7*time.Second, 20*time.Second, 55*time.Second, pick(t, time.Minute, 5*time.Minute)))
@@ -195,11 +222,11 @@
 	}
 
 	state := d.state
-	w.net = append(w.net, message{label, func() {
+	w.post(label, func() {
 		if d.state == state {
 			w.apply(d, e)
 		}
-	}})
+	})
 }
 
 // deliver takes any message, so that messages overtake each other.
@@ -239,6 +266,11 @@
 		k = w.newKey(t)
 	}
 
+	w.sendKey(t, k)
+}
+
+// sendKey sends a key to its owner as some daemon knows it, or to any daemon.
+func (w *world) sendKey(t *rapid.T, k *keyState) {
 	fingerprint := request.Fingerprint(1)
 	if draw(t, 20) == 0 {
 		fingerprint = 2
@@ -260,10 +292,10 @@
 
 // newKey draws an issue time near the present, or at a boundary of a grant.
 func (w *world) newKey(t *rapid.T) *keyState {
-	issued := w.now.UnixMilli() + pick[int64](t, 0, 0, 0, 0, -1, -500, 4900, -3000, 6000, -100_000, -121_000, -250_000)
+	issued := w.now.UnixMilli() + pick[int64](t, 0, 0, 0, 0, -1, -1, -500, -500, 4900, 4900, -3000, 6000, -100_000, -121_000, -250_000)
 	partition := draw(t, 3)
 
-	if h := w.truth().partition(service, partition); len(h) > 0 && draw(t, 3) == 0 {
+	if h := w.truth().partition(service, partition); len(h) > 0 && draw(t, 4) == 0 {
 		g := pick(t, h...)
 		issued = pick(t, g.From, g.From-1, g.Until, g.Until-1)
 	}
@@ -300,9 +332,15 @@
 	for range n {
 		w.now = w.now.Add(time.Second)
 
-		for len(w.net) > 0 {
-			m := w.net[0]
-			w.net = w.net[1:]
+		for i := 0; i < len(w.net); {
+			if w.net[i].slow {
+				i++
+
+				continue
+			}
+
+			m := w.net[i]
+			w.net = slices.Delete(w.net, i, i+1)
 			m.deliver()
 		}
 
@@ -313,7 +351,7 @@
 
 			w.apply(d, MembersChanged{Service: service, Members: slices.Clone(w.members)})
 
-			if !w.down {
+			if !w.down && !d.cut {
 				w.apply(d, w.read(d, uint64(len(w.log))))
 			}
 
--- a/internal/keys/world_test.go
+++ b/internal/keys/world_test.go
@@ -24,6 +24,7 @@
 	first   uint64
 	down    bool
 	net     []message
+	posted  int
 	calls   map[request.ID]*call
 	keys    []*keyState
 	seen    map[string]int
@@ -36,6 +37,7 @@
 	skew        time.Duration
 	state       *State // nil while it is down
 	paused      bool
+	cut         bool      // does not reach the log
 	stale       time.Time // clock at the pause; the first event afterwards was stamped before it
 	inbox       []Event
 	running     []request.ID
@@ -48,9 +50,19 @@
 	effects []Effect
 }
 
+// A slow message is not delivered by rounds, so that it can arrive minutes late.
 type message struct {
 	label   string
 	deliver func()
+	slow    bool
+}
+
+// slowShare makes one of so many messages slow.
+const slowShare = 4
+
+func (w *world) post(label string, deliver func()) {
+	w.posted++
+	w.net = append(w.net, message{label, deliver, w.posted%slowShare == 0})
 }
 
 // keyState is the truth about a key. Admissions that did not end as not run count as possible runs.
@@ -108,7 +120,7 @@
 }
 
 func (w *world) stop(d *daemon, status instance.Status) {
-	d.state, d.paused, d.inbox, d.running = nil, false, nil, nil
+	d.state, d.paused, d.cut, d.inbox, d.running = nil, false, false, nil, nil
 	w.setMember(d, status)
 }
 
@@ -197,10 +209,10 @@
 
 		w.seen[fmt.Sprintf("refuse %s %s", e.Reason, e.Verdict)]++
 	case AppendGrants:
-		w.net = append(w.net, message{string(d.id) + ">log", func() { w.append(e.Record) }})
+		w.post(string(d.id)+">log", func() { w.append(e.Record) })
 		w.count(len(e.Record.Signoffs) > 0 && e.Record.Signoffs[0].Owner != d.id, "sign-off for another owner")
 	case SendHandover:
-		w.net = append(w.net, message{fmt.Sprintf("%s>%s", d.id, e.To), w.handover(d, e)})
+		w.post(fmt.Sprintf("%s>%s", d.id, e.To), w.handover(d, e))
 	}
 }
 
@@ -305,6 +317,7 @@
 	switch v {
 	case verdict.NotRun:
 		k.possible--
+	case verdict.MayHaveRun:
 	case verdict.Answered:
 		k.answered = true
 		k.response = &Response{Status: 200, Body: make([]byte, size)}
--- a/internal/logservice/grants.go
+++ b/internal/logservice/grants.go
@@ -46,7 +46,7 @@
 func DecodeGrants(data []byte) (keys.Record, error) {
 	message := &recordpb.GrantRecord{}
 	if err := proto.Unmarshal(data, message); err != nil {
-		return keys.Record{}, errors.Mark(errors.Wrap(err, "decode grant record"), ErrGrantRecord)
+		return keys.Record{}, errors.Wrapf(ErrGrantRecord, "%v", err)
 	}
 
 	record := keys.Record{Claims: decodeClaims(message.GetClaims())}
