keys: one end for all messages of a leaving owner

Cause: the list of mutations showed a guard that the model did not need: the end of the sign-off was kept for each partition, and had to be checked for zero. Change: it is kept once for an owner.

--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -203,13 +203,13 @@
 		}
 
 		from, ok := s.received[run{last.Owner, last.Incarnation}]
-		if !ok || from.partitions[p].round == 0 || s.now.Before(from.retry) || s.choice(p, "") != s.self.id {
+		if !ok || s.now.Before(from.retry) || s.choice(p, "") != s.self.id {
 			continue
 		}
 
 		from.retry = s.retryTime()
 		record.Signoffs = append(record.Signoffs, Signoff{
-			Owner: last.Owner, Incarnation: last.Incarnation, End: from.partitions[p].end,
+			Owner: last.Owner, Incarnation: last.Incarnation, End: from.end,
 		})
 	}
 
--- a/internal/keys/handover.go
+++ b/internal/keys/handover.go
@@ -36,6 +36,8 @@
 // reception is what arrived from one owner.
 type reception struct {
 	partitions [Partitions]receipt
+	// end is the end of the owner's sign-off, the same in all its messages.
+	end int64
 	// retry is when the owner's sign-off may be appended again.
 	retry time.Time
 }
@@ -43,10 +45,10 @@
 // receipt is what arrived of a partition's handover.
 type receipt struct {
 	// round is zero until a message arrived; chunks lists those of the round that arrived.
-	round      int
-	chunks     []int
-	floor, end int64
-	complete   bool
+	round    int
+	chunks   []int
+	floor    int64
+	complete bool
 }
 
 func (s *State) startDrain() {
@@ -215,7 +217,7 @@
 
 	received, ok := s.received[from]
 	if !ok {
-		received = new(reception)
+		received = &reception{end: h.End}
 		s.received[from] = received
 	}
 
@@ -232,7 +234,7 @@
 	}
 
 	if h.Round > r.round {
-		*r = receipt{round: h.Round, floor: h.Floor, end: h.End, complete: r.complete}
+		*r = receipt{round: h.Round, floor: h.Floor, complete: r.complete}
 	}
 
 	if !slices.Contains(r.chunks, h.Chunk) {
@@ -268,12 +270,7 @@
 // forgetReceived drops receipts of owners whose keys are all before the floor.
 func (s *State) forgetReceived() {
 	for from, received := range s.received {
-		needed := false
-		for _, r := range received.partitions {
-			needed = needed || r.end > s.table.floor
-		}
-
-		if !needed {
+		if received.end <= s.table.floor {
 			delete(s.received, from)
 		}
 	}
@@ -293,5 +290,5 @@
 
 	r := received.partitions[key.Partition]
 
-	return r.complete && r.floor <= key.Issued && key.Issued < r.end
+	return r.complete && r.floor <= key.Issued && key.Issued < received.end
 }
