--- a/internal/logrelay/trace_test.go
+++ b/internal/logrelay/trace_test.go
@@ -39,7 +39,7 @@
 func (s *script) print(effect any) {
 	switch e := effect.(type) {
 	case logrelay.Append:
-		effect = fmt.Sprintf("%s", e.Data)
+		effect = string(e.Data)
 	case logrelay.Read:
 		if s.reads++; s.reads > maxReads {
 			return
