config: restart over a log that lost the current version

If all daemons were down for longer than the log keeps records, nobody could publish again. A publisher reads record by record, so that it also learns of versions that were replaced at once.

--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -26,8 +26,10 @@
 	// ErrUnavailable is returned if the log service refused, or could not be read.
 	ErrUnavailable = errors.New("log service is unavailable")
 	// ErrNoBase is returned if the log holds neither all its records nor a usable snapshot. A
-	// running daemon writes one.
+	// running daemon writes one; if none runs that knows the current version, Restart helps.
 	ErrNoBase = errors.New("log holds no usable snapshot")
+	// ErrHasBase is returned by Restart if the log tells the current version.
+	ErrHasBase = errors.New("log tells the current version")
 	// ErrOutdated is returned if the version to be replaced is not the current one.
 	ErrOutdated = errors.New("base is not the current version")
 )
@@ -164,6 +166,42 @@
 	}
 }
 
+// Restart publishes a manifest over a log that no longer tells the current version, for example after
+// all daemons were down for longer than the log keeps records. It returns ErrHasBase if the log does
+// tell it. The new version is higher than any before, because each took a record of its own.
+func (p *Publisher) Restart(ctx context.Context, manifest string) (Result, error) {
+	if err := p.validate(manifest); err != nil {
+		return Result{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, p.wait)
+	defer cancel()
+
+	reader, err := p.latest(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+
+	if _, based := reader.state.Base(); based {
+		return Result{}, ErrHasBase
+	}
+
+	id, next := p.newID(), reader.from
+	// Of two snapshots with one version, readers keep the first.
+	offset, err := p.log.Append(ctx, record.ConfigStream, record.EncodeConfig(record.Snapshot{
+		Version: next + 1, Through: next, Manifest: manifest, ID: id,
+	}))
+
+	switch {
+	case err == nil:
+		return reader.resolve(ctx, id, &offset), nil
+	case logservice.EffectOf(err) == logservice.NotAppended:
+		return Result{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	default:
+		return reader.resolve(ctx, id, nil), nil
+	}
+}
+
 // Resolve looks for the outcome of an earlier publish. It waits for the record to appear. An
 // outcome that stays unknown is no proof that the record was not appended: it may have expired.
 func (p *Publisher) Resolve(ctx context.Context, id string) (Result, error) {
@@ -254,6 +292,17 @@
 }
 
 func (r *reader) take(page logservice.Page) {
+	if len(page.Records) == 0 {
+		r.apply(page)
+	}
+
+	// Record by record, so that no version is missed that the next record replaces.
+	for i := range page.Records {
+		r.apply(logservice.Page{First: page.First, Records: page.Records[i : i+1], Next: page.Next})
+	}
+}
+
+func (r *reader) apply(page logservice.Page) {
 	// The reducer uses the time only for snapshots, which a reader does not write.
 	for _, effect := range r.state.Apply(time.Time{}, RecordsRead(page)) {
 		if decided, ok := effect.(Decided); ok {
@@ -290,8 +339,7 @@
 		}
 
 		if offset != nil && *offset < r.from {
-			// The record was read, but records before it expired meanwhile that may have decided.
-			return Result{ID: id}
+			return r.passed(id)
 		}
 
 		if err := r.toEnd(ctx); err == nil && r.known(id, offset) {
@@ -306,6 +354,18 @@
 	}
 }
 
+// passed is the result of a record that was read and has not become a version. Another record has won
+// then, unless records before it expired meanwhile that may have decided.
+func (r *reader) passed(id string) Result {
+	if r.state.counts.Gaps > 0 {
+		return Result{ID: id}
+	}
+
+	base, _ := r.state.Base()
+
+	return Result{Outcome: OutcomeRejected, ID: id, Version: base.Version, Winner: base.ID, Reason: Outdated}
+}
+
 // known reports whether reading on can tell nothing more about a publish.
 func (r *reader) known(id string, offset *uint64) bool {
 	_, decided := r.decided[id]
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -135,3 +135,44 @@
 	require.ErrorIs(t, err, config.ErrInvalid)
 	require.Equal(t, uint64(5), store.Counts().Appends)
 }
+
+// Guards against a log that lost the current version staying without one for ever, and against two
+// operators both being told that they restarted it.
+func TestRestartAfterExpiry(t *testing.T) {
+	store, client := newLog(t)
+	publisher := config.NewPublisher(client)
+
+	for range 3 {
+		_, err := publisher.Publish(t.Context(), "manifest")
+		require.NoError(t, err)
+	}
+
+	_, err := publisher.Restart(t.Context(), "manifest")
+	require.ErrorIs(t, err, config.ErrHasBase)
+
+	store.Expire(record.ConfigStream, 3)
+	store.SetFaults(logstore.Faults{Latency: 5 * time.Millisecond})
+
+	var (
+		group   errgroup.Group
+		results [2]config.Result
+	)
+
+	for i := range results {
+		group.Go(func() (err error) {
+			results[i], err = publisher.Restart(t.Context(), "manifest")
+
+			return err
+		})
+	}
+
+	require.NoError(t, group.Wait())
+
+	outcomes := []config.Outcome{results[0].Outcome, results[1].Outcome}
+	require.ElementsMatch(t, []config.Outcome{config.OutcomeAccepted, config.OutcomeRejected}, outcomes)
+	require.Equal(t, results[0].Winner, results[1].Winner)
+
+	result, err := publisher.Publish(t.Context(), "next")
+	require.NoError(t, err)
+	require.Equal(t, uint64(5), result.Version)
+}
--- a/internal/logservice/client_test.go
+++ b/internal/logservice/client_test.go
@@ -54,14 +54,14 @@
 	for name, test := range map[string]struct {
 		faults logstore.Faults
 		effect logservice.Effect
-		inLog  bool
+		next   uint64
 	}{
-		"refused":     {logstore.Faults{Outage: logstore.Refuse}, logservice.NotAppended, false},
-		"reset":       {logstore.Faults{Outage: logstore.Reset}, logservice.MayBeAppended, false},
-		"hanging":     {logstore.Faults{Outage: logstore.Hang}, logservice.MayBeAppended, false},
-		"slow":        {logstore.Faults{Latency: time.Second}, logservice.MayBeAppended, false},
-		"answer lost": {logstore.Faults{Lose: 1}, logservice.MayBeAppended, true},
-		"over rate":   {logstore.Faults{Rate: 1e-9}, logservice.NotAppended, false},
+		"refused":     {logstore.Faults{Outage: logstore.Refuse}, logservice.NotAppended, 0},
+		"reset":       {logstore.Faults{Outage: logstore.Reset}, logservice.MayBeAppended, 0},
+		"hanging":     {logstore.Faults{Outage: logstore.Hang}, logservice.MayBeAppended, 0},
+		"slow":        {logstore.Faults{Latency: time.Second}, logservice.MayBeAppended, 0},
+		"answer lost": {logstore.Faults{Lose: 1}, logservice.MayBeAppended, 1},
+		"over rate":   {logstore.Faults{Rate: 1e-9}, logservice.NotAppended, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			store := logstore.New(logstore.WithFaults(test.faults))
@@ -79,8 +79,7 @@
 			require.ErrorAs(t, err, &failed)
 			require.Equal(t, test.effect, failed.Effect)
 			require.Equal(t, test.effect, logservice.EffectOf(errors.Wrap(err, "wrapped")))
-			require.Equal(t, test.inLog, len(store.Read("config", uint64(store.Counts().Appends)-1, 0).Records) > 0 &&
-				test.faults.Rate == 0)
+			require.Equal(t, test.next, store.Read("config", 0, 0).Next)
 		})
 	}
 
--- a/internal/logservice/record/codec.go
+++ b/internal/logservice/record/codec.go
@@ -45,11 +45,11 @@
 	switch r := config.(type) {
 	case Publish:
 		message.Kind = &recordpb.ConfigRecord_Publish{Publish: &recordpb.Publish{
-			Id: valid(r.ID), Base: r.Base, Manifest: []byte(r.Manifest),
+			Id: valid(r.ID), Base: r.Base, Packed: pack(r.Manifest),
 		}}
 	case Snapshot:
 		message.Kind = &recordpb.ConfigRecord_Snapshot{Snapshot: &recordpb.Snapshot{
-			Version: r.Version, Through: r.Through, Manifest: []byte(r.Manifest), Id: valid(r.ID),
+			Version: r.Version, Through: r.Through, Packed: pack(r.Manifest), Id: valid(r.ID),
 		}}
 	}
 
@@ -70,13 +70,21 @@
 			return nil, errors.Wrap(ErrMalformed, "publish without identifier")
 		}
 
-		return Publish{ID: p.GetId(), Base: p.GetBase(), Manifest: string(p.GetManifest())}, nil
+		manifest, err := unpack(p.GetManifest(), p.GetPacked())
+		if err != nil {
+			return nil, err
+		}
+
+		return Publish{ID: p.GetId(), Base: p.GetBase(), Manifest: manifest}, nil
 	case *recordpb.ConfigRecord_Snapshot:
 		s := kind.Snapshot
 
-		return Snapshot{
-			Version: s.GetVersion(), Through: s.GetThrough(), Manifest: string(s.GetManifest()), ID: s.GetId(),
-		}, nil
+		manifest, err := unpack(s.GetManifest(), s.GetPacked())
+		if err != nil {
+			return nil, err
+		}
+
+		return Snapshot{Version: s.GetVersion(), Through: s.GetThrough(), Manifest: manifest, ID: s.GetId()}, nil
 	default:
 		return nil, errors.Wrap(ErrMalformed, "unknown kind of configuration record")
 	}
