logrelay: poll interval per stream, early read of a daemon without neighbours

Relays of both regions poll over the region link, and the stream of contacts need not be read twice a second. A daemon that knows nobody waited 5 s before it read the log, which holds the addresses of its peers; it now reads after 1 s to 2 s.

--- a/internal/logrelay/logrelay.go
+++ b/internal/logrelay/logrelay.go
@@ -24,6 +24,9 @@
 	Name string
 	// Baseless streams have no reducer whose state could replace old records; these are dropped.
 	Baseless bool
+	// Poll is the longest time between two reads by a relay; zero means 500 ms. Streams that nobody
+	// waits for should be read less often, because each read costs about 300 bytes.
+	Poll time.Duration
 	// Bytes and Records limit the tail of recent records; zero means the default.
 	Bytes   int
 	Records int
@@ -62,7 +65,7 @@
 		s.streams = nil
 		for _, config := range streams {
 			s.streams = append(s.streams, &stream{
-				name: config.Name, baseless: config.Baseless,
+				name: config.Name, baseless: config.Baseless, poll: cmp.Or(config.Poll, defaultPoll),
 				maxBytes:   cmp.Or(config.Bytes, defaultBytes),
 				maxRecords: cmp.Or(config.Records, defaultRecords),
 			})
--- a/internal/logrelay/read.go
+++ b/internal/logrelay/read.go
@@ -5,9 +5,8 @@
 // Reading of the log by a relay. The longest interval plus the spreading has to stay below the 3 s
 // in which a version is in force, also just after an outage.
 const (
-	pollMin    = 250 * time.Millisecond
-	pollMax    = 500 * time.Millisecond
-	backoffMax = 2 * time.Second
+	defaultPoll = 500 * time.Millisecond
+	backoffMax  = 2 * time.Second
 	// readLimit is the number of records in one read.
 	readLimit = 256
 	// readTime is after how long a read without an end is given up.
@@ -26,6 +25,9 @@
 	slowMin        = 5 * time.Second
 	slowMax        = 10 * time.Second
 	slowBackoffMax = 60 * time.Second
+	// alone is how long a daemon without neighbours waits before it reads; up to twice as long, so that
+	// daemons that start together do not all read at once.
+	alone = time.Second
 	// relayWait is how long a relay that has read nothing waits for a neighbour. The log may answer
 	// with old data, and a neighbour knows better.
 	relayWait = time.Second
@@ -40,7 +42,7 @@
 	for _, st := range s.streams {
 		st.failures = 0
 		if relay {
-			st.readDue = now.Add(s.between(0, pollMin))
+			st.readDue = now.Add(s.between(0, st.poll/2))
 		}
 	}
 }
@@ -83,6 +85,14 @@
 		return true
 	}
 
+	if !st.started && len(s.neighbours) == 0 {
+		if st.readDue.IsZero() {
+			st.readDue = now.Add(s.between(alone, 2*alone))
+		}
+
+		return true
+	}
+
 	if !st.lagging(now) {
 		if !s.doubtful(now, st) {
 			st.readDue = time.Time{}
@@ -102,7 +112,7 @@
 func (st *stream) lagging(now time.Time) bool {
 	behind := !st.behind.IsZero() && now.Sub(st.behind) >= silence
 
-	return behind || now.Sub(st.heard) >= silence || now.Sub(st.confirmed) >= unconfirmed
+	return behind || now.Sub(st.heard) >= silence || now.Sub(st.confirmed) >= unconfirmed+st.poll
 }
 
 func (s *State) readEnded(now time.Time, e ReadEnded) []Effect {
@@ -162,7 +172,7 @@
 
 // schedule sets the time of the next read, with exponential backoff and jitter after failures.
 func (s *State) schedule(now time.Time, st *stream) {
-	low, high, limit := pollMin, pollMax, backoffMax
+	low, high, limit := st.poll/2, st.poll, max(backoffMax, st.poll)
 	if !s.relay {
 		low, high, limit = slowMin, slowMax, slowBackoffMax
 	}
--- a/internal/logrelay/stream.go
+++ b/internal/logrelay/stream.go
@@ -24,6 +24,8 @@
 type stream struct {
 	name     string
 	baseless bool
+	// poll is the longest time between two reads by a relay; the shortest is half of it.
+	poll time.Duration
 	// maxBytes and maxRecords limit the tail.
 	maxBytes   int
 	maxRecords int
