--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -15,8 +15,11 @@
 // gaugeInterval is the period at which values are passed to the metrics.
 const gaugeInterval = time.Second
 
-// ErrNotReady is returned by the ready check.
-var ErrNotReady = errors.New("member table or manifest is missing")
+// Errors of the ready check.
+var (
+	ErrNotReady = errors.New("member table or manifest is missing")
+	ErrDraining = errors.New("draining")
+)
 
 // Dump is the state of a daemon for operators.
 type Dump struct {
@@ -37,6 +40,8 @@
 	ServerDials int64
 	// Foreign replies belonged to another attempt and were dropped.
 	Foreign int64
+	// Resumed downloads broke off and were continued at another server.
+	Resumed int64
 	// Control is the number of bytes of control traffic in both directions.
 	Control int64
 }
@@ -55,6 +60,7 @@
 func (d *Daemon) traffic() Traffic {
 	return Traffic{
 		PeerDials: d.attempts.Dials(), ServerDials: d.backend.Dials(), Foreign: d.attempts.Foreign(),
+		Resumed: d.resumes.Load(),
 		Control: d.control.Meter().Total() + d.server.Meter().Total(),
 	}
 }
@@ -77,7 +83,10 @@
 		admin.WithMetrics(metrics.Handler()),
 		admin.WithDump(func(context.Context) (any, error) { return d.Dump(), nil }),
 		admin.WithReady(func() error {
-			if !d.Ready() {
+			switch {
+			case d.isDraining():
+				return ErrDraining
+			case !d.Ready():
 				return ErrNotReady
 			}
 
@@ -133,6 +142,7 @@
 		"peer_dials":       float64(traffic.PeerDials),
 		"server_dials":     float64(traffic.ServerDials),
 		"foreign_replies":  float64(traffic.Foreign),
+		"resumed":          float64(traffic.Resumed),
 	}
 
 	o.daemon.mutex.Lock()
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -19,8 +19,10 @@
 	// mark is the member's part of the digest; zero for a dead or left one.
 	mark uint64
 	// seq is the table's version after the last change of the entry.
-	seq     uint64
-	changed time.Time
+	seq uint64
+	// described is the version at which the member's present description was stored.
+	described uint64
+	changed   time.Time
 	// source is the peer from which the change was heard, which need not be told.
 	source instance.ID
 	// probed is when the last exchange with the member ended, or the zero time.
@@ -35,14 +37,30 @@
 	return status != instance.Dead && status != instance.Left
 }
 
+// The log is compacted when it holds this many places per entry, and a few more.
+const (
+	logFactor = 2
+	logSlack  = 64
+)
+
 // table holds the members. Entries are sorted by ID.
 type table struct {
 	entries []*entry
 	index   map[instance.ID]*entry
-	seq     uint64
-	digest  uint64
+	// log holds the entries by version; an entry that changed again has a later place too.
+	log    []change
+	seq    uint64
+	digest uint64
+}
+
+// change is the place of an entry in the order of versions.
+type change struct {
+	seq   uint64
+	entry *entry
 }
 
+func (c change) current() bool { return c.seq == c.entry.seq }
+
 // compare orders two announcements of one member; the later one wins.
 func compare(a, b instance.Member) int {
 	return cmp.Or(
@@ -66,9 +84,19 @@
 
 	t.seq++
 	t.digest -= e.mark
+
+	if e.member != member.WithStatus(e.member.Status, e.member.Counter) {
+		e.described = t.seq
+	}
+
 	e.member, e.seq, e.changed, e.source = member, t.seq, now, source
 	e.mark = mark(member)
 	t.digest += e.mark
+	t.log = append(t.log, change{seq: t.seq, entry: e})
+
+	if len(t.log) > logFactor*len(t.entries)+logSlack {
+		t.log = slices.DeleteFunc(t.log, func(c change) bool { return !c.current() })
+	}
 
 	return e
 }
@@ -87,6 +115,27 @@
 	return xxhash.Sum64(data)
 }
 
+// brief returns an announcement without the description, for peers that know it.
+func brief(member instance.Member) instance.Member {
+	return instance.Member{
+		ID: member.ID, Incarnation: member.Incarnation, Status: member.Status, Counter: member.Counter,
+	}
+}
+
+// complete adds the description to a brief announcement. It reports false if the table lacks it.
+func (t *table) complete(member instance.Member) (instance.Member, bool) {
+	if member != brief(member) {
+		return member, true
+	}
+
+	known := t.index[member.ID]
+	if known == nil || known.member.Incarnation != member.Incarnation {
+		return member, false
+	}
+
+	return known.member.WithStatus(member.Status, member.Counter), true
+}
+
 // since returns the changes after a version that did not come from a peer, oldest first, and the
 // version up to which they reach.
 func (t *table) since(version uint64, peer instance.ID, limit int) ([]*entry, uint64) {
@@ -96,18 +145,18 @@
 
 	var changes []*entry
 
-	for _, e := range t.entries {
-		if e.seq > version && e.source != peer {
-			changes = append(changes, e)
-		}
-	}
+	at, _ := slices.BinarySearchFunc(t.log, version+1, func(c change, seq uint64) int { return cmp.Compare(c.seq, seq) })
 
-	slices.SortFunc(changes, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	for _, c := range t.log[at:] {
+		if !c.current() || c.entry.source == peer {
+			continue
+		}
 
-	if len(changes) > limit {
-		changes = changes[:limit]
+		if len(changes) == limit {
+			return changes, changes[limit-1].seq
+		}
 
-		return changes, changes[limit-1].seq
+		changes = append(changes, c.entry)
 	}
 
 	return changes, t.seq
@@ -154,6 +203,8 @@
 		old := !e.live() && e.changed.Before(before)
 		if old {
 			delete(t.index, e.member.ID)
+			// The log's places of the entry are out of date from now on.
+			e.seq = 0
 		}
 
 		return old
