--- a/cmd/tarragonmill/process_test.go
+++ b/cmd/tarragonmill/process_test.go
@@ -42,6 +42,7 @@
 			"newkey":     newKey,
 			"signal":     signal,
 			"executions": executions,
+			"orders":     orders,
 		},
 	})
 }
@@ -249,3 +250,67 @@
 		ts.Fatalf("key %s ran %d times, want %s", args[0], total, args[1])
 	}
 }
+
+// orders is "orders COUNT HOST CALLER...": each order has a key of its own and is sent again, to the
+// next daemon, until it is taken or six sends are spent. No key may run twice, a taken order has to have
+// run, and one whose every answer was "not run" must not have run. At least half have to be taken, so
+// that a run in which everything is refused is noticed. Servers that have ended cannot be asked.
+func orders(ts *testscript.TestScript, _ bool, args []string) {
+	const sends = 6
+
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+
+	host, callers := args[1], args[2:]
+	taken, untouched := map[string]bool{}, map[string]bool{}
+
+	for n := range count {
+		key := uuid.Must(uuid.NewV7()).String()
+		notRun := true
+
+		for send := range sends {
+			status, body := order(callers[(n+send)%len(callers)], host, key)
+			notRun = notRun && strings.Contains(body, `"verdict":"not-run"`)
+
+			if status == http.StatusCreated {
+				taken[key] = true
+
+				break
+			}
+		}
+
+		untouched[key] = notRun
+	}
+
+	ran := map[string]int{}
+
+	for _, server := range strings.Fields(ts.Getenv("SERVERS")) {
+		_, listing := send([]string{http.MethodGet, server + "/executions", ""})
+		for line := range strings.Lines(listing) {
+			key, times, _ := strings.Cut(strings.TrimSpace(line), " ")
+			n, _ := strconv.Atoi(times)
+			ran[key] += n
+		}
+	}
+
+	for key := range untouched {
+		switch {
+		case ran[key] > 1:
+			ts.Fatalf("order %s ran %d times", key, ran[key])
+		case taken[key] && ran[key] == 0:
+			ts.Fatalf("order %s was taken and did not run", key)
+		case untouched[key] && ran[key] > 0:
+			ts.Fatalf("order %s ran and was reported as not run", key)
+		}
+	}
+
+	ts.Logf("%d of %d orders taken", len(taken), count)
+
+	if len(taken)*2 < count {
+		ts.Fatalf("only %d of %d orders were taken", len(taken), count)
+	}
+}
+
+func order(caller, host, key string) (int, string) {
+	return send([]string{http.MethodPost, caller + "/orders", host, key, "12 dumplings"})
+}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -57,11 +57,14 @@
 	}
 }
 
+// Control returns the bytes of control traffic in both directions since the start.
+func (d *Daemon) Control() int64 { return d.control.Meter().Total() + d.server.Meter().Total() }
+
 func (d *Daemon) traffic() Traffic {
 	return Traffic{
 		PeerDials: d.attempts.Dials(), ServerDials: d.backend.Dials(), Foreign: d.attempts.Foreign(),
 		Resumed: d.resumes.Load(),
-		Control: d.control.Meter().Total() + d.server.Meter().Total(),
+		Control: d.Control(),
 	}
 }
 
