--- a/internal/keys/mutation_test.go
+++ b/internal/keys/mutation_test.go
@@ -36,16 +36,19 @@
 
 			changed := strings.Replace(string(source), strings.TrimSpace(before), strings.TrimSpace(after), 1)
 			dir := t.TempDir()
-			require.NoError(t, os.WriteFile(filepath.Join(dir, file), []byte(changed), 0o600))
+			replacement := filepath.Join(dir, filepath.Base(file))
+			require.NoError(t, os.WriteFile(replacement, []byte(changed), 0o600))
 
 			path, err := filepath.Abs(file)
 			require.NoError(t, err)
-			overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: filepath.Join(dir, file)}})
+			overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: replacement}})
 			require.NoError(t, err)
 			require.NoError(t, os.WriteFile(filepath.Join(dir, "overlay.json"), overlay, 0o600))
 
-			out, err := exec.CommandContext(t.Context(), "go", "test", "-overlay", filepath.Join(dir, "overlay.json"),
-				"-run", "^TestModel$", "-rapid.shrinktime=0s", "-keys.long=5", ".").CombinedOutput()
+			command := exec.CommandContext(t.Context(), "go", "test", "-overlay", filepath.Join(dir, "overlay.json"),
+				"-run", "^(TestModel|TestBound)$", ".", "-rapid.shrinktime=0s", "-rapid.checks=1500", "-rapid.steps=300")
+			command.Dir = filepath.Dir(file)
+			out, err := command.CombinedOutput()
 			require.Error(t, err, "the model passes without the guard")
 			require.Contains(t, string(out), "[rapid] failed", string(out))
 
