keys: owners of a service stay balanced

Ruled out: the rendezvous choice, which differs per partition once several members are known. Change: partitions that never had an owner are claimed after the members were the same for 1 s; an owner no longer extends a partition whose rendezvous choice is another member, which claims it from the end of the grant. Extensions name their partitions.

--- a/internal/core/options.go
+++ b/internal/core/options.go
@@ -39,9 +39,10 @@
 		requests: make(map[request.ID]*tracked),
 		serving:  make(map[admission.Attempt]*served),
 
-		routing:    routing.New(routing.WithSeed(options.Seed), routing.WithPlace(self.Place)),
-		admission:  admission.New(admission.WithLimits(self.Slots, options.Queue)),
-		keys:       keys.New(keys.WithSelf(self.ID, self.Incarnation, self.Service), keys.WithSeed(options.Seed)),
+		routing:   routing.New(routing.WithSeed(options.Seed), routing.WithPlace(self.Place)),
+		admission: admission.New(admission.WithLimits(self.Slots, options.Queue)),
+		keys: keys.New(keys.WithSelf(self.ID, self.Incarnation, self.Service), keys.WithSeed(options.Seed),
+			keys.WithSettle(settleTime)),
 		suspects:   suspects.New(),
 		membership: membership.New(membership.WithSeed(options.Seed)),
 		relay: logrelay.New(logrelay.WithSeed(options.Seed), logrelay.WithStreams(
@@ -56,6 +57,10 @@
 	return s
 }
 
+// settleTime is how long the members of a service stay the same before its key partitions are claimed for
+// the first time, so that they are spread over the daemons of a service that starts together.
+const settleTime = time.Second
+
 // CheckManifest is the check that a published manifest has to pass. It is the same for all daemons,
 // because validity decides which of two records becomes a version.
 func CheckManifest(text string) error {
--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -35,7 +35,7 @@
 
 	for p := range Partitions {
 		from, ok := s.claimable(p)
-		if !ok || s.now.Before(s.claimed[p]) || s.choice(p, s.stuck(p)) != s.self.id {
+		if !ok || s.now.Before(s.claimed[p]) {
 			continue
 		}
 
@@ -66,12 +66,17 @@
 	s.emit(AppendGrants{Record: record})
 }
 
-// claimable reports whether a partition needs a new owner, and from which issue time on. The claim
-// starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
+// claimable reports whether this daemon should claim a partition, and from which issue time on. The
+// claim starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
 func (s *State) claimable(p int) (int64, bool) {
+	chosen := s.choice(p, "") == s.self.id
+
 	last, ok := s.ledger.partition(s.service, p).last()
 	if !ok {
-		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), true
+		// Of daemons that start together, the first must not claim everything.
+		settled := s.now.Sub(s.changed) >= s.settle
+
+		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), chosen && settled
 	}
 
 	ahead := s.policy.Grant.Milliseconds() / extensionShare
@@ -79,24 +84,26 @@
 
 	switch {
 	case last.Ended:
-		return last.Until, true
+		return last.Until, chosen
 	case s.mine(last):
 		return 0, false
-	case s.usable(s.service, last):
-		// The owner lives but does not extend, for example because its appends are lost.
-		return last.Until, now >= last.Until+ahead
+	case !s.usable(s.service, last) || chosen:
+		// The owner is lost, or does not extend because this daemon is the choice.
+		return last.Until, chosen && now >= last.Until-ahead
 	default:
-		return last.Until, now >= last.Until-ahead
+		// The owner lives but does not extend, for example because its appends are lost.
+		return last.Until, now >= last.Until+ahead && s.choice(p, last.Owner) == s.self.id
 	}
 }
 
-// stuck returns the live owner that failed to extend a grant, which is not chosen again for now.
-func (s *State) stuck(p int) instance.ID {
-	if last, ok := s.ledger.partition(s.service, p).last(); ok && !last.Ended && s.usable(s.service, last) {
-		return last.Owner
-	}
+// keeps reports whether this daemon extends its grant of a partition. A partition whose rendezvous choice
+// is another member passes to that one at the end of the grant, so that the owners of a service stay
+// balanced when members come and go; its keys stay here. The choice has half the time in which it can
+// claim; after that the grant is extended, because the choice may be unable to reach the log.
+func (s *State) keeps(p int, last Grant) bool {
+	left := last.Until - s.milliseconds()
 
-	return ""
+	return s.choice(p, "") == s.self.id || left < s.policy.Grant.Milliseconds()/extensionShare/2
 }
 
 // choice returns the rendezvous choice for a partition among the usable members of the service.
@@ -154,17 +161,17 @@
 	s.extended = s.now
 	s.emit(AppendGrants{Record: Record{Extensions: []Extension{{
 		Owner: s.self.id, Incarnation: s.self.incarnation,
-		Until: s.now.Add(s.policy.Grant).UnixMilli(),
+		Until: s.now.Add(s.policy.Grant).UnixMilli(), Partitions: s.kept(),
 	}}}})
 }
 
-// earliestEnd returns the first end of the grants that this daemon can extend.
+// earliestEnd returns the first end of the grants that this daemon extends.
 func (s *State) earliestEnd() (int64, bool) {
 	earliest := int64(math.MaxInt64)
 
 	for p := range Partitions {
 		last, ok := s.ledger.partition(s.service, p).last()
-		if ok && !last.Ended && s.mine(last) {
+		if ok && !last.Ended && s.mine(last) && s.keeps(p, last) {
 			earliest = min(earliest, last.Until)
 		}
 	}
@@ -172,6 +179,32 @@
 	return earliest, earliest < math.MaxInt64
 }
 
+// kept returns the partitions that this daemon extends, or none if that is all that it holds.
+func (s *State) kept() []int {
+	var kept []int
+
+	held := 0
+
+	for p := range Partitions {
+		last, ok := s.ledger.partition(s.service, p).last()
+		if !ok || last.Ended || !s.mine(last) {
+			continue
+		}
+
+		held++
+
+		if s.keeps(p, last) {
+			kept = append(kept, p)
+		}
+	}
+
+	if len(kept) == held {
+		return nil
+	}
+
+	return kept
+}
+
 // fillBase writes a base before the records that it replaces can expire: once the latest base is in the
 // older half of the log.
 func (s *State) fillBase() {
--- a/internal/keys/grants.go
+++ b/internal/keys/grants.go
@@ -146,14 +146,14 @@
 
 func (l *ledger) apply(r Record) {
 	for _, signoff := range r.Signoffs {
-		l.eachHeld(signoff.Owner, signoff.Incarnation, func(g *Grant) {
+		l.eachHeld(signoff.Owner, signoff.Incarnation, func(_ int, g *Grant) {
 			g.Until, g.Ended = max(g.From, min(g.Until, signoff.End)), true
 		})
 	}
 
 	for _, extension := range r.Extensions {
-		l.eachHeld(extension.Owner, extension.Incarnation, func(g *Grant) {
-			if !g.Ended {
+		l.eachHeld(extension.Owner, extension.Incarnation, func(partition int, g *Grant) {
+			if !g.Ended && extension.covers(partition) {
 				g.Until = max(g.Until, extension.Until)
 			}
 		})
@@ -171,11 +171,11 @@
 
 // eachHeld visits the partitions whose latest grant the owner holds. The order does not matter
 // because the visits are independent.
-func (l *ledger) eachHeld(owner instance.ID, incarnation instance.Incarnation, visit func(*Grant)) {
+func (l *ledger) eachHeld(owner instance.ID, incarnation instance.Incarnation, visit func(partition int, g *Grant)) {
 	for _, partitions := range l.services {
 		for p := range partitions {
 			if n := len(partitions[p]); n > 0 && partitions[p][n-1].heldBy(owner, incarnation) {
-				visit(&partitions[p][n-1])
+				visit(p, &partitions[p][n-1])
 			}
 		}
 	}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -26,6 +26,8 @@
 //   - Skew: an owner with a wrong clock refuses keys or claims late or far ahead; it admits no key that
 //     another may admit.
 //   - Of two claims of one range the log's order accepts one; the loser reads that and refuses.
+//   - A partition passes to another live owner only at the end of a grant that its owner no longer
+//     extends. Keys of the earlier range stay with the earlier owner, so no table moves.
 //   - An extension after a successor's claim has no effect, because the grant is not the last one.
 //   - The answer to an append is never used. What is read back counts. An append is repeated after a
 //     delay; a repeated claim is rejected by rule 1, repeated extensions and sign-offs change nothing.
@@ -88,6 +90,9 @@
 	claimed  [Partitions]time.Time
 	based    time.Time
 	extended time.Time
+	// changed is when the members of the service last changed.
+	changed time.Time
+	settle  time.Duration
 
 	// accepted is the highest issue time admitted, in Unix milliseconds.
 	accepted int64
@@ -113,6 +118,10 @@
 // WithEntries limits the number of keys in the table.
 func WithEntries(entries int) Option { return func(s *State) { s.maximum = entries } }
 
+// WithSettle sets how long the members of the service have to stay the same before a partition that
+// never had an owner is claimed.
+func WithSettle(settle time.Duration) Option { return func(s *State) { s.settle = settle } }
+
 // WithStore limits the size in bytes of all stored responses.
 func WithStore(size int) Option { return func(s *State) { s.store = size } }
 
@@ -164,6 +173,11 @@
 		s.review()
 	case MembersChanged:
 		s.members[e.Service] = e.Members
+
+		if e.Service == s.service {
+			s.changed = s.now
+		}
+
 		s.review()
 	case PolicyChanged:
 		s.policy = e.Keys
--- a/internal/keys/records.go
+++ b/internal/keys/records.go
@@ -1,6 +1,10 @@
 package keys
 
-import "github.com/tarragonmill/tarragonmill/internal/instance"
+import (
+	"slices"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+)
 
 // Entry is a record with its offset in the stream.
 type Entry struct {
@@ -36,11 +40,17 @@
 	Ended bool
 }
 
-// Extension moves the end of every latest grant that an owner holds.
+// Extension moves the end of the latest grants that an owner holds.
 type Extension struct {
 	Owner       instance.ID
 	Incarnation instance.Incarnation
 	Until       int64
+	// Partitions that are extended; empty means all.
+	Partitions []int
+}
+
+func (e Extension) covers(partition int) bool {
+	return len(e.Partitions) == 0 || slices.Contains(e.Partitions, partition)
 }
 
 // Signoff ends every latest grant of an owner at End, which is after the issue time of each key that
--- a/internal/logservice/grants.go
+++ b/internal/logservice/grants.go
@@ -22,6 +22,7 @@
 	for _, e := range record.Extensions {
 		message.Extensions = append(message.Extensions, &recordpb.Extension{
 			Owner: validText(string(e.Owner)), Incarnation: uint64(e.Incarnation), Until: e.Until,
+			Partitions: encodePartitions(e.Partitions),
 		})
 	}
 
@@ -54,6 +55,7 @@
 	for _, e := range message.GetExtensions() {
 		record.Extensions = append(record.Extensions, keys.Extension{
 			Owner: instance.ID(e.GetOwner()), Incarnation: instance.Incarnation(e.GetIncarnation()), Until: e.GetUntil(),
+			Partitions: decodePartitions(e.GetPartitions()),
 		})
 	}
 
@@ -113,3 +115,23 @@
 // validText replaces bytes that a protobuf string cannot hold, so that they cannot make a whole record
 // of a combiner unreadable.
 func validText(text string) string { return strings.ToValidUTF8(text, "\uFFFD") }
+
+func encodePartitions(partitions []int) []uint32 {
+	var encoded []uint32
+
+	for _, p := range partitions {
+		encoded = append(encoded, uint32(max(p, 0)))
+	}
+
+	return encoded
+}
+
+func decodePartitions(partitions []uint32) []int {
+	var decoded []int
+
+	for _, p := range partitions {
+		decoded = append(decoded, int(p))
+	}
+
+	return decoded
+}
