config/follower: compose the relay and the configuration reducer once

The state-machine test, the scripted traces and the measuring fleet each had their own copy of the glue. The measurement of appends after an outage moves out of the test file.

--- a/internal/bench/spread/fleet.go
+++ b/internal/bench/spread/fleet.go
@@ -208,7 +208,7 @@
 func (f *Fleet) Append() {
 	for i, n := range f.nodes {
 		n.send(f.ctx, logrelay.AppendRequested{
-			Token: 1 << 40, Stream: record.ConfigStream, Data: fmt.Appendf(nil, "\xff%d", i),
+			Token: 1, Stream: record.ConfigStream, Data: fmt.Appendf(nil, "\xff%d", i),
 		})
 	}
 }
--- a/internal/bench/spread/measure.go
+++ b/internal/bench/spread/measure.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/config"
 	"github.com/tarragonmill/tarragonmill/internal/logservice"
 	"github.com/tarragonmill/tarragonmill/internal/logservice/record"
+	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
 )
 
 // Target is the time within which an accepted version has to be in force everywhere.
@@ -82,6 +83,50 @@
 	}, nil
 }
 
+// Appends is what MeasureAppends found, in appends per second.
+type Appends struct {
+	// Rest is the mean while nothing changes, and Mean the one in the period after an outage.
+	Rest, Mean float64
+	// Peak is the largest number in one second after the outage.
+	Peak uint64
+	// Refused is the number of requests, reads too, that were refused in the outage.
+	Refused uint64
+}
+
+// MeasureAppends counts appends for a period at rest, then has every node append a record at the
+// start of an outage that lasts a period, and counts for a period after it.
+func (f *Fleet) MeasureAppends(ctx context.Context, store *logstore.Store, period time.Duration) (Appends, error) {
+	var result Appends
+
+	before := store.Counts()
+	if err := sleep(ctx, period); err != nil {
+		return result, err
+	}
+
+	result.Rest = float64(store.Counts().Appends-before.Appends) / period.Seconds()
+
+	store.SetFaults(logstore.Faults{Outage: logstore.Refuse})
+	f.Append()
+
+	err := sleep(ctx, period)
+	store.SetFaults(logstore.Faults{})
+
+	last := store.Counts()
+	result.Refused = last.Refused - before.Refused
+
+	first := last.Appends
+	for left := period; err == nil && left > 0; left -= time.Second {
+		err = sleep(ctx, time.Second)
+		now := store.Counts()
+		result.Peak = max(result.Peak, now.Appends-last.Appends)
+		last = now
+	}
+
+	result.Mean = float64(last.Appends-first) / period.Seconds()
+
+	return result, err
+}
+
 func (f *Fleet) arrived(ctx context.Context, version uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, arrivalTimeout)
 	defer cancel()
--- a/internal/bench/spread/node.go
+++ b/internal/bench/spread/node.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonmill/tarragonmill/internal/config"
+	"github.com/tarragonmill/tarragonmill/internal/config/follower"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/load"
@@ -26,6 +27,8 @@
 const (
 	exchangeInterval = time.Second
 	callTimeout      = 2 * time.Second
+	// ownTokens is the number of append tokens that are not the reducers'.
+	ownTokens = 1 << 20
 )
 
 var errNotServed = errors.New("not served by this node")
@@ -37,8 +40,7 @@
 	fleet      *Fleet
 	address    netip.AddrPort
 	neighbours []instance.ID
-	relay      *logrelay.State
-	config     *config.State
+	state      *follower.State
 	log        *logservice.Client
 	client     *peer.Client
 	server     *peer.Server
@@ -62,8 +64,11 @@
 
 	n := &Node{
 		ID: id, fleet: f, address: address,
-		relay:  logrelay.New(logrelay.WithSeed(seed), logrelay.WithStreams(logrelay.Stream{Name: record.ConfigStream})),
-		config: config.New(config.WithSeed(seed), config.WithValidation(f.options.Validate)),
+		state: follower.New(
+			logrelay.New(logrelay.WithSeed(seed), logrelay.WithStreams(logrelay.Stream{Name: record.ConfigStream})),
+			config.New(config.WithSeed(seed), config.WithValidation(f.options.Validate)),
+			ownTokens,
+		),
 		events: make(chan logrelay.Event, 64), pulls: make(chan pullCall),
 		calls: map[uint64]chan logrelay.Page{},
 	}
@@ -101,8 +106,7 @@
 	defer second.Stop()
 
 	n.apply(logrelay.NeighboursChanged{Neighbours: n.neighbours})
-	n.apply(logrelay.RoleChanged{Relay: isRelay})
-	n.configure(config.RoleChanged{Relay: isRelay})
+	n.perform(n.state.ChangeRole(time.Now(), isRelay))
 
 	for {
 		select {
@@ -111,8 +115,8 @@
 		case <-tick.C:
 			n.apply(logrelay.Tick{})
 		case <-second.C:
-			n.configure(config.Tick{})
-			n.announce(n.neighbours, n.relay.Throughs(time.Now()))
+			n.perform(n.state.Configure(time.Now(), config.Tick{}))
+			n.announce(n.neighbours, n.state.Relay.Throughs(time.Now()))
 		case event := <-n.events:
 			n.apply(event)
 		case call := <-n.pulls:
@@ -132,59 +136,32 @@
 	}
 }
 
-func (n *Node) apply(event logrelay.Event) {
-	for _, effect := range n.relay.Apply(time.Now(), event) {
-		n.perform(effect)
-	}
-}
+func (n *Node) apply(event logrelay.Event) { n.perform(n.state.Apply(time.Now(), event)) }
 
-func (n *Node) perform(effect logrelay.Effect) {
-	switch e := effect.(type) {
-	case logrelay.Read:
-		n.tasks.Go("read", func(ctx context.Context) {
-			page, err := n.log.Read(ctx, e.Stream, e.From, e.Limit)
-			n.send(ctx, logrelay.ReadEnded{Stream: e.Stream, Page: page, Failed: err != nil})
-		})
-	case logrelay.Pull:
-		n.tasks.Go("pull", func(ctx context.Context) { n.pull(ctx, e) })
-	case logrelay.Answer:
-		n.calls[e.Call] <- e.Page
-		delete(n.calls, e.Call)
-	case logrelay.Announce:
-		n.announce(e.Peers, e.Throughs)
-	case logrelay.Deliver:
-		n.configure(config.RecordsRead{First: e.First, Records: e.Records, Next: e.Next})
-	case logrelay.Offer:
-		if decoded, err := record.DecodeConfig(e.Data); err == nil {
-			if snapshot, ok := decoded.(record.Snapshot); ok {
-				n.configure(config.BaseOffered{Base: config.Base(snapshot)})
-			}
-		}
-	case logrelay.SaveBase:
-		if base, ok := n.config.Base(); ok {
-			data := record.EncodeConfig(record.Snapshot(base))
-			n.apply(logrelay.BaseSaved{Stream: e.Stream, Through: base.Through, Data: data})
-		}
-	case logrelay.Append:
-		n.tasks.Go("append", func(ctx context.Context) {
-			offset, err := n.log.Append(ctx, e.Stream, e.Data)
-			n.send(ctx, logrelay.AppendEnded{
-				Token: e.Token, Offset: offset, Failed: err != nil, Effect: logservice.EffectOf(err),
-			})
-		})
-	}
-}
-
-func (n *Node) configure(event config.Event) {
-	for _, effect := range n.config.Apply(time.Now(), event) {
+func (n *Node) perform(effects []follower.Effect) {
+	for _, effect := range effects {
 		switch e := effect.(type) {
+		case logrelay.Read:
+			n.tasks.Go("read", func(ctx context.Context) {
+				page, err := n.log.Read(ctx, e.Stream, e.From, e.Limit)
+				n.send(ctx, logrelay.ReadEnded{Stream: e.Stream, Page: page, Failed: err != nil})
+			})
+		case logrelay.Pull:
+			n.tasks.Go("pull", func(ctx context.Context) { n.pull(ctx, e) })
+		case logrelay.Answer:
+			n.calls[e.Call] <- e.Page
+			delete(n.calls, e.Call)
+		case logrelay.Announce:
+			n.announce(e.Peers, e.Throughs)
+		case logrelay.Append:
+			n.tasks.Go("append", func(ctx context.Context) {
+				offset, err := n.log.Append(ctx, e.Stream, e.Data)
+				n.send(ctx, logrelay.AppendEnded{
+					Token: e.Token, Offset: offset, Failed: err != nil, Effect: logservice.EffectOf(err),
+				})
+			})
 		case config.InForce:
 			n.fleet.inForce(n.ID, e)
-		case config.Append:
-			n.token++
-			n.apply(logrelay.AppendRequested{Token: n.token, Stream: record.ConfigStream, Data: e.Data})
-		case config.NeedBase:
-			n.apply(logrelay.BaseMissing{Stream: record.ConfigStream})
 		}
 	}
 }
--- a/internal/bench/spread/spread_test.go
+++ b/internal/bench/spread/spread_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -27,19 +26,21 @@
 	t.Helper()
 
 	store := logstore.New(options...)
-	server := httptest.NewServer(store.Handler())
-	log, err := logservice.New(server.URL)
+	url, stop, err := store.Start(context.Background())
+	require.NoError(t, err)
+
+	log, err := logservice.New(url)
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		log.Close()
-		server.Close()
+		require.NoError(t, stop())
 		// A benchmark has goroutines of its own.
 		if _, ok := t.(*testing.T); ok {
 			goleak.VerifyNone(t)
 		}
 	})
 
-	return env{store: store, log: log, url: server.URL}
+	return env{store: store, log: log, url: url}
 }
 
 func (e env) fleet(t testing.TB, nodes int) *spread.Fleet {
@@ -180,26 +181,11 @@
 	within(b, fleet, e.publish(b, 1))
 
 	for b.Loop() {
-		before := e.store.Counts().Appends
-		time.Sleep(time.Minute)
-		b.ReportMetric(float64(e.store.Counts().Appends-before)/60, "appends/s-at-rest")
-
-		e.store.SetFaults(logstore.Faults{Outage: logstore.Refuse})
-		fleet.Append()
-		time.Sleep(time.Minute)
-		e.store.SetFaults(logstore.Faults{})
-
-		start := e.store.Counts().Appends
-		peak, last := uint64(0), start
-
-		for range 60 {
-			time.Sleep(time.Second)
-
-			now := e.store.Counts().Appends
-			peak, last = max(peak, now-last), now
-		}
-
-		b.ReportMetric(float64(peak), "appends/s-peak")
-		b.ReportMetric(float64(last-start)/60, "appends/s-mean")
+		result, err := fleet.MeasureAppends(b.Context(), e.store, time.Minute)
+		require.NoError(b, err)
+		b.ReportMetric(result.Rest, "appends/s-at-rest")
+		b.ReportMetric(result.Mean, "appends/s-mean")
+		b.ReportMetric(float64(result.Peak), "appends/s-peak")
+		b.ReportMetric(float64(result.Refused), "requests-refused")
 	}
 }
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -22,12 +21,14 @@
 	t.Helper()
 
 	store := logstore.New(options...)
-	server := httptest.NewServer(store.Handler())
-	client, err := logservice.New(server.URL, logservice.WithTimeout(time.Second))
+	url, stop, err := store.Start(context.Background())
+	require.NoError(t, err)
+
+	client, err := logservice.New(url, logservice.WithTimeout(time.Second))
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		client.Close()
-		server.Close()
+		require.NoError(t, stop())
 		goleak.VerifyNone(t)
 	})
 
--- a/internal/logrelay/machine_test.go
+++ b/internal/logrelay/machine_test.go
@@ -132,9 +132,9 @@
 	}
 
 	// A record appended by the queue is appended once.
-	for token, data := range m.tokens {
+	for key, data := range m.appends {
 		if copies := m.copies(data); copies > 1 {
-			m.fail("token %d was appended %d times", token, copies)
+			m.fail("%+v was appended %d times", key, copies)
 		}
 	}
 }
@@ -143,7 +143,7 @@
 	var text strings.Builder
 	for _, n := range m.nodes {
 		fmt.Fprintf(&text, "\n%s run %d cut %v neighbours %v: %+v %+v", n.id, n.run, n.cut, n.neighbors,
-			n.config.Dump(), n.relay.Dump())
+			n.state.Config.Dump(), n.state.Relay.Dump())
 	}
 
 	for offset, data := range m.records {
--- a/internal/logrelay/model_test.go
+++ b/internal/logrelay/model_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonmill/tarragonmill/internal/config"
+	"github.com/tarragonmill/tarragonmill/internal/config/follower"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/logrelay"
 	"github.com/tarragonmill/tarragonmill/internal/logservice"
@@ -27,12 +28,11 @@
 	return nil
 }
 
-// node is a daemon of the model: the two reducers and the glue between them.
+// node is a daemon of the model.
 type node struct {
 	id        instance.ID
 	run       int
-	relay     *logrelay.State
-	config    *config.State
+	state     *follower.State
 	up        bool
 	cut       bool
 	isRelay   bool
@@ -43,6 +43,12 @@
 // accepted is what the oracle knows of a version.
 type accepted struct{ id, manifest string }
 
+// appendKey names an append: tokens are unique in one daemon.
+type appendKey struct {
+	id    instance.ID
+	token uint64
+}
+
 // model is a fleet, a log and the network between them in virtual time.
 type model struct {
 	fail   func(format string, args ...any)
@@ -71,7 +77,7 @@
 
 	versions  []accepted
 	decisions map[uint64]config.Decided
-	tokens    map[uint64][]byte
+	appends   map[appendKey][]byte
 	token     uint64
 	calls     map[uint64]func(logrelay.Page)
 	reached   map[string]uint64
@@ -86,7 +92,7 @@
 func newModel(seed uint64, size int, fail func(string, ...any)) *model {
 	m := &model{
 		fail: fail, random: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1_000_000, 0),
-		versions: []accepted{{}}, decisions: map[uint64]config.Decided{}, tokens: map[uint64][]byte{},
+		versions: []accepted{{}}, decisions: map[uint64]config.Decided{}, appends: map[appendKey][]byte{},
 		calls: map[uint64]func(logrelay.Page){}, reached: map[string]uint64{},
 	}
 	m.heal()
@@ -124,19 +130,23 @@
 	n.run++
 	n.up, n.forced = true, 0
 	seed := m.random.Uint64()
-	n.config = config.New(config.WithSeed(seed), config.WithValidation(validate), config.WithRetention(m.refresh))
-	n.relay = logrelay.New(logrelay.WithSeed(seed), logrelay.WithStreams(logrelay.Stream{Name: record.ConfigStream, Records: 6}))
+	stream := logrelay.Stream{Name: record.ConfigStream, Records: 6}
+	n.state = follower.New(
+		logrelay.New(logrelay.WithSeed(seed), logrelay.WithStreams(stream)),
+		config.New(config.WithSeed(seed), config.WithValidation(validate), config.WithRetention(m.refresh)),
+		uint64(n.run)<<32,
+	)
 	m.apply(n, logrelay.NeighboursChanged{Neighbours: n.neighbors})
 	m.role(n, n.isRelay)
 	m.every(n, logrelay.TickInterval, func() { m.apply(n, logrelay.Tick{}) })
 	m.every(n, config.TickInterval, func() { m.configure(n, config.Tick{}) })
-	m.every(n, time.Second, func() { m.announce(n, n.neighbors, n.relay.Throughs(m.now)) })
+	m.every(n, time.Second, func() { m.announce(n, n.neighbors, n.state.Relay.Throughs(m.now)) })
 }
 
 func (m *model) stop(n *node) {
 	if n.up {
-		m.count("relay", n.relay.Dump().Counts)
-		m.count("config", n.config.Dump().Counts)
+		m.count("relay", n.state.Relay.Dump().Counts)
+		m.count("config", n.state.Config.Dump().Counts)
 	}
 
 	n.up = false
@@ -151,8 +161,7 @@
 
 func (m *model) role(n *node, relay bool) {
 	n.isRelay = relay
-	m.apply(n, logrelay.RoleChanged{Relay: relay})
-	m.configure(n, config.RoleChanged{Relay: relay})
+	m.perform(n, n.state.ChangeRole(m.now, relay))
 }
 
 func (m *model) after(d time.Duration, do func()) {
@@ -218,64 +227,35 @@
 	}
 }
 
-func (m *model) apply(n *node, event logrelay.Event) {
-	for _, effect := range n.relay.Apply(m.now, event) {
-		m.perform(n, effect)
-	}
-}
-
-func (m *model) perform(n *node, effect logrelay.Effect) {
-	switch e := effect.(type) {
-	case logrelay.Read:
-		m.on(n, m.latency(), func() { m.read(n, e) })
-	case logrelay.Pull:
-		m.pull(n, e)
-	case logrelay.Answer:
-		m.calls[e.Call](e.Page)
-		delete(m.calls, e.Call)
-	case logrelay.Announce:
-		m.announce(n, e.Peers, e.Throughs)
-	case logrelay.Deliver:
-		m.configure(n, config.RecordsRead{First: e.First, Records: e.Records, Next: e.Next})
-	case logrelay.Offer:
-		decoded, err := record.DecodeConfig(e.Data)
-		if err != nil {
-			m.fail("base does not decode: %v", err)
-		}
-
-		s := decoded.(record.Snapshot)
-		m.configure(n, config.BaseOffered{Base: config.Base{
-			Version: s.Version, Through: s.Through, Manifest: s.Manifest, ID: s.ID,
-		}})
-	case logrelay.SaveBase:
-		saved := logrelay.BaseSaved{Stream: e.Stream}
-		if base, ok := n.config.Base(); ok {
-			saved.Through, saved.Data = base.Through, record.EncodeConfig(record.Snapshot(base))
-		}
+func (m *model) apply(n *node, event logrelay.Event) { m.perform(n, n.state.Apply(m.now, event)) }
 
-		m.apply(n, saved)
-	case logrelay.Append:
-		m.on(n, m.latency(), func() { m.append(n, e) })
-	case logrelay.AppendDone:
-		m.appendDone(e)
-	}
-}
+func (m *model) configure(n *node, event config.Event) { m.perform(n, n.state.Configure(m.now, event)) }
 
-func (m *model) configure(n *node, event config.Event) {
-	for _, effect := range n.config.Apply(m.now, event) {
+func (m *model) perform(n *node, effects []follower.Effect) {
+	for _, effect := range effects {
 		switch e := effect.(type) {
+		case logrelay.Read:
+			m.on(n, m.latency(), func() { m.read(n, e) })
+		case logrelay.Pull:
+			m.pull(n, e)
+		case logrelay.Answer:
+			m.calls[e.Call](e.Page)
+			delete(m.calls, e.Call)
+		case logrelay.Announce:
+			m.announce(n, e.Peers, e.Throughs)
+		case logrelay.Append:
+			m.appends[appendKey{n.id, e.Token}] = e.Data
+			m.on(n, m.latency(), func() { m.append(n, e) })
+		case logrelay.AppendDone:
+			m.appendDone(m.appends[appendKey{n.id, e.Token}], e)
 		case config.InForce:
 			m.inForce(n, e)
-		case config.Append:
-			m.token++
-			m.tokens[m.token] = e.Data
-			m.apply(n, logrelay.AppendRequested{Token: m.token, Stream: record.ConfigStream, Data: e.Data})
-		case config.NeedBase:
-			m.apply(n, logrelay.BaseMissing{Stream: record.ConfigStream})
 		case config.Decided:
 			if want := m.decisions[e.Offset]; e != want {
 				m.fail("%s decided %+v, the log's order says %+v", n.id, e, want)
 			}
+		default:
+			m.fail("unexpected effect %T", e)
 		}
 	}
 }
@@ -349,9 +329,7 @@
 	m.on(n, m.latency(), func() { m.apply(n, ended) })
 }
 
-func (m *model) appendDone(e logrelay.AppendDone) {
-	data := m.tokens[e.Token]
-
+func (m *model) appendDone(data []byte, e logrelay.AppendDone) {
 	switch copies := m.copies(data); e.Result {
 	case logrelay.Appended:
 		if string(m.records[e.Offset]) != string(data) {
@@ -376,7 +354,7 @@
 // not counted.
 func (m *model) copies(data []byte) (count int) {
 	for _, r := range m.records {
-		if &r[0] == &data[0] {
+		if len(data) > 0 && &r[0] == &data[0] {
 			count++
 		}
 	}
@@ -387,8 +365,9 @@
 // request queues a record of its own kind, to have more appends than snapshots.
 func (m *model) request(n *node) {
 	m.token++
-	m.tokens[m.token] = fmt.Appendf(nil, "\xff%d", m.token)
-	m.apply(n, logrelay.AppendRequested{Token: m.token, Stream: record.ConfigStream, Data: m.tokens[m.token]})
+	m.apply(n, logrelay.AppendRequested{
+		Token: m.token, Stream: record.ConfigStream, Data: fmt.Appendf(nil, "\xff%d", m.token),
+	})
 }
 
 // direct hands a page to the reducer of a daemon, past the relay: repeated, old or with a gap.
@@ -447,8 +426,8 @@
 	for _, n := range m.nodes {
 		// Records handed over directly may leave the reducer behind the relay, which then skips some.
 		// No daemon has this case: all its records pass through the relay.
-		base, ok := n.config.Base()
-		if n.up && ok && base.Through >= max(m.first, n.relay.Dump().Streams[0].Next) {
+		base, ok := n.state.Config.Base()
+		if n.up && ok && base.Through >= max(m.first, n.state.Relay.Dump().Streams[0].Next) {
 			return true
 		}
 	}
--- a/internal/logrelay/trace_test.go
+++ b/internal/logrelay/trace_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/config"
+	"github.com/tarragonmill/tarragonmill/internal/config/follower"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/logrelay"
 	"github.com/tarragonmill/tarragonmill/internal/logservice"
@@ -23,12 +24,11 @@
 
 // script runs one daemon on events from a file and prints its effects.
 type script struct {
-	t      *testing.T
-	out    strings.Builder
-	now    time.Duration
-	relay  *logrelay.State
-	config *config.State
-	reads  int
+	t     *testing.T
+	out   strings.Builder
+	now   time.Duration
+	state *follower.State
+	reads int
 }
 
 // maxReads is the number of reads printed per line, to keep the files short.
@@ -36,43 +36,31 @@
 
 func (s *script) at() time.Time { return time.Unix(1_000_000, 0).Add(s.now) }
 
-func (s *script) print(effect any) {
-	switch e := effect.(type) {
-	case logrelay.Append:
-		effect = string(e.Data)
-	case logrelay.Read:
-		if s.reads++; s.reads > maxReads {
-			return
-		}
-	case config.Append:
-		effect, _ = record.DecodeConfig(e.Data)
-	}
+func (s *script) print(effects []follower.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case logrelay.Append:
+			text := string(e.Data)
+			if decoded, err := record.DecodeConfig(e.Data); err == nil {
+				text = fmt.Sprintf("%+v", decoded)
+			}
 
-	name := strings.TrimPrefix(fmt.Sprintf("%T", effect), "logrelay.")
-	fmt.Fprintf(&s.out, "%v %s %+v\n", s.now, name, effect)
-}
+			fmt.Fprintf(&s.out, "%v Append %s\n", s.now, text)
 
-func (s *script) apply(event logrelay.Event) {
-	for _, effect := range s.relay.Apply(s.at(), event) {
-		switch e := effect.(type) {
-		case logrelay.Deliver:
-			s.configure(config.RecordsRead{First: e.First, Records: e.Records, Next: e.Next})
-		case logrelay.Offer:
-			decoded, err := record.DecodeConfig(e.Data)
-			require.NoError(s.t, err)
-			s.configure(config.BaseOffered{Base: config.Base(decoded.(record.Snapshot))})
-		default:
-			s.print(effect)
+			continue
+		case logrelay.Read:
+			if s.reads++; s.reads > maxReads {
+				continue
+			}
 		}
-	}
-}
 
-func (s *script) configure(event config.Event) {
-	for _, effect := range s.config.Apply(s.at(), event) {
-		s.print(effect)
+		name := strings.TrimPrefix(fmt.Sprintf("%T", effect), "logrelay.")
+		fmt.Fprintf(&s.out, "%v %s %+v\n", s.now, name, effect)
 	}
 }
 
+func (s *script) apply(event logrelay.Event) { s.print(s.state.Apply(s.at(), event)) }
+
 // records reads "publish:id:base:manifest", "snapshot:version:through:manifest" and "other:text".
 func (s *script) records(offset uint64, words []string) (records []logservice.Record) {
 	for i, word := range words {
@@ -126,12 +114,11 @@
 			s.apply(logrelay.Tick{})
 
 			if s.now%config.TickInterval == 0 {
-				s.configure(config.Tick{})
+				s.print(s.state.Configure(s.at(), config.Tick{}))
 			}
 		}
 	case "relay":
-		s.apply(logrelay.RoleChanged{Relay: true})
-		s.configure(config.RoleChanged{Relay: true})
+		s.print(s.state.ChangeRole(s.at(), true))
 	case "neighbours":
 		var ids []instance.ID
 		for _, word := range words[1:] {
@@ -168,6 +155,10 @@
 		s.apply(logrelay.PullEnded{Stream: record.ConfigStream, Peer: peer, Page: page})
 	case "append":
 		s.apply(logrelay.AppendRequested{Token: 1, Stream: record.ConfigStream, Data: []byte(words[1])})
+	case "appended":
+		_, err := fmt.Sscan(words[1]+" "+words[2], &first, &next)
+		require.NoError(s.t, err)
+		s.apply(logrelay.AppendEnded{Token: first, Offset: next})
 	case "append-refused":
 		s.apply(logrelay.AppendEnded{Token: 1, Failed: true, Effect: logservice.NotAppended})
 	case "append-lost":
@@ -189,10 +180,9 @@
 			archive, err := txtar.ParseFile(file)
 			require.NoError(t, err)
 
-			s := &script{
-				t: t, config: config.New(config.WithValidation(validate)),
-				relay: logrelay.New(logrelay.WithStreams(logrelay.Stream{Name: record.ConfigStream})),
-			}
+			relay := logrelay.New(logrelay.WithStreams(logrelay.Stream{Name: record.ConfigStream}))
+			s := &script{t: t, state: follower.New(relay, config.New(config.WithValidation(validate)), 1)}
+
 			for _, line := range strings.Split(string(archive.Files[0].Data), "\n") {
 				s.run(line)
 			}
--- a/internal/logservice/client_test.go
+++ b/internal/logservice/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -21,21 +20,14 @@
 func serve(t *testing.T, store *logstore.Store) string {
 	t.Helper()
 
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	url, stop, err := store.Start(context.Background())
 	require.NoError(t, err)
-
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-
-	go func() { ended <- store.Serve(ctx, listener) }()
-
 	t.Cleanup(func() {
-		cancel()
-		require.NoError(t, <-ended)
+		require.NoError(t, stop())
 		goleak.VerifyNone(t)
 	})
 
-	return "http://" + listener.Addr().String()
+	return url
 }
 
 func client(t *testing.T, url string) *logservice.Client {
--- a/internal/standin/logstore/server.go
+++ b/internal/standin/logstore/server.go
@@ -85,6 +85,25 @@
 	return errors.Wrap(err, "shutting down the log stand-in")
 }
 
+// Start serves on a loopback port until the returned function is called.
+func (s *Store) Start(ctx context.Context) (url string, stop func() error, err error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "listening for the log stand-in")
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+
+	go func() { ended <- s.Serve(ctx, listener) }()
+
+	return "http://" + listener.Addr().String(), func() error {
+		cancel()
+
+		return <-ended
+	}, nil
+}
+
 func (s *Store) withFaults(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		faults := s.Faults()
