keys: next choices claim when the first one does not

Cause: a rendezvous choice whose clock is behind left its partitions without an owner for as long, and after an outage the others claimed what a live owner was about to extend. Change: each extension period without an owner lets the next choice claim, counted from the end of an outage. A record's extensions are applied in one pass over the partitions.

--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -34,8 +34,8 @@
 	var record Record
 
 	for p := range Partitions {
-		from, ok := s.claimable(p)
-		if !ok || s.now.Before(s.claimed[p]) || s.choice(p, s.stuck(p)) != s.self.id {
+		from, overdue, ok := s.claimable(p)
+		if !ok || s.now.Before(s.claimed[p]) || !s.chosen(p, s.stuck(p), overdue) {
 			continue
 		}
 
@@ -66,30 +66,62 @@
 	s.emit(AppendGrants{Record: record})
 }
 
-// claimable reports whether a partition needs a new owner, and from which issue time on. The claim
-// starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
-func (s *State) claimable(p int) (int64, bool) {
+// claimable reports whether a partition needs a new owner, from which issue time on, and for how many
+// extension periods it has been without one while the log could be read. The claim starts where the last
+// grant ends, so that a claimant with a wrong clock leaves no gap.
+func (s *State) claimable(p int) (from int64, overdue int, ok bool) {
 	last, ok := s.ledger.partition(s.service, p).last()
 	if !ok {
-		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), true
+		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), 0, true
 	}
 
-	ahead := s.policy.Grant.Milliseconds() / extensionShare
+	period := max(1, s.policy.Grant.Milliseconds()/extensionShare)
 	now := s.milliseconds()
+	overdue = int(max(0, min(now-last.Until, now-s.logSince.UnixMilli())) / period)
 
 	switch {
 	case last.Ended:
-		return last.Until, true
+		return last.Until, overdue, true
 	case s.mine(last):
-		return 0, false
+		return 0, 0, false
 	case s.usable(s.service, last):
-		// The owner lives but does not extend, for example because its appends are lost.
-		return last.Until, now >= last.Until+ahead
+		// The owner lives but does not extend, for example because its appends are lost. After an outage
+		// it gets a period to extend.
+		return last.Until, overdue - 1, overdue > 0
 	default:
-		return last.Until, now >= last.Until-ahead
+		return last.Until, overdue, now >= last.Until-period
 	}
 }
 
+// noteRead notes the end of a log outage. The log is read at least once in two extension periods, because
+// each combiner appends once in a period.
+func (s *State) noteRead() {
+	if s.now.Sub(s.logRead) > 2*s.policy.Grant/extensionShare {
+		s.logSince = s.now
+	}
+
+	s.logRead = s.now
+}
+
+// chosen reports whether this daemon is the rendezvous choice, or one of the next choices while the first
+// ones have left the partition without an owner, for example because their clocks are behind.
+func (s *State) chosen(p int, except instance.ID, overdue int) bool {
+	own, member := rendezvous(s.service, p, s.self.id), false
+
+	for _, m := range s.members[s.service] {
+		if !m.Usable() || m.ID == except {
+			continue
+		}
+
+		member = member || m.ID == s.self.id
+		if rendezvous(s.service, p, m.ID) > own {
+			overdue--
+		}
+	}
+
+	return member && overdue >= 0
+}
+
 // stuck returns the live owner that failed to extend a grant, which is not chosen again for now.
 func (s *State) stuck(p int) instance.ID {
 	if last, ok := s.ledger.partition(s.service, p).last(); ok && !last.Ended && s.usable(s.service, last) {
--- a/internal/keys/grants.go
+++ b/internal/keys/grants.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-
-	"github.com/tarragonmill/tarragonmill/internal/instance"
 )
 
 const (
@@ -145,18 +143,8 @@
 }
 
 func (l *ledger) apply(r Record) {
-	for _, signoff := range r.Signoffs {
-		l.eachHeld(signoff.Owner, signoff.Incarnation, func(g *Grant) {
-			g.Until, g.Ended = max(g.From, min(g.Until, signoff.End)), true
-		})
-	}
-
-	for _, extension := range r.Extensions {
-		l.eachHeld(extension.Owner, extension.Incarnation, func(g *Grant) {
-			if !g.Ended {
-				g.Until = max(g.Until, extension.Until)
-			}
-		})
+	if len(r.Signoffs)+len(r.Extensions) > 0 {
+		l.moveEnds(r)
 	}
 
 	for _, c := range r.Claims {
@@ -169,18 +157,45 @@
 	}
 }
 
-// eachHeld visits the partitions whose latest grant the owner holds. The order does not matter
-// because the visits are independent.
-func (l *ledger) eachHeld(owner instance.ID, incarnation instance.Incarnation, visit func(*Grant)) {
+// moveEnds applies sign-offs and extensions to the last grant of each partition. It passes over the
+// partitions once for a record, because a combiner's record holds the extensions of some 90 owners. The
+// order of the map does not matter, because the partitions are independent.
+func (l *ledger) moveEnds(r Record) {
+	ends, untils := map[run]int64{}, map[run]int64{}
+
+	for _, s := range r.Signoffs {
+		holder := run{s.Owner, s.Incarnation}
+		if end, ok := ends[holder]; !ok || s.End < end {
+			ends[holder] = s.End
+		}
+	}
+
+	for _, e := range r.Extensions {
+		holder := run{e.Owner, e.Incarnation}
+		untils[holder] = max(untils[holder], e.Until)
+	}
+
 	for _, partitions := range l.services {
 		for p := range partitions {
-			if n := len(partitions[p]); n > 0 && partitions[p][n-1].heldBy(owner, incarnation) {
-				visit(&partitions[p][n-1])
+			if n := len(partitions[p]); n > 0 {
+				partitions[p][n-1].moveEnd(ends, untils)
 			}
 		}
 	}
 }
 
+func (g *Grant) moveEnd(ends, untils map[run]int64) {
+	holder := run{g.Owner, g.Incarnation}
+
+	if end, ok := ends[holder]; ok {
+		g.Until, g.Ended = max(g.From, min(g.Until, end)), true
+	}
+
+	if until, ok := untils[holder]; ok && !g.Ended {
+		g.Until = max(g.Until, until)
+	}
+}
+
 // claim accepts a claim for each partition whose last grant ends at or before the start of the claim.
 func (l *ledger) claim(c Claim) {
 	if c.Service == "" || c.Owner == "" || c.From < 0 || c.From > c.Until || (c.From == c.Until && !c.Ended) {
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -58,7 +58,7 @@
 
 // Default limits of memory.
 const (
-	// DefaultEntries at about 150 B each fit beside the stored responses into the 128 MB of a daemon.
+	// DefaultEntries at about 90 B each fit beside the stored responses into the 128 MB of a daemon.
 	DefaultEntries = 200_000
 	// DefaultStore is the size in bytes of all stored responses.
 	DefaultStore = 32 << 20
@@ -88,6 +88,8 @@
 	claimed  [Partitions]time.Time
 	based    time.Time
 	extended time.Time
+	// logRead is the time of the last answer of the log, and logSince that of the first one after an outage.
+	logRead, logSince time.Time
 
 	// accepted is the highest issue time admitted, in Unix milliseconds.
 	accepted int64
@@ -157,6 +159,7 @@
 	case Cancelled:
 		s.cancelled(e.ID)
 	case RecordsRead:
+		s.noteRead()
 		s.ledger.read(e.First, e.Records, e.Next)
 		s.review()
 	case BaseOffered:
