--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,8 @@
 	// crashes counts the crashes of the local backend server.
 	crashes int
 
+	// ready is set once the member table was pulled, or no peer answered.
+	ready      bool
 	isRelay    bool
 	neighbours []instance.ID
 	// token numbers the appends of this daemon.
--- a/internal/core/streams.go
+++ b/internal/core/streams.go
@@ -25,7 +25,13 @@
 		case membership.MembersChanged:
 			changed = true
 			all = append(all, s.fromRouting(now, s.routing.Apply(now, routing.MembersChanged(e)))...)
-			all = append(all, s.fromKeys(now, s.keys.Apply(now, keys.MembersChanged(e)))...)
+			all = append(all, s.membersOfKeys(now, e)...)
+		case membership.Ready:
+			s.ready = true
+			all = append(all, s.membersOfKeys(now, membership.MembersChanged{
+				Service: s.self.Service, Members: s.membership.Members(s.self.Service),
+			})...)
+			all = append(all, e)
 		case membership.Exchange:
 			all = append(all, Exchange{
 				To: e.To, Message: e.Message,
@@ -48,6 +54,16 @@
 	return all
 }
 
+// membersOfKeys passes members to the key table. Those of the own service wait until the member table is
+// ready, because a daemon that knows only itself would claim every partition of its service.
+func (s *State) membersOfKeys(now time.Time, e membership.MembersChanged) []Effect {
+	if e.Service == s.self.Service && !s.ready {
+		return nil
+	}
+
+	return s.fromKeys(now, s.keys.Apply(now, keys.MembersChanged(e)))
+}
+
 // exchangeArrived treats what a neighbour sent.
 func (s *State) exchangeArrived(now time.Time, e ExchangeArrived) []Effect {
 	effects := s.heard(now, e.Message.From, e.Throughs, e.Reports)
--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -34,8 +34,8 @@
 	var record Record
 
 	for p := range Partitions {
-		from, ok := s.claimable(p)
-		if !ok || s.now.Before(s.claimed[p]) {
+		from, overdue, ok := s.claimable(p)
+		if !ok || s.now.Before(s.claimed[p]) || !s.chosen(p, s.stuck(p), overdue) {
 			continue
 		}
 
@@ -66,44 +66,73 @@
 	s.emit(AppendGrants{Record: record})
 }
 
-// claimable reports whether this daemon should claim a partition, and from which issue time on. The
-// claim starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
-func (s *State) claimable(p int) (int64, bool) {
-	chosen := s.choice(p, "") == s.self.id
-
+// claimable reports whether a partition needs a new owner, from which issue time on, and for how many
+// extension periods it has been without one while the log could be read. The claim starts where the last
+// grant ends, so that a claimant with a wrong clock leaves no gap.
+func (s *State) claimable(p int) (from int64, overdue int, ok bool) {
 	last, ok := s.ledger.partition(s.service, p).last()
 	if !ok {
 		// Of daemons that start together, the first must not claim everything.
-		settled := s.now.Sub(s.changed) >= s.settle
-
-		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), chosen && settled
+		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), 0, s.now.Sub(s.changed) >= s.settle
 	}
 
-	ahead := s.policy.Grant.Milliseconds() / extensionShare
+	period := max(1, s.policy.Grant.Milliseconds()/extensionShare)
 	now := s.milliseconds()
+	overdue = int(max(0, min(now-last.Until, now-s.logSince.UnixMilli())) / period)
 
 	switch {
 	case last.Ended:
-		return last.Until, chosen
+		return last.Until, overdue, true
 	case s.mine(last):
-		return 0, false
-	case !s.usable(s.service, last) || chosen:
-		// The owner is lost, or does not extend because this daemon is the choice.
-		return last.Until, chosen && now >= last.Until-ahead
+		return 0, 0, false
+	case s.usable(s.service, last) && s.chosen(p, "", 0):
+		// The owner does not extend, because this daemon is the choice.
+		return last.Until, 0, now >= last.Until-period
+	case s.usable(s.service, last):
+		// The owner lives but does not extend, for example because its appends are lost. After an outage
+		// it gets a period to extend.
+		return last.Until, overdue - 1, overdue > 0
 	default:
-		// The owner lives but does not extend, for example because its appends are lost.
-		return last.Until, now >= last.Until+ahead && s.choice(p, last.Owner) == s.self.id
+		return last.Until, overdue, now >= last.Until-period
 	}
 }
 
-// keeps reports whether this daemon extends its grant of a partition. A partition whose rendezvous choice
-// is another member passes to that one at the end of the grant, so that the owners of a service stay
-// balanced when members come and go; its keys stay here. The choice has half the time in which it can
-// claim; after that the grant is extended, because the choice may be unable to reach the log.
-func (s *State) keeps(p int, last Grant) bool {
-	left := last.Until - s.milliseconds()
+// noteRead notes the end of a log outage. The log is read at least once in two extension periods, because
+// each combiner appends once in a period.
+func (s *State) noteRead() {
+	if s.now.Sub(s.logRead) > 2*s.policy.Grant/extensionShare {
+		s.logSince = s.now
+	}
 
-	return s.choice(p, "") == s.self.id || left < s.policy.Grant.Milliseconds()/extensionShare/2
+	s.logRead = s.now
+}
+
+// chosen reports whether this daemon is the rendezvous choice, or one of the next choices while the first
+// ones have left the partition without an owner, for example because their clocks are behind.
+func (s *State) chosen(p int, except instance.ID, overdue int) bool {
+	own, member := rendezvous(s.service, p, s.self.id), false
+
+	for _, m := range s.members[s.service] {
+		if !m.Usable() || m.ID == except {
+			continue
+		}
+
+		member = member || m.ID == s.self.id
+		if rendezvous(s.service, p, m.ID) > own {
+			overdue--
+		}
+	}
+
+	return member && overdue >= 0
+}
+
+// stuck returns the live owner that failed to extend a grant, which is not chosen again for now.
+func (s *State) stuck(p int) instance.ID {
+	if last, ok := s.ledger.partition(s.service, p).last(); ok && !last.Ended && s.usable(s.service, last) {
+		return last.Owner
+	}
+
+	return ""
 }
 
 // choice returns the rendezvous choice for a partition among the usable members of the service.
@@ -165,6 +194,16 @@
 	}}}})
 }
 
+// keeps reports whether this daemon extends its grant of a partition. A partition whose rendezvous choice
+// is another member passes to that one at the end of the grant, so that the owners of a service stay
+// balanced when members come and go; its keys stay here. The choice has half the time in which it can
+// claim; after that the grant is extended, because the choice may be unable to reach the log.
+func (s *State) keeps(p int, last Grant) bool {
+	left := last.Until - s.milliseconds()
+
+	return s.chosen(p, "", 0) || left < s.policy.Grant.Milliseconds()/extensionShare/2
+}
+
 // earliestEnd returns the first end of the grants that this daemon extends.
 func (s *State) earliestEnd() (int64, bool) {
 	earliest := int64(math.MaxInt64)
