routing: load estimate, spill-over, failures and distrust; admission: no adaptive limit

Change: the charge is kept with the attempt; nothing spills while the other region refuses; the load of servers without a hint is estimated from the mean; late binding pauses while most servers are full; failures count from 30 % on and not if most servers fail; servers that cannot be reached are tried as a last resort. The adaptive limit is removed, because it brought nothing. Scripted traces, property tests of all budgets and slots, benchmarks.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,10 +18,6 @@
 	sojournLimit = 50 * time.Millisecond
 	// latencyWeight is the weight of one sample in the moving average of the service time.
 	latencyWeight = 0.1
-	// usualWeight is the weight of one sample in the usual service time, and limitTolerance the multiple
-	// of it up to which the limit stays.
-	usualWeight    = 0.002
-	limitTolerance = 2
 	// fastestWeight is the weight of a slower sample in the lower bound of the service time.
 	fastestWeight = 0.01
 )
@@ -40,8 +36,6 @@
 const (
 	// Shedding refuses attempts that waited too long or would miss their deadline.
 	Shedding Mechanism = iota
-	// AdaptiveLimit lowers the number of attempts in flight while they take longer than usual.
-	AdaptiveLimit
 )
 
 // Without turns mechanisms off.
@@ -72,8 +66,6 @@
 	// exclusive is set while an attempt that asked to be alone runs.
 	exclusive bool
 	latency   time.Duration
-	// usual is the service time over a longer time.
-	usual time.Duration
 	// fastest follows the shortest service times. Deadlines are compared with it and not with the mean,
 	// because requests of one service differ.
 	fastest time.Duration
@@ -141,15 +133,7 @@
 	}
 }
 
-// limit is the number of attempts that may be in flight now. It falls below the slots in proportion to the
-// rise of the service time.
-func (s *State) limit() int {
-	if !s.uses(AdaptiveLimit) || s.usual == 0 || s.latency <= s.usual*limitTolerance {
-		return s.slots
-	}
-
-	return max(1, int(int64(s.slots)*int64(s.usual)*limitTolerance/int64(s.latency)))
-}
+func (s *State) limit() int { return s.slots }
 
 func (s *State) arrived(now time.Time, e Arrived) []Effect {
 	if _, runs := s.running[e.Attempt]; runs || s.find(e.Attempt) != nil {
@@ -241,11 +225,10 @@
 	}
 
 	if s.latency == 0 {
-		s.latency, s.fastest, s.usual = e.Elapsed, e.Elapsed, e.Elapsed
+		s.latency, s.fastest = e.Elapsed, e.Elapsed
 	}
 
 	s.fastest = min(e.Elapsed, s.fastest+time.Duration(fastestWeight*float64(e.Elapsed-s.fastest)))
-	s.usual += time.Duration(usualWeight * float64(e.Elapsed-s.usual))
 	s.latency += time.Duration(latencyWeight * float64(e.Elapsed-s.latency))
 }
 
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -234,7 +234,7 @@
 func plain(c contender) contender {
 	c.name += ", plain queue"
 	c.queue = queuePlain
-	c.admission = []admission.Option{admission.Without(admission.Shedding, admission.AdaptiveLimit)}
+	c.admission = []admission.Option{admission.Without(admission.Shedding)}
 
 	return c
 }
@@ -249,7 +249,7 @@
 		}}
 	}
 
-	roundRobin := simple("round robin", pickInTurn, 0)
+	roundRobin := simple(roundRobinName, pickInTurn, 0)
 	oracle := contender{name: oracleName, queue: queueDefault, policy: func(w *world, self instance.Member, seed uint64) policy {
 		b := newBaseline(self, seed)
 		b.reach = reachOracle(w)
--- a/internal/bench/stats.go
+++ b/internal/bench/stats.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// add takes over the counts of another run.
+func (s *stats) add(other *stats) {
+	s.length += other.length
+	s.latency.Merge(other.latency)
+	s.good += other.good
+	s.failed += other.failed
+	s.refusals += other.refusals
+	s.late += other.late
+	s.probes += other.probes
+	s.measuring += other.measuring
+	s.crossBytes += other.crossBytes
+	s.attempts += other.attempts
+	s.hedges += other.hedges
+}
+
 func (s *stats) perSecond(n float64) float64 { return n / s.length.Seconds() }
 
 func (s *stats) quantile(q float64) float64 { return float64(s.latency.ValueAtQuantile(q)) / 1000 }
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -5,16 +5,17 @@
 const (
 	// samples is the number of servers that are compared for one choice.
 	samples = 3
+	// ownWeight is the weight of one sample in the mean of this entry's requests at a server.
+	ownWeight = 0.01
 	// tries bounds the draws for one choice, so that its cost does not depend on the number of
 	// servers.
 	tries = 12
-	// domainCost is the round trip between failure domains.
-	domainCost = 2 * time.Millisecond
-	// distrust is the share of failures in a service above which failures say nothing about a single
-	// server.
-	distrust = 0.5
+	// domainCost is the round trip between failure domains, which is 1 to 2 ms today.
+	domainCost = time.Millisecond
 	// distanceDefault is the round trip between regions, used until it was observed.
 	distanceDefault = 40 * time.Millisecond
+	// spillPressure is the share of refusals beyond the link above which nothing is sent there.
+	spillPressure = 0.1
 	// refusalsToSpill is the number of full servers after which the region counts as exhausted. Looking
 	// at more of them would take longer than the wait in a queue.
 	refusalsToSpill = 2
@@ -29,18 +30,36 @@
 	svc := f.service
 	local, localCost := s.sample(now, &svc.local, f)
 
-	if local != nil && (hedge || !f.exhausted(svc)) || !svc.spill.has(now, svc.transfer(f)) {
+	leave := local == nil || f.exhausted(svc) && svc.maySpill(now, f)
+
+	if hedge || !leave {
 		return local
 	}
 
-	remote, remoteCost := s.sample(now, &svc.remote, f)
-	if remote == nil || local != nil && localCost <= remoteCost+svc.distance() {
-		return local
+	paid := svc.spill.has(now, svc.transfer(f))
+	if paid {
+		remote, remoteCost := s.sample(now, &svc.remote, f)
+		if remote != nil && (local == nil || remoteCost+svc.distance() < localCost) {
+			return remote
+		}
 	}
 
-	svc.spill.settle(svc.transfer(f))
+	if local == nil {
+		// If no server seems reachable, the fault may be here: one that is due for a trial later is
+		// better than none.
+		last, _ := s.sample(now, &svc.unreachable, f)
+		if last != nil && (last.local || paid) {
+			return last
+		}
+	}
+
+	return local
+}
 
-	return remote
+// maySpill reports whether a request may cross the region link although its region has servers: within
+// the byte rate, and not while the servers beyond the link refuse, too.
+func (svc *service) maySpill(now time.Time, f *flight) bool {
+	return svc.remote.pressure.share(now, returnTime) < spillPressure && svc.spill.has(now, svc.transfer(f))
 }
 
 // distance is the additional time, in seconds, that answers from beyond the region link take.
@@ -90,6 +109,7 @@
 		}
 
 		drawn[count] = srv
+		from.own.add(now, float64(srv.inFlight), ownWeight)
 		count++
 
 		if score := s.score(now, srv); best == nil || score < bestScore {
@@ -120,7 +140,8 @@
 	return nil
 }
 
-// score is the expected time, in seconds, until the server would answer another request.
+// score is the expected time, in seconds, until the server would answer another request. If most servers
+// fail, failures say nothing about a single server and do not count.
 func (s *State) score(now time.Time, srv *server) float64 {
 	svc, t := srv.service, srv.tier()
 	limit := float64(srv.slots())
@@ -138,11 +159,12 @@
 	queue := max(0, ahead-limit) / limit
 	cost := svc.local.latency.value * (ahead/limit + slowness*(1+queue))
 
-	if s.uses(FailureWeight) && svc.failures.towards(now, 0) < distrust {
-		cost += srv.failures.towards(now, 0) * failurePenalty.Seconds()
+	if s.uses(FailureWeight) && srv.failing && 2*t.failing <= len(t.items) {
+		excess := srv.failures.share(now, failureReturn) - failureIgnored
+		cost += max(0, excess) * failurePenalty.Seconds()
 	}
 
-	cost += t.pressure.towards(now, 0) * pressureCost.Seconds()
+	cost += t.pressure.share(now, returnTime) * pressureCost.Seconds()
 
 	if s.uses(NearDomain) && !srv.near {
 		cost += domainCost.Seconds()
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -12,7 +12,7 @@
 
 // bindLatePressure is the share of refused attempts above which late binding pauses: if most servers are
 // full, going from one to the next costs time and retries and finds no free slot.
-const bindLatePressure = 0.15
+const bindLatePressure = 0.05
 
 // retryFloor is the shortest Retry-After.
 const retryFloor = 100 * time.Millisecond
@@ -45,6 +45,8 @@
 	live   bool
 	hedge  bool
 	noWait bool
+	// charged is what was taken from the budget for the region link, in bytes.
+	charged float64
 }
 
 func (f *flight) tried(srv *server) bool {
@@ -122,7 +124,14 @@
 	// refused. The retry is paid for now and refunded if it is not needed.
 	number := len(f.attempts)
 	noWait := hedge || target.local && s.bindLate(now, f)
-	f.attempts = append(f.attempts, attempt{target: target, sent: now, live: true, hedge: hedge, noWait: noWait})
+	a := attempt{target: target, sent: now, live: true, hedge: hedge, noWait: noWait}
+
+	if !target.local {
+		a.charged = f.service.transfer(f)
+		f.service.spill.settle(a.charged)
+	}
+
+	f.attempts = append(f.attempts, a)
 	target.inFlight++
 	target.hint.uses++
 	s.counts.Attempts++
@@ -141,7 +150,7 @@
 func (s *State) bindLate(now time.Time, f *flight) bool {
 	retries := &f.service.retries
 
-	if f.service.local.pressure.towards(now, 0) > bindLatePressure {
+	if f.service.local.pressure.share(now, returnTime) > bindLatePressure {
 		return false
 	}
 
@@ -213,8 +222,9 @@
 	case Aborted:
 	}
 
-	if !srv.local {
-		f.service.spill.settle(float64(e.Bytes) - f.service.transfer(f))
+	if a.charged > 0 {
+		// The answer's size was not known before.
+		f.service.spill.settle(float64(e.Bytes) - a.charged)
 	}
 }
 
@@ -234,7 +244,7 @@
 	}
 
 	f.backlog = max(f.backlog, time.Duration(wait*float64(time.Second)), 1)
-	srv.tier().pressure.add(now, 1, latencyFall)
+	srv.tier().pressure.mark(now, true, latencyFall, returnTime)
 
 	if srv.local && !a.hedge {
 		f.refusals++
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -93,7 +93,7 @@
 	local  tier
 	remote tier
 	// unreachable are the servers that wait for their next trial.
-	unreachable set
+	unreachable tier
 	members     int
 	retries     share
 	hedges      share
@@ -101,9 +101,8 @@
 	// spill pays for requests and answers that cross the region link.
 	spill bucket
 
-	// failures is the mean over all servers; answers is the mean size of an answer in bytes.
-	failures average
-	answers  average
+	// answers is the mean size of an answer in bytes.
+	answers average
 	// spread is the distribution of latencies, from which the delay before hedging is taken.
 	spread distribution
 }
@@ -186,5 +185,7 @@
 func (s *State) tick(now time.Time) {
 	for _, svc := range s.order {
 		svc.reopen(now)
+		svc.local.judge(now)
+		svc.remote.judge(now)
 	}
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -34,12 +34,20 @@
 	// failurePenalty is the latency that a server adds which always fails. It is a multiple of any
 	// sensible service time, because a failed request is worse than a slow one.
 	failurePenalty = 2 * time.Second
+	// failureIgnored is the share of failures that costs nothing: a single failure, or errors that are
+	// part of the service.
+	failureIgnored = 0.3
+	// failureReturn is the time constant with which failures are forgotten. A server that still fails
+	// gets about one request every two seconds from an entry.
+	failureReturn = 3 * time.Second
 	// reportAge is how long a reported service time counts; it changes less quickly than the load.
 	reportAge = 100 * time.Millisecond
 	// slownessIgnored is the ratio to the mean latency up to which a server is not slow, and slownessMax
 	// bounds what slowness is worth.
 	slownessIgnored = 1.2
 	slownessMax     = 6
+	// ownGain is the number of requests of all entries that one more request of this entry stands for.
+	ownGain = 7
 	// rampTime is the time in which a server that just started comes to its full share, and rampFactor
 	// its latency in multiples at the start.
 	rampTime   = 2 * time.Second
@@ -66,6 +74,8 @@
 	latency average
 	// failures is the share of attempts that failed.
 	failures average
+	// failing is set while the server fails more than is ignored.
+	failing bool
 
 	// since is when the server could be chosen for the first time or again.
 	since time.Time
@@ -100,6 +110,28 @@
 	a.at = now
 }
 
+// mark adds an outcome to an average that is a share. It starts from zero, because a single outcome says
+// little.
+func (a *average) mark(now time.Time, hit bool, weight float64, decay time.Duration) {
+	sample := 0.0
+	if hit {
+		sample = 1
+	}
+
+	a.value = a.share(now, decay)
+	a.value += weight * (sample - a.value)
+	a.at = now
+}
+
+// share returns a share, which fades over time.
+func (a *average) share(now time.Time, decay time.Duration) float64 {
+	if a.at.IsZero() {
+		return 0
+	}
+
+	return a.value * math.Exp(-now.Sub(a.at).Seconds()/decay.Seconds())
+}
+
 // towards returns the value, which approaches rest over time.
 func (a *average) towards(now time.Time, rest float64) float64 {
 	if a.at.IsZero() {
@@ -125,6 +157,7 @@
 func (srv *server) learn(now time.Time, h load.Hint) {
 	others := float64(max(0, h.InFlight+h.Queue-srv.inFlight))
 	srv.hint = hint{Hint: h, valid: true, at: now, others: others}
+	srv.tier().load.add(now, float64(h.InFlight+h.Queue), latencyFall)
 	srv.tier().reported.add(now, h.Latency.Seconds(), latencyFall)
 }
 
@@ -136,11 +169,17 @@
 func (srv *server) slots() int { return max(1, srv.member.Slots) }
 
 // load estimates the number of requests at the server: this entry's, which it knows, and those of the
-// other entries. Without a hint, the others are assumed to do as this entry does, because a slow server
-// collects requests of all entries. This scale is fixed: an estimate of it that was learned from hints
-// gave more refusals at 80 % of capacity than no hints at all.
+// other entries. Without a hint, the others are assumed to deviate from the mean as this entry does,
+// because a slow server collects requests of all entries.
 func (s *State) load(now time.Time, srv *server) float64 {
-	estimate := float64(srv.inFlight) * srv.service.scale()
+	t := srv.tier()
+	mean := t.load.value
+
+	if t.load.at.IsZero() {
+		mean = ownGain * t.own.value
+	}
+
+	estimate := max(float64(srv.inFlight), mean+ownGain*(float64(srv.inFlight)-t.own.value))
 	reported := float64(srv.inFlight) + srv.hint.others
 
 	switch {
@@ -159,7 +198,6 @@
 
 // succeeded and failed record the outcome of an attempt.
 func (srv *server) succeeded(now time.Time, elapsed time.Duration) {
-	svc := srv.service
 	weight := latencyFall
 
 	if elapsed.Seconds() > srv.latency.value {
@@ -167,17 +205,40 @@
 	}
 
 	srv.latency.add(now, elapsed.Seconds(), weight)
-	srv.failures.add(now, 0, failureWeight)
+	srv.failures.mark(now, false, failureWeight, failureReturn)
 	srv.tier().latency.add(now, elapsed.Seconds(), latencyFall)
-	srv.tier().pressure.add(now, 0, latencyFall)
-	svc.failures.add(now, 0, latencyFall)
-	svc.spread.add(elapsed)
+	srv.tier().pressure.mark(now, false, latencyFall, returnTime)
+	srv.judge(now)
+	srv.service.spread.add(elapsed)
 	srv.backoff = 0
 }
 
 func (srv *server) failed(now time.Time) {
-	srv.failures.add(now, 1, failureWeight)
-	srv.service.failures.add(now, 1, latencyFall)
+	srv.failures.mark(now, true, failureWeight, failureReturn)
+	srv.judge(now)
+}
+
+// judge notes whether the server fails, so that it is known how many of its peers do.
+func (srv *server) judge(now time.Time) {
+	srv.setFailing(srv.set != nil && srv.failures.share(now, failureReturn) > failureIgnored)
+}
+
+func (srv *server) setFailing(failing bool) {
+	if failing != srv.failing {
+		srv.failing = failing
+		srv.tier().failing += map[bool]int{true: 1, false: -1}[failing]
+	}
+}
+
+// judge looks again at the servers that failed, because failures are forgotten over time.
+func (t *tier) judge(now time.Time) {
+	if t.failing == 0 {
+		return
+	}
+
+	for _, srv := range t.items {
+		srv.judge(now)
+	}
 }
 
 // unreachable closes the server for a time that doubles with each failure.
@@ -199,10 +260,6 @@
 	}
 }
 
-// scale is the ratio of the load of all entries to that of this one, if every daemon of the service is an
-// entry and callers use them alike.
-func (svc *service) scale() float64 { return float64(max(1, svc.members)) }
-
 // slowness is the server's latency in multiples of the mean of its peers. The service time that the server
 // reported is preferred, because it covers the requests of all entries. Differences that chance explains
 // do not count.
--- a/internal/routing/set.go
+++ b/internal/routing/set.go
@@ -6,6 +6,11 @@
 	latency average
 	// reported is the mean of the service times in load hints.
 	reported average
+	// failing is the number of servers that fail.
+	failing int
+	// load is the mean of the loads in hints, own that of this entry's requests at a server.
+	load average
+	own  average
 	// pressure is the share of attempts that were refused.
 	pressure average
 }
@@ -37,6 +42,8 @@
 
 // place moves the server to the set that fits its state.
 func (svc *service) place(srv *server) {
+	srv.setFailing(false)
+
 	if srv.set != nil {
 		srv.set.remove(srv)
 	}
