routing: notice hints that were not paid for, draining in a hint

Cause: the daemon attaches a load hint to each answer, also if none was paid for, and reports draining only in the hint. Change: unpaid hints are counted in the state dump; a refusal whose hint says draining closes the server for a while like one that says so itself.

--- a/internal/routing/dump.go
+++ b/internal/routing/dump.go
@@ -15,7 +15,9 @@
 	Hedges    uint64
 	Probes    uint64
 	Delivered uint64
-	GivenUp   uint64
+	// Unpaid counts load hints that arrived although they were not asked for.
+	Unpaid  uint64
+	GivenUp uint64
 }
 
 // Dump holds the state for the state dump, sorted by ID.
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -41,10 +41,11 @@
 
 type attempt struct {
 	target *server
-	sent   time.Time
 	live   bool
 	hedge  bool
 	noWait bool
+	// hint is set if a load hint was paid for.
+	hint bool
 	// charged is what was taken from the budget for the region link, in bytes.
 	charged float64
 }
@@ -124,7 +125,8 @@
 	// refused. The retry is paid for now and refunded if it is not needed.
 	number := len(f.attempts)
 	noWait := hedge || target.local && s.bindLate(now, f)
-	a := attempt{target: target, sent: now, live: true, hedge: hedge, noWait: noWait}
+	a := attempt{target: target, live: true, hedge: hedge, noWait: noWait}
+	a.hint = s.uses(Hints) && f.service.measuring.takeHint(now, target)
 
 	if !target.local {
 		a.charged = f.service.transfer(f)
@@ -142,7 +144,7 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: number, Target: target.member, Hedge: hedge, NoWait: noWait,
-		Hint: s.uses(Hints) && f.service.measuring.takeHint(now, target),
+		Hint: a.hint,
 	}}
 }
 
@@ -209,6 +211,10 @@
 		srv.learn(now, e.Hint)
 	}
 
+	if e.Hinted && !a.hint {
+		s.counts.Unpaid++
+	}
+
 	switch e.Outcome {
 	case Succeeded:
 		srv.succeeded(now, e.Elapsed)
@@ -232,7 +238,7 @@
 func (s *State) refused(now time.Time, f *flight, a *attempt, e AttemptEnded) {
 	srv := a.target
 
-	if e.Draining {
+	if e.Draining || e.Hinted && e.Hint.Draining {
 		srv.unreachable(now)
 
 		return
