--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -31,7 +31,7 @@
 
 	var (
 		out     bytes.Buffer
-		options = bench.Options{Seed: 1, Runs: *runs, Mechanisms: *table, Parallel: 6}
+		options = bench.Options{Seed: 1, Runs: *runs, Mechanisms: *table}
 	)
 
 	for _, text := range strings.Split(*loads, ",") {
