routing: a new daemon spends little until it knows the fleet; admission: hopeless attempts leave the queue

Cause: budgets are divided by the number of known daemons, so that in a mass restart each daemon, knowing only itself, would take the whole budget. Attempts that could no longer meet their deadline were started from within the queue. Change: a new daemon assumes 1024 daemons, halved every second, or more if it knows more. The property test changes the fleet while it runs. An attempt that waited is refused if the shortest service time no longer fits.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -200,7 +200,11 @@
 		return !start.Before(deadline)
 	}
 
-	return start.Add(s.fastest).After(deadline)
+	return s.hopeless(start, deadline)
+}
+
+func (s *State) hopeless(start, deadline time.Time) bool {
+	return s.uses(Shedding) && start.Add(s.fastest).After(deadline)
 }
 
 // free reports whether an attempt that arrives now would start at once.
@@ -314,7 +318,7 @@
 			break
 		}
 
-		if !now.Before(w.deadline) {
+		if !now.Before(w.deadline) || w.since.Before(now) && s.hopeless(now, w.deadline) {
 			effects = append(effects, s.refuse(now, w.attempt, DeadlinePassed))
 
 			continue
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -26,6 +26,8 @@
 	abortTime = 200 * time.Microsecond
 	// localDelay is the one-way delay within a failure domain.
 	localDelay = 200 * time.Microsecond
+	// settled is how long the daemons have known each other at the start.
+	settled = time.Minute
 	// tick is the period at which policies are woken.
 	tick = 10 * time.Millisecond
 )
@@ -386,9 +388,17 @@
 		e := &entry{member: m, requests: map[request.ID]*call{}, runs: map[admission.Attempt]*run{}}
 		e.policy = c.policy(w, m, o.Seed+uint64(i))
 		w.entries = append(w.entries, e)
-		w.tell(e, routing.PolicyChanged{Services: []manifest.Service{sz.manifest(c.budget)}})
-		w.tell(e, routing.MembersChanged{Service: "other", Members: rest})
-		w.tell(e, routing.MembersChanged{Service: sz.service, Members: w.members})
+
+		// The daemons have been running for a while and know the fleet.
+		for _, event := range []routing.Event{
+			routing.PolicyChanged{Services: []manifest.Service{sz.manifest(c.budget)}},
+			routing.MembersChanged{Service: "other", Members: rest},
+			routing.MembersChanged{Service: sz.service, Members: w.members},
+		} {
+			e.policy.Apply(w.start.Add(-settled), event)
+		}
+
+		e.policy.Apply(w.start, routing.Tick{})
 		w.tick(e)
 	}
 
--- a/internal/routing/budget_test.go
+++ b/internal/routing/budget_test.go
@@ -44,8 +44,7 @@
 			})
 		}
 
-		start := time.Unix(0, 0)
-		now := start
+		now := time.Unix(0, 0)
 		state := routing.New(routing.WithSeed(rapid.Uint64().Draw(t, "seed")), routing.WithPlace(instance.Place{Region: "west"}))
 		state.Apply(now, routing.PolicyChanged{Services: []manifest.Service{policy}})
 		state.Apply(now, routing.MembersChanged{Service: "stock", Members: members})
@@ -55,6 +54,8 @@
 			open    []routing.Attempt
 			probing []routing.Probe
 			known   []request.ID
+			shares  float64
+			fleet   = len(members)
 		)
 
 		apply := func(event routing.Event) {
@@ -69,13 +70,15 @@
 				}
 			}
 
-			spent.check(t, policy, now.Sub(start).Seconds(), float64(len(members)))
+			spent.check(t, policy, shares)
 		}
 
 		for step := range rapid.IntRange(1, 400).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 200_000).Draw(t, "microseconds")) * time.Microsecond)
+			passed := time.Duration(rapid.IntRange(0, 200_000).Draw(t, "microseconds")) * time.Microsecond
+			now = now.Add(passed)
+			shares += passed.Seconds() / float64(fleet)
 
-			switch action := rapid.IntRange(0, 9).Draw(t, "action"); {
+			switch action := rapid.IntRange(0, 10).Draw(t, "action"); {
 			case action < 4:
 				id := request.ID(fmt.Sprint("r", step))
 				known = append(known, id)
@@ -93,6 +96,9 @@
 				})
 			case action == 8 && len(known) > 0:
 				apply(routing.TimerFired{ID: rapid.SampledFrom(known).Draw(t, "timer")})
+			case action == 9:
+				fleet = rapid.IntRange(1, len(members)).Draw(t, "fleet")
+				apply(routing.MembersChanged{Service: "stock", Members: members[:fleet]})
 			case len(probing) > 0:
 				p := probing[0]
 				probing = probing[1:]
@@ -134,15 +140,16 @@
 	}
 }
 
-// check compares what was spent with the entry's share for the time passed. Retries and hedges have a
+// check compares what was spent with the entry's share of the budgets, given as the integral of 1 / fleet
+// over time. Retries and hedges have a
 // reserve of ten each in addition to their share of the requests.
-func (s *spending) check(t *rapid.T, policy manifest.Service, seconds, fleet float64) {
+func (s *spending) check(t *rapid.T, policy manifest.Service, shares float64) {
 	const reserve, rounding = 10, 1e-6
 
-	require.LessOrEqual(t, s.probes, policy.Budget.Probes/fleet*seconds+rounding, "probes")
-	require.LessOrEqual(t, s.measuring, float64(policy.Budget.Bytes)/fleet*seconds+rounding, "measuring bytes")
-	require.LessOrEqual(t, s.crossMeasuring, float64(policy.Budget.Cross)/fleet*seconds+rounding, "measuring bytes across regions")
-	require.LessOrEqual(t, s.crossing, float64(policy.Budget.Spill)/fleet*seconds+rounding, "bytes across regions")
+	require.LessOrEqual(t, s.probes, policy.Budget.Probes*shares+rounding, "probes")
+	require.LessOrEqual(t, s.measuring, float64(policy.Budget.Bytes)*shares+rounding, "measuring bytes")
+	require.LessOrEqual(t, s.crossMeasuring, float64(policy.Budget.Cross)*shares+rounding, "measuring bytes across regions")
+	require.LessOrEqual(t, s.crossing, float64(policy.Budget.Spill)*shares+rounding, "bytes across regions")
 
 	hedges := policy.Hedge.Share*float64(s.requests) + reserve
 	retries := policy.Retry.Share*float64(s.requests) + reserve
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,6 +7,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -36,7 +37,11 @@
 	random *rand.Rand
 	place  instance.Place
 	// off has a bit for each mechanism that is turned off.
-	off      uint
+	off uint
+	// started is the time of the first event about members or policies; divisor is the number of daemons
+	// among which the budgets are divided at present.
+	started  time.Time
+	divisor  float64
 	services map[string]*service
 	// order lists the services in the order in which they became known.
 	order   []*service
@@ -126,15 +131,35 @@
 	s.divideBudgets(now)
 }
 
-// divideBudgets gives this entry its share of each service's budgets. Any daemon can be an entry, so the
-// budgets are divided by the number of daemons in the fleet.
-func (s *State) divideBudgets(now time.Time) {
-	fleet := 0
+const (
+	// fleetFirst is the number of daemons that a new one assumes. It knows few others yet; if it took
+	// their number for that of the fleet, a mass restart would spend a multiple of the budgets.
+	fleetFirst = 1024
+	// fleetHalving is the time in which the assumed number halves. A new daemon has the whole member
+	// table after a few exchanges, which happen once a second.
+	fleetHalving = time.Second
+)
+
+// fleet is the number of daemons among which the budgets are divided: any of them can be an entry.
+func (s *State) fleet(now time.Time) float64 {
+	known := 0
 	for _, svc := range s.order {
-		fleet += svc.members
+		known += svc.members
 	}
 
-	part := 1 / float64(max(1, fleet))
+	if s.started.IsZero() {
+		s.started = now
+	}
+
+	assumed := fleetFirst * math.Exp2(-float64(now.Sub(s.started))/float64(fleetHalving))
+
+	return max(float64(known), assumed, 1)
+}
+
+// divideBudgets gives this entry its share of each service's budgets.
+func (s *State) divideBudgets(now time.Time) {
+	s.divisor = s.fleet(now)
+	part := 1 / s.divisor
 
 	for _, svc := range s.order {
 		budget := svc.policy.Budget
@@ -183,6 +208,10 @@
 }
 
 func (s *State) tick(now time.Time) {
+	if s.divisor != s.fleet(now) {
+		s.divideBudgets(now)
+	}
+
 	for _, svc := range s.order {
 		svc.reopen(now)
 		svc.local.judge(now)
