routing: forget members that left, reset policies that are gone, learn from cancelled attempts

Cause: servers that left while draining were kept for ever; a service without a policy kept its old budgets; names that only requests mention were kept; a slow server whose requests are all hedged did not look slow; a change of members cleared what was known of failing servers.

--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -85,7 +85,12 @@
 		return nil
 	}
 
-	svc := s.service(r.Service)
+	svc, ok := s.services[r.Service]
+	if !ok {
+		// Nothing is kept for a name that only a request mentions.
+		return []Effect{GiveUp{ID: r.ID, Verdict: verdict.NotRun, Reason: NoServers, RetryAfter: retryFloor}}
+	}
+
 	svc.retries.earn(svc.policy.Retry.Share)
 	svc.hedges.earn(svc.policy.Hedge.Share)
 	s.counts.Requests++
@@ -226,6 +231,7 @@
 	case Failed, Lost, TimedOut:
 		srv.failed(now)
 	case Aborted:
+		srv.cancelled(now, e.Elapsed)
 	}
 
 	if a.charged > 0 {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -124,6 +124,10 @@
 }
 
 func (s *State) policyChanged(now time.Time, services []manifest.Service) {
+	for _, svc := range s.order {
+		svc.policy = manifest.Service{Name: svc.name}
+	}
+
 	for _, policy := range services {
 		s.service(policy.Name).policy = policy
 	}
@@ -185,25 +189,39 @@
 		}
 
 		srv, ok := s.servers[member.ID]
+		if ok && srv.service != svc {
+			srv.leave()
+
+			ok = false
+		}
+
 		if !ok {
 			srv = &server{service: svc, position: -1}
 			s.servers[member.ID] = srv
 		}
 
+		srv.setFailing(false)
 		srv.update(now, member, s.place)
 		svc.place(srv)
+		srv.judge(now)
 	}
 
+	// The sets are changed in their own order, because the order of their servers decides which one is
+	// drawn; the order of the map does not matter for what is only deleted.
 	for _, list := range [][]*server{svc.local.items, svc.remote.items, svc.unreachable.items} {
 		for _, srv := range append([]*server(nil), list...) {
 			if !listed[srv.member.ID] {
-				srv.member.Status = instance.Left
-				svc.place(srv)
-				delete(s.servers, srv.member.ID)
+				srv.leave()
 			}
 		}
 	}
 
+	for id, srv := range s.servers {
+		if srv.service == svc && !listed[id] {
+			delete(s.servers, id)
+		}
+	}
+
 	s.divideBudgets(now)
 }
 
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -153,6 +153,12 @@
 	srv.near = srv.local && member.Place.Domain == place.Domain
 }
 
+// leave takes the server out of its service. Attempts under way still refer to it.
+func (srv *server) leave() {
+	srv.member.Status = instance.Left
+	srv.service.place(srv)
+}
+
 // learn takes over a load hint that has just arrived.
 func (srv *server) learn(now time.Time, h load.Hint) {
 	others := float64(max(0, h.InFlight+h.Queue-srv.inFlight))
@@ -213,6 +219,14 @@
 	srv.backoff = 0
 }
 
+// cancelled records an attempt that lost against a hedge. That it has taken so long is known, and without
+// it a slow server whose requests are all hedged would not look slow.
+func (srv *server) cancelled(now time.Time, elapsed time.Duration) {
+	if elapsed.Seconds() > srv.latency.towards(now, srv.tier().latency.value) {
+		srv.latency.add(now, elapsed.Seconds(), latencyRise)
+	}
+}
+
 func (srv *server) failed(now time.Time) {
 	srv.failures.mark(now, true, failureWeight, failureReturn)
 	srv.judge(now)
