--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -12,7 +12,7 @@
 
 // bindLatePressure is the share of refused attempts above which late binding pauses: if most servers are
 // full, going from one to the next costs time and retries and finds no free slot.
-const bindLatePressure = 0.15
+const bindLatePressure = 0.05
 
 // retryFloor is the shortest Retry-After.
 const retryFloor = 100 * time.Millisecond
@@ -41,10 +41,13 @@
 
 type attempt struct {
 	target *server
-	sent   time.Time
 	live   bool
 	hedge  bool
 	noWait bool
+	// hint is set if a load hint was paid for.
+	hint bool
+	// charged is what was taken from the budget for the region link, in bytes.
+	charged float64
 }
 
 func (f *flight) tried(srv *server) bool {
@@ -82,7 +85,12 @@
 		return nil
 	}
 
-	svc := s.service(r.Service)
+	svc, ok := s.services[r.Service]
+	if !ok {
+		// Nothing is kept for a name that only a request mentions.
+		return []Effect{GiveUp{ID: r.ID, Verdict: verdict.NotRun, Reason: NoServers, RetryAfter: retryFloor}}
+	}
+
 	svc.retries.earn(svc.policy.Retry.Share)
 	svc.hedges.earn(svc.policy.Hedge.Share)
 	s.counts.Requests++
@@ -122,7 +130,15 @@
 	// refused. The retry is paid for now and refunded if it is not needed.
 	number := len(f.attempts)
 	noWait := hedge || target.local && s.bindLate(now, f)
-	f.attempts = append(f.attempts, attempt{target: target, sent: now, live: true, hedge: hedge, noWait: noWait})
+	a := attempt{target: target, live: true, hedge: hedge, noWait: noWait}
+	a.hint = s.uses(Hints) && f.service.measuring.takeHint(now, target)
+
+	if !target.local {
+		a.charged = f.service.transfer(f)
+		f.service.spill.settle(a.charged)
+	}
+
+	f.attempts = append(f.attempts, a)
 	target.inFlight++
 	target.hint.uses++
 	s.counts.Attempts++
@@ -133,7 +149,7 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: number, Target: target.member, Hedge: hedge, NoWait: noWait,
-		Hint: s.uses(Hints) && f.service.measuring.takeHint(now, target),
+		Hint: a.hint,
 	}}
 }
 
@@ -141,7 +157,7 @@
 func (s *State) bindLate(now time.Time, f *flight) bool {
 	retries := &f.service.retries
 
-	if f.service.local.pressure.towards(now, 0) > bindLatePressure {
+	if f.service.local.pressure.share(now, returnTime) > bindLatePressure {
 		return false
 	}
 
@@ -200,6 +216,10 @@
 		srv.learn(now, e.Hint)
 	}
 
+	if e.Hinted && !a.hint {
+		s.counts.Unpaid++
+	}
+
 	switch e.Outcome {
 	case Succeeded:
 		srv.succeeded(now, e.Elapsed)
@@ -211,10 +231,12 @@
 	case Failed, Lost, TimedOut:
 		srv.failed(now)
 	case Aborted:
+		srv.cancelled(now, e.Elapsed)
 	}
 
-	if !srv.local {
-		f.service.spill.settle(float64(e.Bytes) - f.service.transfer(f))
+	if a.charged > 0 {
+		// The answer's size was not known before.
+		f.service.spill.settle(float64(e.Bytes) - a.charged)
 	}
 }
 
@@ -222,7 +244,7 @@
 func (s *State) refused(now time.Time, f *flight, a *attempt, e AttemptEnded) {
 	srv := a.target
 
-	if e.Draining {
+	if e.Draining || e.Hinted && e.Hint.Draining {
 		srv.unreachable(now)
 
 		return
@@ -234,7 +256,7 @@
 	}
 
 	f.backlog = max(f.backlog, time.Duration(wait*float64(time.Second)), 1)
-	srv.tier().pressure.add(now, 1, latencyFall)
+	srv.tier().pressure.mark(now, true, latencyFall, returnTime)
 
 	if srv.local && !a.hedge {
 		f.refusals++
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,6 +7,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -36,7 +37,11 @@
 	random *rand.Rand
 	place  instance.Place
 	// off has a bit for each mechanism that is turned off.
-	off      uint
+	off uint
+	// started is the time of the first event about members or policies; divisor is the number of daemons
+	// among which the budgets are divided at present.
+	started  time.Time
+	divisor  float64
 	services map[string]*service
 	// order lists the services in the order in which they became known.
 	order   []*service
@@ -93,7 +98,7 @@
 	local  tier
 	remote tier
 	// unreachable are the servers that wait for their next trial.
-	unreachable set
+	unreachable tier
 	members     int
 	retries     share
 	hedges      share
@@ -101,9 +106,8 @@
 	// spill pays for requests and answers that cross the region link.
 	spill bucket
 
-	// failures is the mean over all servers; answers is the mean size of an answer in bytes.
-	failures average
-	answers  average
+	// answers is the mean size of an answer in bytes.
+	answers average
 	// spread is the distribution of latencies, from which the delay before hedging is taken.
 	spread distribution
 }
@@ -120,6 +124,10 @@
 }
 
 func (s *State) policyChanged(now time.Time, services []manifest.Service) {
+	for _, svc := range s.order {
+		svc.policy = manifest.Service{Name: svc.name}
+	}
+
 	for _, policy := range services {
 		s.service(policy.Name).policy = policy
 	}
@@ -127,15 +135,35 @@
 	s.divideBudgets(now)
 }
 
-// divideBudgets gives this entry its share of each service's budgets. Any daemon can be an entry, so the
-// budgets are divided by the number of daemons in the fleet.
-func (s *State) divideBudgets(now time.Time) {
-	fleet := 0
+const (
+	// fleetFirst is the number of daemons that a new one assumes. It knows few others yet; if it took
+	// their number for that of the fleet, a mass restart would spend a multiple of the budgets.
+	fleetFirst = 1024
+	// fleetHalving is the time in which the assumed number halves. A new daemon has the whole member
+	// table after a few exchanges, which happen once a second.
+	fleetHalving = time.Second
+)
+
+// fleet is the number of daemons among which the budgets are divided: any of them can be an entry.
+func (s *State) fleet(now time.Time) float64 {
+	known := 0
 	for _, svc := range s.order {
-		fleet += svc.members
+		known += svc.members
+	}
+
+	if s.started.IsZero() {
+		s.started = now
 	}
 
-	part := 1 / float64(max(1, fleet))
+	assumed := fleetFirst * math.Exp2(-float64(now.Sub(s.started))/float64(fleetHalving))
+
+	return max(float64(known), assumed, 1)
+}
+
+// divideBudgets gives this entry its share of each service's budgets.
+func (s *State) divideBudgets(now time.Time) {
+	s.divisor = s.fleet(now)
+	part := 1 / s.divisor
 
 	for _, svc := range s.order {
 		budget := svc.policy.Budget
@@ -161,30 +189,50 @@
 		}
 
 		srv, ok := s.servers[member.ID]
+		if ok && srv.service != svc {
+			srv.leave()
+
+			ok = false
+		}
+
 		if !ok {
 			srv = &server{service: svc, position: -1}
 			s.servers[member.ID] = srv
 		}
 
+		srv.setFailing(false)
 		srv.update(now, member, s.place)
 		svc.place(srv)
+		srv.judge(now)
 	}
 
+	// The sets are changed in their own order, because the order of their servers decides which one is
+	// drawn; the order of the map does not matter for what is only deleted.
 	for _, list := range [][]*server{svc.local.items, svc.remote.items, svc.unreachable.items} {
 		for _, srv := range append([]*server(nil), list...) {
 			if !listed[srv.member.ID] {
-				srv.member.Status = instance.Left
-				svc.place(srv)
-				delete(s.servers, srv.member.ID)
+				srv.leave()
 			}
 		}
 	}
 
+	for id, srv := range s.servers {
+		if srv.service == svc && !listed[id] {
+			delete(s.servers, id)
+		}
+	}
+
 	s.divideBudgets(now)
 }
 
 func (s *State) tick(now time.Time) {
+	if s.divisor != s.fleet(now) {
+		s.divideBudgets(now)
+	}
+
 	for _, svc := range s.order {
 		svc.reopen(now)
+		svc.local.judge(now)
+		svc.remote.judge(now)
 	}
 }
