--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -57,7 +57,8 @@
 		option(root)
 	}
 
-	root.Commands = append(root.Commands, manifestCommand(), dumpCommand(), demoCommand(), logCommand("logservice"))
+	root.Commands = append(root.Commands, manifestCommand(), dumpCommand(), demoCommand(), benchCommand(),
+		logCommand("logservice"))
 
 	return run(ctx, args, streams, root)
 }
