demo: tell refused connections from broken ones and check that none is cut off

Cause: callers of a daemon that restarts in order meet a closed socket, which is no request cut off. Change: both are counted apart, and a connection that breaks is a broken guarantee (G6).

--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -32,7 +33,9 @@
 	resendPause = time.Second
 
 	verdictHeader = "Tarragonmill-Verdict"
-	// broken is the outcome of a request whose connection ended without a response.
+	// unreachable is the outcome of a request that met a closed socket, and was not sent.
+	unreachable = "connection refused"
+	// broken is the outcome of a request whose connection ended without a whole response.
 	broken = "connection lost"
 )
 
@@ -228,6 +231,11 @@
 
 	response, err := c.client.Do(r)
 	if err != nil {
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" {
+			return outcome{text: unreachable}
+		}
+
 		return outcome{text: broken}
 	}
 
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -133,6 +133,7 @@
 		{len(r.wrong) == 0, "G2 responses of another request: %d", []any{len(r.wrong)}},
 		{falseNotRun == 0, "G3 orders reported as not run that ran: %d", []any{falseNotRun}},
 		{repeated == 0, "G4 orders that ran more than once: %d of %d", []any{repeated, len(r.orders)}},
+		{r.lost() == 0, "G6 requests cut off while a daemon restarted: %d", []any{r.lost()}},
 		{falseAnswered == 0, "   orders reported as taken that did not run: %d", []any{falseAnswered}},
 	} {
 		mark := "held  "
@@ -154,6 +155,10 @@
 	return nil
 }
 
+// lost is the number of sends whose connection ended without a whole response. No daemon crashes in the
+// demo, so that only a shutdown can cut one off.
+func (r *report) lost() int { return r.refusals[broken] + r.outcomes[broken] }
+
 // checkOrders compares verdicts with the executions at the backend servers. A verdict covers all
 // deliveries of a key so far; a later send of the same key may run, so that only keys whose last result
 // is "not run" for every sender count.
