--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -58,7 +58,7 @@
 	}
 
 	root.Commands = append(root.Commands, manifestCommand(), dumpCommand(), demoCommand(), benchCommand(),
-		logCommand("logservice"))
+		capacityCommand(), logCommand("logservice"))
 
 	return run(ctx, args, streams, root)
 }
