peer: keep connection errors off standard error

net/http logged handshakes that a peer gave up as plain lines on standard error: 80 of them while 610 daemons started in one process on a busy machine. They are dropped by default and go to a logger with WithErrorLog.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -42,7 +44,10 @@
 // ServerOption configures a Server.
 type ServerOption func(*serverOptions)
 
-type serverOptions struct{ data http.Handler }
+type serverOptions struct {
+	data   http.Handler
+	errors *log.Logger
+}
 
 // WithData serves all paths outside the control service. The handler authenticates its requests itself,
 // because the Authorization header of a data request belongs to the caller, and sets its own read
@@ -51,6 +56,12 @@
 	return func(o *serverOptions) { o.data = handler }
 }
 
+// WithErrorLog sets where errors of connections go, for example handshakes that a peer gave up. By
+// default they are dropped, because callers see them too.
+func WithErrorLog(logger *log.Logger) ServerOption {
+	return func(o *serverOptions) { o.errors = logger }
+}
+
 // NewServer returns a server for a handler. It returns ErrNoKey for an empty key.
 func NewServer(secret string, handler Handler, options ...ServerOption) (*Server, error) {
 	key, err := NewKey(secret)
@@ -58,7 +69,7 @@
 		return nil, err
 	}
 
-	chosen := serverOptions{data: http.NotFoundHandler()}
+	chosen := serverOptions{data: http.NotFoundHandler(), errors: log.New(io.Discard, "", 0)}
 	for _, option := range options {
 		option(&chosen)
 	}
@@ -77,6 +88,7 @@
 	server.http = &http.Server{
 		Handler:           mux,
 		Protocols:         &protocols,
+		ErrorLog:          chosen.errors,
 		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
