--- a/internal/membership/fleet/measure/main.go
+++ b/internal/membership/fleet/measure/main.go
@@ -42,7 +42,10 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	var results []fleet.Result
+	var (
+		results []fleet.Result
+		failure error
+	)
 
 	for _, size := range c.IntSlice("sizes") {
 		result, err := fleet.Measure(ctx, fleet.Config{
@@ -50,21 +53,28 @@
 			Drains: c.Int("drains"), Starts: c.Int("starts"),
 		})
 		if err != nil {
-			return errors.Wrapf(err, "measuring %d daemons", size)
+			failure = errors.Wrapf(err, "measuring %d daemons", size)
+
+			break
 		}
 
 		fmt.Fprintln(os.Stderr, result.Summary())
 		results = append(results, result)
 	}
 
+	if len(results) == 0 {
+		return failure
+	}
+
+	// What was measured before a failure is worth a report.
 	line := "go run ./internal/membership/fleet/measure " + strings.Join(os.Args[1:], " ")
 	report := fleet.Report(results, c.Int("fitted"), line, c.String("commit"))
 
 	if c.String("out") == "" {
 		fmt.Print(report)
 
-		return nil
+		return failure
 	}
 
-	return errors.Wrap(os.WriteFile(c.String("out"), []byte(report), 0o644), "writing the report")
+	return errors.CombineErrors(failure, errors.Wrap(os.WriteFile(c.String("out"), []byte(report), 0o644), "writing the report"))
 }
