membership/fleet: end daemons that were stopped before

A daemon whose shutdown took longer than its grace period made the churn phase fail at 610 daemons on a busy machine, and the harness then waited for it a second time without end. Stopping can now be repeated, and a forced end of connections is no failure.

--- a/internal/membership/fleet/daemon.go
+++ b/internal/membership/fleet/daemon.go
@@ -47,7 +47,9 @@
 	// calls is the number of calls in progress; each one ends with an event in the inbox.
 	calls  int
 	cancel context.CancelFunc
-	ended  chan error
+	// ended is closed after the last goroutine of the daemon has ended; failure is set before.
+	ended   chan struct{}
+	failure error
 }
 
 // envelope is an event with the channel for its answer, or a query.
@@ -74,7 +76,7 @@
 		ID: self.ID, started: time.Now(),
 		state: membership.New(membership.WithSeed(seed)),
 		inbox: make(chan envelope), ready: make(chan time.Duration, 1),
-		watched: watched, ended: make(chan error, 1),
+		watched: watched, ended: make(chan struct{}),
 	}
 	d.address = listener.Addr().(*net.TCPAddr).AddrPort()
 
@@ -94,7 +96,14 @@
 	go func() {
 		d.loop(ctx, membership.Started{Self: self, Seeds: seeds})
 		d.client.Close()
-		d.ended <- <-served
+
+		// On a busy machine the grace period for running calls may end first, and closing the
+		// connections by force is good enough here.
+		if err := <-served; !errors.Is(err, context.DeadlineExceeded) {
+			d.failure = err
+		}
+
+		close(d.ended)
 	}()
 
 	return d, nil
@@ -216,8 +225,9 @@
 // stop ends the daemon without an announcement and waits for it.
 func (d *Daemon) stop() error {
 	d.cancel()
+	<-d.ended
 
-	return <-d.ended
+	return d.failure
 }
 
 func encode(m membership.Message) peer.Exchange {
--- a/internal/membership/fleet/fleet.go
+++ b/internal/membership/fleet/fleet.go
@@ -209,7 +209,7 @@
 
 	var err error
 	for _, d := range daemons {
-		err = errors.CombineErrors(err, <-d.ended)
+		err = errors.CombineErrors(err, d.stop())
 	}
 
 	return err
