--- /dev/null
+++ b/internal/daemon/drain.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/core"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
+)
+
+// leavePeriod lets the announcement that this daemon has left reach its neighbours.
+const leavePeriod = 200 * time.Millisecond
+
+// ErrSuperseded is returned if a later run with the same instance ID was seen.
+var ErrSuperseded = errors.New("a later run of this instance exists")
+
+// waitAndDrain waits for the end of ctx and then leaves in order: no new work for the server, requests
+// in flight finish, the caller's socket closes, the others are told.
+func (d *Daemon) waitAndDrain(ctx context.Context) error {
+	var result error
+
+	select {
+	case <-ctx.Done():
+	case <-d.superseded:
+		result = ErrSuperseded
+	}
+
+	begun := time.Now()
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
+
+	defer cancel()
+
+	d.logger.Info().Msg("draining")
+	d.Drain()
+	d.callers.SetKeepAlivesEnabled(false)
+
+	select {
+	case <-d.drained:
+	case <-limited.Done():
+		d.logger.Error().Msg("requests are still in flight at the end of the drain period")
+	}
+
+	sleep(limited, drainPeriod-time.Since(begun))
+
+	if err := d.stopCallers(limited); err != nil {
+		result = errors.CombineErrors(result, err)
+	}
+
+	d.apply(membership.LeaveStarted{})
+	sleep(limited, leavePeriod)
+	d.logger.Info().Dur("took", time.Since(begun)).Msg("stopped")
+
+	return result
+}
+
+// stopCallers accepts the connections that wait, closes the socket, and only then waits for the requests
+// in flight: a connection accepted after Shutdown has returned would be cut off.
+func (d *Daemon) stopCallers(ctx context.Context) error {
+	if err := d.listeners.Caller.Close(); err != nil {
+		return errors.Wrap(err, "close caller socket")
+	}
+
+	select {
+	case <-d.unlistened:
+	case <-ctx.Done():
+	}
+
+	return errors.Wrap(d.callers.Shutdown(ctx), "shut down caller interface")
+}
+
+// Drain stops new work for the backend server. It can be called more than once.
+func (d *Daemon) Drain() {
+	d.mutex.Lock()
+	first := !d.draining
+	d.draining = true
+	d.mutex.Unlock()
+
+	if first {
+		d.apply(core.DrainStarted{})
+	}
+}
+
+func (d *Daemon) isDraining() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.draining
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	if period <= 0 {
+		return
+	}
+
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/keys/grants.go
+++ b/internal/keys/grants.go
@@ -161,7 +161,7 @@
 // partitions once for a record, because a combiner's record holds the extensions of some 90 owners. The
 // order of the map does not matter, because the partitions are independent.
 func (l *ledger) moveEnds(r Record) {
-	ends, untils := map[run]int64{}, map[run]int64{}
+	ends, extensions := map[run]int64{}, map[run][]Extension{}
 
 	for _, s := range r.Signoffs {
 		holder := run{s.Owner, s.Incarnation}
@@ -172,27 +172,29 @@
 
 	for _, e := range r.Extensions {
 		holder := run{e.Owner, e.Incarnation}
-		untils[holder] = max(untils[holder], e.Until)
+		extensions[holder] = append(extensions[holder], e)
 	}
 
 	for _, partitions := range l.services {
 		for p := range partitions {
 			if n := len(partitions[p]); n > 0 {
-				partitions[p][n-1].moveEnd(ends, untils)
+				partitions[p][n-1].moveEnd(p, ends, extensions)
 			}
 		}
 	}
 }
 
-func (g *Grant) moveEnd(ends, untils map[run]int64) {
+func (g *Grant) moveEnd(partition int, ends map[run]int64, extensions map[run][]Extension) {
 	holder := run{g.Owner, g.Incarnation}
 
 	if end, ok := ends[holder]; ok {
 		g.Until, g.Ended = max(g.From, min(g.Until, end)), true
 	}
 
-	if until, ok := untils[holder]; ok && !g.Ended {
-		g.Until = max(g.Until, until)
+	for _, e := range extensions[holder] {
+		if !g.Ended && e.covers(partition) {
+			g.Until = max(g.Until, e.Until)
+		}
 	}
 }
 
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -1,329 +1,282 @@
-// Package suspects decides whether a request may run that was in flight when a backend server crashed.
-// It does no I/O and reads no clock.
+// Package suspects keeps requests that crash backend servers from being run again and again.
 //
-// A crash implicates the fingerprint of each request that was in flight, together with its key if it has
-// one. The rules for a fingerprint, counted over the crashes of one expiry period:
+// Everything in flight when a server dies is suspect. A suspect runs again only alone on a server. If
+// it completes, the suspicion is withdrawn; if the server dies again, the request is the cause and is
+// barred until the suspicion expires. A crash that had several requests in flight never bars one of
+// them, because most of them are innocent. Suspicion is bound to the fingerprint and not to the
+// idempotency key, since a caller may send the same request with a new key each time.
 //
-//  1. Implicated once: it runs once more, alone, and only at the decider, which is the daemon that saw the
-//     crash. One decider needs no agreement about members. It waits for SettleTime first, in which the
-//     report of a second crash reaches it. The other daemons refuse, or pass the request on to the decider.
-//  2. Implicated by two crashes: it is refused until the suspicions expire.
-//  3. Completing alone clears the crash that it was suspected for, at all daemons. A clearance that
-//     arrives before its report, or twice, has the same effect.
-//  4. A suspicion expires ExpiryTime after the crash. Reports carry their age and no time of day, so that
-//     clock skew neither shortens nor renews a suspicion.
-//
-// Bound: a request whose copies do not run at the same time crashes at most 2 servers in an expiry period,
-// if reports reach the daemons before they start another copy, and the decider within SettleTime, and
-// requests have deadlines below ExpiryTime. A copy
-// that was started before its daemon heard of the first crash can add one crash each. A request that
-// completes alone between its crashes counts anew.
-//
-// If the decider is lost or restarts, its suspects are refused until they expire. A daemon that starts
-// asks a peer for the reports before it lets requests run. A crash that takes the daemon with it is not
-// reported and not counted.
+// A crash of the whole instance, daemon included, leaves no report.
 package suspects
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
-	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 )
 
-const (
-	// ExpiryTime is how long a suspicion lasts.
-	ExpiryTime = 10 * time.Minute
-	// SettleTime is the delay of the run alone. Direct reports take milliseconds; reports by exchange
-	// between neighbours once a second take about 3 s through a fleet of 610.
-	SettleTime = 3 * time.Second
-	// barring is the number of crashes after which a fingerprint is refused.
-	barring = 2
-)
-
-// Source names a crash: the daemon that saw it and a number within its incarnation.
-type Source struct {
-	Instance    instance.ID
-	Incarnation instance.Incarnation
-	Number      uint64
-}
-
-// String returns a text that is unique for the crash.
-func (s Source) String() string { return fmt.Sprintf("%s/%d/%d", s.Instance, s.Incarnation, s.Number) }
-
-// Suspect is a request that was in flight at a crash.
-type Suspect struct {
-	// Key is empty for a request without an idempotency key.
-	Key         string
-	Fingerprint request.Fingerprint
-}
-
-// Event is something that happened to a backend server or a suspect.
-type Event interface{ isEvent() }
-
-// Effect is an action that the daemon performs.
-type Effect interface{ isEffect() }
-
-type (
-	// Crashed reports that the local backend server died with requests in flight.
-	Crashed struct{ Suspects []Suspect }
-	// ReportHeard brings a report of another daemon, directly or by exchange.
-	ReportHeard struct{ Report Report }
-	// Cleared reports that a request that ran alone was answered.
-	Cleared struct{ Fingerprint request.Fingerprint }
-	// Returned reports that a request that was to run alone ended as not run.
-	Returned struct{ Fingerprint request.Fingerprint }
-	// Tick lets time pass.
-	Tick struct{}
-)
-
-// Report is sent to the other daemons of the service, and to all by exchange.
-type Report struct {
-	Source   Source
-	Suspects []Suspect
-	// Age is the time since the crash.
-	Age     time.Duration
-	Cleared bool
-}
+// Expiry is the time after which a suspicion is forgotten.
+const Expiry = 10 * time.Minute
 
-func (Crashed) isEvent()     {}
-func (ReportHeard) isEvent() {}
-func (Cleared) isEvent()     {}
-func (Returned) isEvent()    {}
-func (Tick) isEvent()        {}
+// maxReports bounds the memory for reports; the ones that expire first are dropped.
+const maxReports = 4096
 
-func (Report) isEffect() {}
-
-// Status says whether a request may run.
-type Status uint8
+// Standing says how a request may run.
+type Standing uint8
 
 const (
-	// Free requests are not suspect.
-	Free Status = iota
-	// Alone requests run while nothing else runs at the server, and only if they are idempotent or
-	// Answer.Earlier is false.
+	// Free requests run like any other.
+	Free Standing = iota
+	// Alone requests run only while nothing else is in flight at the server.
 	Alone
 	// Barred requests are refused.
 	Barred
 )
 
-// Answer is the result of Check.
-type Answer struct {
-	Status Status
-	// Earlier is set if an earlier delivery of the request was in flight at a crash: the same key, or,
-	// without a key, the same fingerprint. It can have run, so a refusal is NotRun only if this is not set.
-	// Deliveries that ended otherwise are known to the key's owner.
-	Earlier bool
-	// Decider is the daemon that may let a barred request run, or empty.
-	Decider instance.ID
-	// RetryAfter is set for barred requests.
-	RetryAfter time.Duration
+// String returns a lower-case name.
+func (s Standing) String() string {
+	switch s {
+	case Alone:
+		return "alone"
+	case Barred:
+		return "barred"
+	default:
+		return "free"
+	}
 }
 
-// crash is what is known of one crash for one fingerprint.
-type crash struct {
-	source  Source
-	keys    []string
-	at      time.Time // by the local clock
-	cleared bool
-	granted bool
+// subject identifies a suspect.
+type subject struct {
+	service     string
+	fingerprint request.Fingerprint
 }
 
-// State is the reducer's state. It is owned by the daemon's event loop.
+// State is what a daemon knows of suspects. It is not safe for concurrent use.
 type State struct {
-	self    instance.ID
-	run     instance.Incarnation
-	number  uint64
-	now     time.Time
-	crashes map[request.Fingerprint][]crash
-}
-
-// Option configures New.
-type Option func(*State)
-
-// WithSelf sets the daemon's own identity.
-func WithSelf(id instance.ID, incarnation instance.Incarnation) Option {
-	return func(s *State) { s.self, s.run = id, incarnation }
+	reports map[subject][]Report
+	count   int
+	recent  []heard
 }
 
 // New returns a state without suspects.
-func New(options ...Option) *State {
-	s := &State{crashes: map[request.Fingerprint][]crash{}}
-	for _, option := range options {
-		option(s)
-	}
+func New() *State { return &State{reports: make(map[subject][]Report)} }
 
-	return s
-}
-
-// Apply changes the state by an event and returns the effects.
+// Apply handles one event.
 func (s *State) Apply(now time.Time, event Event) []Effect {
-	s.advance(now)
-
 	switch e := event.(type) {
 	case Crashed:
-		s.number++
-		r := Report{Source: Source{s.self, s.run, s.number}, Suspects: e.Suspects}
-		s.hear(r)
-
-		return []Effect{r}
-	case ReportHeard:
-		s.hear(e.Report)
-	case Cleared:
-		return s.clear(e.Fingerprint)
-	case Returned:
-		s.eachGranted(e.Fingerprint, func(c *crash) { c.granted = false })
+		return s.crashed(now, e)
+	case Implicated:
+		s.keep(now, newReport(now, e.Source, e.Request, e.Request.Alone))
+	case ReportsHeard:
+		for _, report := range e.Reports {
+			s.keep(now, report)
+		}
+	case Completed:
+		return s.completed(now, e.Request)
 	case Tick:
-		s.expire()
+		s.expire(now)
 	}
 
 	return nil
 }
 
-func (s *State) advance(now time.Time) {
-	if now.After(s.now) {
-		s.now = now
-	}
-}
-
-// hear merges a report. Crashes are told apart by their source, so that a report counts once.
-func (s *State) hear(r Report) {
-	if r.Age >= ExpiryTime {
-		return
-	}
-
-	for _, suspect := range r.Suspects {
-		list := s.crashes[suspect.Fingerprint]
+// Check says how a request may run.
+func (s *State) Check(now time.Time, r request.Request) Standing {
+	standing := Free
 
-		i := slices.IndexFunc(list, func(c crash) bool { return c.source == r.Source })
-		if i < 0 {
-			i = len(list)
-			list = append(list, crash{source: r.Source, at: s.now.Add(-max(0, r.Age))})
+	for _, report := range s.reports[subjectOf(r)] {
+		if report.Cleared || !now.Before(report.Expires) {
+			continue
 		}
 
-		list[i].cleared = list[i].cleared || r.Cleared
-		if !slices.Contains(list[i].keys, suspect.Key) {
-			list[i].keys = append(list[i].keys, suspect.Key)
+		if report.Alone {
+			return Barred
 		}
 
-		s.crashes[suspect.Fingerprint] = list
+		standing = Alone
 	}
+
+	return standing
 }
 
-func (s *State) eachGranted(f request.Fingerprint, visit func(*crash)) {
-	for i := range s.crashes[f] {
-		if c := &s.crashes[f][i]; c.granted && !c.cleared {
-			visit(c)
+// Reports returns all reports that have not expired, in a fixed order.
+func (s *State) Reports(now time.Time) []Report {
+	var all []Report
+
+	for _, reports := range s.reports {
+		for _, report := range reports {
+			if now.Before(report.Expires) {
+				all = append(all, report)
+			}
 		}
 	}
-}
 
-func (s *State) clear(f request.Fingerprint) []Effect {
-	var effects []Effect
-
-	s.eachGranted(f, func(c *crash) {
-		c.cleared = true
-		effects = append(effects, s.report(f, *c))
+	slices.SortFunc(all, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Fingerprint, b.Fingerprint),
+			cmp.Compare(a.Source, b.Source))
 	})
 
-	return effects
+	return all
 }
 
-func (s *State) report(f request.Fingerprint, c crash) Report {
-	r := Report{Source: c.source, Age: s.now.Sub(c.at), Cleared: c.cleared}
-	for _, key := range c.keys {
-		r.Suspects = append(r.Suspects, Suspect{Key: key, Fingerprint: f})
+// recentPeriod is how long a report is passed on to neighbours, which takes several exchanges so that
+// a lost one does no harm.
+const recentPeriod = 10 * time.Second
+
+// maxRecent bounds the reports in one exchange.
+const maxRecent = 32
+
+// Recent returns the reports that were learned a short time ago, for neighbours that may not have heard
+// them.
+func (s *State) Recent(now time.Time) []Report {
+	s.recent = slices.DeleteFunc(s.recent, func(r heard) bool { return now.Sub(r.at) > recentPeriod })
+
+	latest := s.recent[max(0, len(s.recent)-maxRecent):]
+	recent := make([]Report, 0, len(latest))
+
+	for _, r := range latest {
+		recent = append(recent, r.report)
 	}
 
-	return r
+	return recent
 }
 
-// Reports returns all present reports for the exchange with neighbours, in a fixed order.
-func (s *State) Reports(now time.Time) []Report {
-	s.advance(now)
-	s.expire()
+// heard is a report and when it was learned or changed.
+type heard struct {
+	report Report
+	at     time.Time
+}
 
-	var reports []Report
+func subjectOf(r request.Request) subject {
+	return subject{service: r.Service, fingerprint: r.Fingerprint}
+}
 
-	for f, list := range s.crashes {
-		for _, c := range list {
-			reports = append(reports, s.report(f, c))
-		}
+func newReport(now time.Time, source string, r request.Request, alone bool) Report {
+	return Report{
+		Service: r.Service, Fingerprint: r.Fingerprint, Source: source,
+		Alone: alone, Expires: now.Add(Expiry),
 	}
+}
 
-	slices.SortFunc(reports, func(a, b Report) int {
-		return cmp.Or(cmp.Compare(a.Source.String(), b.Source.String()),
-			cmp.Compare(a.Suspects[0].Fingerprint, b.Suspects[0].Fingerprint))
-	})
+func (s *State) crashed(now time.Time, e Crashed) []Effect {
+	if len(e.Requests) == 0 {
+		return nil
+	}
 
-	return reports
-}
+	alone := len(e.Requests) == 1 && e.Requests[0].Alone
+	reports := make([]Report, 0, len(e.Requests))
 
-func (s *State) expire() {
-	for f, list := range s.crashes {
-		list = slices.DeleteFunc(list, s.expired)
-		if len(list) == 0 {
-			delete(s.crashes, f)
-		} else {
-			s.crashes[f] = list
+	for _, r := range e.Requests {
+		report := newReport(now, e.Source, r, alone)
+		if s.keep(now, report) {
+			reports = append(reports, report)
 		}
 	}
+
+	return []Effect{Announce{Service: e.Requests[0].Service, Reports: reports}}
 }
 
-func (s *State) expired(c crash) bool { return s.now.Sub(c.at) >= ExpiryTime }
+// completed withdraws what stood against the request before it ran.
+func (s *State) completed(now time.Time, r request.Request) []Effect {
+	var withdrawn []Report
 
-// Check says whether a request may run now. The answer Alone is given once for a crash: the caller of Check
-// then runs the request, and reports Cleared, Returned or Crashed.
-func (s *State) Check(now time.Time, key string, f request.Fingerprint) Answer {
-	s.advance(now)
+	if !r.Alone {
+		return nil
+	}
+
+	reports := s.reports[subjectOf(r)]
+	for i, report := range reports {
+		if !report.Cleared && !report.Alone {
+			reports[i] = report.WithCleared()
+			withdrawn = append(withdrawn, reports[i])
+			s.recent = append(s.recent, heard{report: reports[i], at: now})
+		}
+	}
+
+	if len(withdrawn) == 0 {
+		return nil
+	}
 
-	var (
-		answer Answer
-		open   *crash
-	)
+	return []Effect{Announce{Service: r.Service, Reports: withdrawn}}
+}
 
-	count := 0
+// keep stores a report and says whether it changed anything. A withdrawal wins over the report of the
+// same crash, in either order of arrival; so does the finding that the request was alone.
+func (s *State) keep(now time.Time, report Report) bool {
+	if !now.Before(report.Expires) || report.Expires.After(now.Add(2*Expiry)) {
+		return false
+	}
 
-	for i := range s.crashes[f] {
-		c := &s.crashes[f][i]
-		if s.expired(*c) {
+	key := subject{service: report.Service, fingerprint: report.Fingerprint}
+
+	for i, known := range s.reports[key] {
+		if known.Source != report.Source {
 			continue
 		}
 
-		answer.Earlier = answer.Earlier || slices.Contains(c.keys, key)
-		if !c.cleared {
-			count, open = count+1, c
-		}
+		merged := known
+		merged.Cleared = known.Cleared || report.Cleared
+		merged.Alone = known.Alone || report.Alone
+		s.reports[key][i] = merged
 
-		if left := ExpiryTime - s.now.Sub(c.at); !c.cleared && left > answer.RetryAfter {
-			answer.RetryAfter = left
+		if merged != known {
+			s.recent = append(s.recent, heard{report: merged, at: now})
 		}
+
+		return merged != known
 	}
 
-	switch {
-	case count == 0:
-		answer.RetryAfter = 0
-	case count >= barring || open.granted:
-		answer.Status = Barred
-	case open.source.Instance != s.self || open.source.Incarnation != s.run:
-		answer.Status, answer.Decider = Barred, open.source.Instance
-		answer.RetryAfter = min(answer.RetryAfter, SettleTime)
-	case s.now.Sub(open.at) < SettleTime:
-		answer.Status, answer.Decider = Barred, s.self
-		answer.RetryAfter = SettleTime - s.now.Sub(open.at)
-	default:
-		open.granted = true
-		answer.Status = Alone
+	if s.count >= maxReports {
+		s.dropOldest()
+	}
+
+	s.reports[key] = append(s.reports[key], report)
+	s.recent = append(s.recent, heard{report: report, at: now})
+	s.count++
+
+	return true
+}
+
+func (s *State) expire(now time.Time) {
+	for key, reports := range s.reports {
+		left := slices.DeleteFunc(reports, func(r Report) bool { return !now.Before(r.Expires) })
+		s.replace(key, len(reports), left)
+	}
+}
+
+func (s *State) replace(key subject, before int, left []Report) {
+	s.count -= before - len(left)
+	if len(left) == 0 {
+		delete(s.reports, key)
+
+		return
+	}
+
+	s.reports[key] = left
+}
+
+func (s *State) dropOldest() {
+	var oldest subject
+
+	expires := time.Time{}
+
+	for key, reports := range s.reports {
+		first := reports[0].Expires
+		if expires.IsZero() || first.Before(expires) ||
+			(first.Equal(expires) && key.fingerprint < oldest.fingerprint) {
+			oldest, expires = key, first
+		}
 	}
 
-	return answer
+	reports := s.reports[oldest]
+	s.replace(oldest, len(reports), reports[1:])
 }
 
-// Dump is the state as plain values.
+// Dump is the state in plain values.
 type Dump struct{ Reports []Report }
 
-// Dump returns the state for operators.
-func (s *State) Dump() Dump { return Dump{Reports: s.Reports(s.now)} }
+// Dump returns the state for the state dump.
+func (s *State) Dump(now time.Time) Dump { return Dump{Reports: s.Reports(now)} }
