--- a/internal/keys/grants.go
+++ b/internal/keys/grants.go
@@ -191,9 +191,9 @@
 		g.Until, g.Ended = max(g.From, min(g.Until, end)), true
 	}
 
-	for _, extension := range extensions[holder] {
-		if !g.Ended && extension.covers(partition) {
-			g.Until = max(g.Until, extension.Until)
+	for _, e := range extensions[holder] {
+		if !g.Ended && e.covers(partition) {
+			g.Until = max(g.Until, e.Until)
 		}
 	}
 }
--- a/internal/logservice/grants_test.go
+++ b/internal/logservice/grants_test.go
@@ -16,10 +16,13 @@
 	ended.Ended = true
 
 	return keys.Record{
-		Claims:     []keys.Claim{claim},
-		Extensions: []keys.Extension{{Owner: "a", Incarnation: 2, Until: 1_800_000_000_000}},
-		Signoffs:   []keys.Signoff{{Owner: "b", Incarnation: 3, End: 5}},
-		Base:       &keys.Base{Through: 7, Grants: []keys.Claim{claim, ended}},
+		Claims: []keys.Claim{claim},
+		Extensions: []keys.Extension{
+			{Owner: "a", Incarnation: 2, Until: 1_800_000_000_000},
+			{Owner: "a", Incarnation: 2, Until: 3, Partitions: []int{1, 15}},
+		},
+		Signoffs: []keys.Signoff{{Owner: "b", Incarnation: 3, End: 5}},
+		Base:     &keys.Base{Through: 7, Grants: []keys.Claim{claim, ended}},
 	}
 }
 
