--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -35,7 +35,7 @@
 
 	for p := range Partitions {
 		from, ok := s.claimable(p)
-		if !ok || s.now.Before(s.claimed[p]) || s.choice(p, s.stuck(p)) != s.self.id {
+		if !ok || s.now.Before(s.claimed[p]) {
 			continue
 		}
 
@@ -59,44 +59,81 @@
 	}
 
 	// The claims end a grant length from now, so the first extension is due in the next period.
-	if _, held := s.earliestEnd(); !held {
+	if !s.holds() {
 		s.extended = s.now
 	}
 
 	s.emit(AppendGrants{Record: record})
 }
 
-// claimable reports whether a partition needs a new owner, and from which issue time on. The claim
-// starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
+// claimable reports whether this daemon should claim a partition, and from which issue time on. The
+// claim starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
 func (s *State) claimable(p int) (int64, bool) {
 	last, ok := s.ledger.partition(s.service, p).last()
 	if !ok {
-		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), true
+		// Of daemons that start together, the first must not claim everything.
+		settled := s.now.Sub(s.changed) >= s.settle
+
+		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), settled && s.chosen(p, "", 0)
 	}
 
-	ahead := s.policy.Grant.Milliseconds() / extensionShare
 	now := s.milliseconds()
+	period := max(1, s.policy.Grant.Milliseconds()/extensionShare)
+	// The extension periods without an owner while the log could be read.
+	overdue := int(max(0, min(now-last.Until, now-s.logSince.UnixMilli())) / period)
 
 	switch {
 	case last.Ended:
-		return last.Until, true
+		return last.Until, s.chosen(p, "", overdue)
 	case s.mine(last):
 		return 0, false
-	case s.usable(s.service, last):
-		// The owner lives but does not extend, for example because its appends are lost.
-		return last.Until, now >= last.Until+ahead
+	case !s.usable(s.service, last) || s.chosen(p, "", 0):
+		// The owner is lost, or does not extend because this daemon is the choice.
+		return last.Until, now >= last.Until-period && s.chosen(p, "", overdue)
 	default:
-		return last.Until, now >= last.Until-ahead
+		// The owner lives but does not extend, for example because its appends are lost. After an outage
+		// it gets a period to extend.
+		return last.Until, overdue > 0 && s.chosen(p, last.Owner, overdue-1)
 	}
 }
 
-// stuck returns the live owner that failed to extend a grant, which is not chosen again for now.
-func (s *State) stuck(p int) instance.ID {
-	if last, ok := s.ledger.partition(s.service, p).last(); ok && !last.Ended && s.usable(s.service, last) {
-		return last.Owner
+// noteRead notes the end of a log outage. The log is read at least once in two extension periods, because
+// each combiner appends once in a period.
+func (s *State) noteRead() {
+	if s.now.Sub(s.logRead) > 2*s.policy.Grant/extensionShare {
+		s.logSince = s.now
+	}
+
+	s.logRead = s.now
+}
+
+// chosen reports whether this daemon is the rendezvous choice, or one of the next choices while the first
+// ones have left the partition without an owner, for example because their clocks are behind.
+func (s *State) chosen(p int, except instance.ID, overdue int) bool {
+	own, member := rendezvous(s.service, p, s.self.id), false
+
+	for _, m := range s.members[s.service] {
+		if !m.Usable() || m.ID == except {
+			continue
+		}
+
+		member = member || m.ID == s.self.id
+		if rendezvous(s.service, p, m.ID) > own {
+			overdue--
+		}
 	}
 
-	return ""
+	return member && overdue >= 0
+}
+
+// keeps reports whether this daemon extends its grant of a partition. A partition whose rendezvous choice
+// is another member passes to that one at the end of the grant, so that the owners of a service stay
+// balanced when members come and go; its keys stay here. The choice has half the time in which it can
+// claim; after that the grant is extended, because the choice may be unable to reach the log.
+func (s *State) keeps(p int, last Grant) bool {
+	left := last.Until - s.milliseconds()
+
+	return s.choice(p, "") == s.self.id || left < s.policy.Grant.Milliseconds()/extensionShare/2
 }
 
 // choice returns the rendezvous choice for a partition among the usable members of the service.
@@ -154,17 +191,28 @@
 	s.extended = s.now
 	s.emit(AppendGrants{Record: Record{Extensions: []Extension{{
 		Owner: s.self.id, Incarnation: s.self.incarnation,
-		Until: s.now.Add(s.policy.Grant).UnixMilli(),
+		Until: s.now.Add(s.policy.Grant).UnixMilli(), Partitions: s.kept(),
 	}}}})
 }
 
-// earliestEnd returns the first end of the grants that this daemon can extend.
+// holds reports whether this daemon has a grant that is not signed off.
+func (s *State) holds() bool {
+	for p := range Partitions {
+		if last, ok := s.ledger.partition(s.service, p).last(); ok && !last.Ended && s.mine(last) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// earliestEnd returns the first end of the grants that this daemon extends.
 func (s *State) earliestEnd() (int64, bool) {
 	earliest := int64(math.MaxInt64)
 
 	for p := range Partitions {
 		last, ok := s.ledger.partition(s.service, p).last()
-		if ok && !last.Ended && s.mine(last) {
+		if ok && !last.Ended && s.mine(last) && s.keeps(p, last) {
 			earliest = min(earliest, last.Until)
 		}
 	}
@@ -172,6 +220,32 @@
 	return earliest, earliest < math.MaxInt64
 }
 
+// kept returns the partitions that this daemon extends, or none if that is all that it holds.
+func (s *State) kept() []int {
+	var kept []int
+
+	held := 0
+
+	for p := range Partitions {
+		last, ok := s.ledger.partition(s.service, p).last()
+		if !ok || last.Ended || !s.mine(last) {
+			continue
+		}
+
+		held++
+
+		if s.keeps(p, last) {
+			kept = append(kept, p)
+		}
+	}
+
+	if len(kept) == held {
+		return nil
+	}
+
+	return kept
+}
+
 // fillBase writes a base before the records that it replaces can expire: once the latest base is in the
 // older half of the log.
 func (s *State) fillBase() {
