--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -34,8 +34,8 @@
 	var record Record
 
 	for p := range Partitions {
-		from, overdue, ok := s.claimable(p)
-		if !ok || s.now.Before(s.claimed[p]) || !s.chosen(p, s.stuck(p), overdue) {
+		from, ok := s.claimable(p)
+		if !ok || s.now.Before(s.claimed[p]) {
 			continue
 		}
 
@@ -59,41 +59,41 @@
 	}
 
 	// The claims end a grant length from now, so the first extension is due in the next period.
-	if _, held := s.earliestEnd(); !held {
+	if !s.holds() {
 		s.extended = s.now
 	}
 
 	s.emit(AppendGrants{Record: record})
 }
 
-// claimable reports whether a partition needs a new owner, from which issue time on, and for how many
-// extension periods it has been without one while the log could be read. The claim starts where the last
-// grant ends, so that a claimant with a wrong clock leaves no gap.
-func (s *State) claimable(p int) (from int64, overdue int, ok bool) {
+// claimable reports whether this daemon should claim a partition, and from which issue time on. The
+// claim starts where the last grant ends, so that a claimant with a wrong clock leaves no gap.
+func (s *State) claimable(p int) (int64, bool) {
 	last, ok := s.ledger.partition(s.service, p).last()
 	if !ok {
 		// Of daemons that start together, the first must not claim everything.
-		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), 0, s.now.Sub(s.changed) >= s.settle
+		settled := s.now.Sub(s.changed) >= s.settle
+
+		return max(0, s.milliseconds()-s.policy.Window.Milliseconds()), settled && s.chosen(p, "", 0)
 	}
 
-	period := max(1, s.policy.Grant.Milliseconds()/extensionShare)
 	now := s.milliseconds()
-	overdue = int(max(0, min(now-last.Until, now-s.logSince.UnixMilli())) / period)
+	period := max(1, s.policy.Grant.Milliseconds()/extensionShare)
+	// The extension periods without an owner while the log could be read.
+	overdue := int(max(0, min(now-last.Until, now-s.logSince.UnixMilli())) / period)
 
 	switch {
 	case last.Ended:
-		return last.Until, overdue, true
+		return last.Until, s.chosen(p, "", overdue)
 	case s.mine(last):
-		return 0, 0, false
-	case s.usable(s.service, last) && s.chosen(p, "", 0):
-		// The owner does not extend, because this daemon is the choice.
-		return last.Until, 0, now >= last.Until-period
-	case s.usable(s.service, last):
+		return 0, false
+	case !s.usable(s.service, last) || s.chosen(p, "", 0):
+		// The owner is lost, or does not extend because this daemon is the choice.
+		return last.Until, now >= last.Until-period && s.chosen(p, "", overdue)
+	default:
 		// The owner lives but does not extend, for example because its appends are lost. After an outage
 		// it gets a period to extend.
-		return last.Until, overdue - 1, overdue > 0
-	default:
-		return last.Until, overdue, now >= last.Until-period
+		return last.Until, overdue > 0 && s.chosen(p, last.Owner, overdue-1)
 	}
 }
 
@@ -126,13 +126,14 @@
 	return member && overdue >= 0
 }
 
-// stuck returns the live owner that failed to extend a grant, which is not chosen again for now.
-func (s *State) stuck(p int) instance.ID {
-	if last, ok := s.ledger.partition(s.service, p).last(); ok && !last.Ended && s.usable(s.service, last) {
-		return last.Owner
-	}
+// keeps reports whether this daemon extends its grant of a partition. A partition whose rendezvous choice
+// is another member passes to that one at the end of the grant, so that the owners of a service stay
+// balanced when members come and go; its keys stay here. The choice has half the time in which it can
+// claim; after that the grant is extended, because the choice may be unable to reach the log.
+func (s *State) keeps(p int, last Grant) bool {
+	left := last.Until - s.milliseconds()
 
-	return ""
+	return s.choice(p, "") == s.self.id || left < s.policy.Grant.Milliseconds()/extensionShare/2
 }
 
 // choice returns the rendezvous choice for a partition among the usable members of the service.
@@ -194,14 +195,15 @@
 	}}}})
 }
 
-// keeps reports whether this daemon extends its grant of a partition. A partition whose rendezvous choice
-// is another member passes to that one at the end of the grant, so that the owners of a service stay
-// balanced when members come and go; its keys stay here. The choice has half the time in which it can
-// claim; after that the grant is extended, because the choice may be unable to reach the log.
-func (s *State) keeps(p int, last Grant) bool {
-	left := last.Until - s.milliseconds()
+// holds reports whether this daemon has a grant that is not signed off.
+func (s *State) holds() bool {
+	for p := range Partitions {
+		if last, ok := s.ledger.partition(s.service, p).last(); ok && !last.Ended && s.mine(last) {
+			return true
+		}
+	}
 
-	return s.chosen(p, "", 0) || left < s.policy.Grant.Milliseconds()/extensionShare/2
+	return false
 }
 
 // earliestEnd returns the first end of the grants that this daemon extends.
--- a/internal/keys/handover.go
+++ b/internal/keys/handover.go
@@ -64,7 +64,7 @@
 // continueDrain signs off until that is read back, and sends the table to the successors. A claim that
 // was appended late makes a grant appear after the sign-off; it is signed off in the same way.
 func (s *State) continueDrain() {
-	if _, held := s.earliestEnd(); held && !s.now.Before(s.drain.retry) {
+	if s.holds() && !s.now.Before(s.drain.retry) {
 		s.drain.retry = s.retryTime()
 		s.emit(AppendGrants{Record: Record{Signoffs: []Signoff{{
 			Owner: s.self.id, Incarnation: s.self.incarnation, End: s.drain.end,
@@ -194,9 +194,7 @@
 
 // Released reports whether a draining daemon has nothing left to sign off and to hand over.
 func (s *State) Released() bool {
-	_, held := s.earliestEnd()
-
-	return s.drain.started && !held && len(s.drain.pending) == 0 && len(s.table.ids) == 0
+	return s.drain.started && !s.holds() && len(s.drain.pending) == 0 && len(s.table.ids) == 0
 }
 
 // handoverReceived adds the entries of another owner. They never make a key run.
--- a/internal/logservice/grants.go
+++ b/internal/logservice/grants.go
@@ -117,8 +117,7 @@
 func validText(text string) string { return strings.ToValidUTF8(text, "\uFFFD") }
 
 func encodePartitions(partitions []int) []uint32 {
-	var encoded []uint32
-
+	encoded := make([]uint32, 0, len(partitions))
 	for _, p := range partitions {
 		encoded = append(encoded, uint32(max(p, 0)))
 	}
@@ -127,8 +126,11 @@
 }
 
 func decodePartitions(partitions []uint32) []int {
-	var decoded []int
+	if len(partitions) == 0 {
+		return nil
+	}
 
+	decoded := make([]int, 0, len(partitions))
 	for _, p := range partitions {
 		decoded = append(decoded, int(p))
 	}
