cmd: process tests use a loopback address of their own

Cause: a port found free was taken by an outgoing connection before the daemon opened it (bind: address already in use, seen once in three runs under load). Change: each test process listens on its own address in 127/8.

--- a/cmd/tarragonmill/process_test.go
+++ b/cmd/tarragonmill/process_test.go
@@ -47,8 +47,15 @@
 	})
 }
 
+// freeAddress returns an address on a loopback IP of this test process, so that neither other test
+// processes nor outgoing connections, which start from 127.0.0.1, take the port before a daemon opens it.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	const bits = 8
+
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>(2*bits)%100, pid>>bits&0xff, 1+pid&0x7f)
+
+	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		panic(err)
 	}
