--- a/internal/keys/model_test.go
+++ b/internal/keys/model_test.go
@@ -180,6 +180,10 @@
 
 // drain stops a daemon, mostly in order, and sends keys again to its successors.
 func (w *world) drain(t *rapid.T, d *daemon) {
+	// A key ahead of the clock, which the end of the sign-off has to leave with this owner.
+	ahead := w.addKey(w.now.Add(d.skew).UnixMilli()+policy.Tolerance.Milliseconds(), draw(t, 3))
+	w.apply(d, w.send(d, ahead, 1))
+
 	d.cut = draw(t, 2) == 0
 	w.apply(d, DrainStarted{})
 	w.setMember(d, instance.Draining)
@@ -308,6 +312,10 @@
 		issued = pick(t, g.From, g.From-1, g.Until, g.Until-1)
 	}
 
+	return w.addKey(issued, partition)
+}
+
+func (w *world) addKey(issued int64, partition int) *keyState {
 	for number := uint32(len(w.keys)) << 16; ; number++ {
 		if key := testKey(issued, number); key.Partition == partition {
 			w.keys = append(w.keys, &keyState{key: key})
