--- a/internal/core/options.go
+++ b/internal/core/options.go
@@ -59,7 +59,7 @@
 
 // settleTime is how long the members of a service stay the same before its key partitions are claimed for
 // the first time, so that they are spread over the daemons of a service that starts together.
-const settleTime = time.Second
+const settleTime = 2 * time.Second
 
 // CheckManifest is the check that a published manifest has to pass. It is the same for all daemons,
 // because validity decides which of two records becomes a version.
