verdict, httpserve, httpdial: one piece of code where two stood

Cause: the errors that carry a verdict, the counting transport and the graceful HTTP server each stood twice. Change: verdict.Error, internal/httpdial and internal/httpserve serve all of them.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -17,6 +17,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/tarragonmill/tarragonmill/internal/httpserve"
 )
 
 // Limits of the server. Requests have no body and responses are at most a few megabytes.
@@ -107,29 +109,8 @@
 		IdleTimeout:       idleTime,
 		ErrorLog:          log.New(s.logger, "", 0),
 	}
-	ended := make(chan error, 1)
-
-	go func() { ended <- server.Serve(listener) }()
-
-	select {
-	case err := <-ended:
-		return errors.Wrap(err, "serve operators")
-	case <-ctx.Done():
-	}
-
-	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTime)
-	defer cancel()
-
-	err := server.Shutdown(grace)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = server.Close()
-	}
-
-	if ended := <-ended; !errors.Is(ended, http.ErrServerClosed) {
-		err = errors.CombineErrors(err, ended)
-	}
 
-	return errors.Wrap(err, "shut down the admin server")
+	return errors.Wrap(httpserve.Run(ctx, server, listener, shutdownTime), "serve operators")
 }
 
 func (s *Server) authorize(next http.Handler) http.Handler {
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -129,10 +129,8 @@
 
 			_, err := newTestClient(t).Do(t.Context(), address, Path, exampleCall())
 
-			var failed *Error
-
-			require.True(t, errors.As(err, &failed))
-			require.Equal(t, test.want, failed.Verdict)
+			require.Error(t, err)
+			require.Equal(t, test.want, verdict.Of(err))
 		})
 	}
 
@@ -144,10 +142,8 @@
 
 	_, err = newTestClient(t).Do(t.Context(), closed, Path, exampleCall())
 
-	var failed *Error
-
-	require.True(t, errors.As(err, &failed))
-	require.Equal(t, verdict.NotRun, failed.Verdict)
+	require.Error(t, err)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
 }
 
 // Guards against net/http repeating a call by itself after a broken connection, which it does for
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -13,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/httpdial"
 	"github.com/tarragonmill/tarragonmill/internal/httpheader"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
@@ -27,7 +27,6 @@
 	// expectTimeout has to exceed any time in a queue: the body must not be sent before the receiving
 	// daemon has admitted the call.
 	expectTimeout = time.Hour
-	bufferSize    = 32 << 10
 )
 
 // ErrForeign is returned for a reply that belongs to another request or attempt.
@@ -36,29 +35,14 @@
 // Client sends calls to other daemons.
 type Client struct {
 	key       string
-	transport *http.Transport
+	transport *httpdial.Transport
 	foreign   atomic.Int64
-	dials     atomic.Int64
 }
 
 // NewClient returns a client that presents the fleet's key.
 func NewClient(key string) *Client {
-	client := &Client{key: key}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	client.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			client.dials.Add(1)
-
-			return dialer.DialContext(ctx, network, address)
-		},
-		DisableCompression:    true,
-		MaxConnsPerHost:       maxConnections,
-		MaxIdleConnsPerHost:   maxConnections,
-		IdleConnTimeout:       idleTimeout,
-		ExpectContinueTimeout: expectTimeout,
-		ReadBufferSize:        bufferSize,
-		WriteBufferSize:       bufferSize,
-	}
+	client := &Client{key: key, transport: httpdial.New(maxConnections, idleTimeout)}
+	client.transport.ExpectContinueTimeout = expectTimeout
 
 	return client
 }
@@ -70,7 +54,7 @@
 func (c *Client) Foreign() int64 { return c.foreign.Load() }
 
 // Dials returns the number of connections opened.
-func (c *Client) Dials() int64 { return c.dials.Load() }
+func (c *Client) Dials() int64 { return c.transport.Dials() }
 
 // Response is the reply to a call together with the backend server's header and body.
 type Response struct {
@@ -80,19 +64,7 @@
 	Body io.ReadCloser
 }
 
-// Error is a failed call with its verdict.
-type Error struct {
-	Verdict verdict.Verdict
-	cause   error
-}
-
-// Error implements error.
-func (e *Error) Error() string { return e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.cause }
-
-// Do sends a call to path at a daemon's peer address. The returned error is of type *Error. The call
+// Do sends a call to path at a daemon's peer address. The returned error carries a verdict: the call
 // is NotRun if no connection was made or the end of the body was never handed to a connection: the
 // receiving daemon runs nothing before it has read the whole body.
 func (c *Client) Do(ctx context.Context, peer netip.AddrPort, path string, call Call) (*Response, error) {
@@ -109,14 +81,14 @@
 	if err != nil {
 		cancel()
 
-		return nil, &Error{Verdict: verdict.NotRun, cause: err}
+		return nil, verdict.WithError(verdict.NotRun, err)
 	}
 
 	incoming, err := c.transport.RoundTrip(outgoing)
 	if err != nil {
 		cancel()
 
-		return nil, &Error{Verdict: sentVerdict(connected.Load() && body.sent()), cause: errors.Wrap(err, "call "+string(call.Request.ID))}
+		return nil, verdict.WithError(sentVerdict(connected.Load() && body.sent()), errors.Wrap(err, "call "+string(call.Request.ID)))
 	}
 
 	reply, err := c.readReply(incoming, call)
@@ -125,7 +97,7 @@
 
 		cancel()
 
-		return nil, &Error{Verdict: sentVerdict(body.sent()), cause: err}
+		return nil, verdict.WithError(sentVerdict(body.sent()), err)
 	}
 
 	return &Response{
--- a/internal/attempt/server.go
+++ b/internal/attempt/server.go
@@ -17,6 +17,9 @@
 // MaxBody is the largest request body that a call may carry, in bytes. Manifests set smaller limits.
 const MaxBody = 16 << 20
 
+// bufferSize is the size of one read of a response, in bytes.
+const bufferSize = 32 << 10
+
 // Incoming is a call as the receiving daemon sees it.
 type Incoming struct {
 	// Call has no body before ReadBody.
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/httpdial"
 	"github.com/tarragonmill/tarragonmill/internal/httpheader"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
@@ -50,53 +51,24 @@
 	Body   []byte
 }
 
-// Error is a failed exchange with its verdict.
-type Error struct {
-	Verdict verdict.Verdict
-	cause   error
-}
-
-// Error implements error.
-func (e *Error) Error() string { return e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.cause }
-
 // Client sends requests to one backend server. It is safe for concurrent use.
 type Client struct {
 	address   netip.AddrPort
-	transport *http.Transport
-	dials     atomic.Int64
+	transport *httpdial.Transport
 }
 
 // New returns a client that opens up to connections connections.
 func New(address netip.AddrPort, connections int) *Client {
-	client := &Client{address: address}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	client.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			client.dials.Add(1)
-
-			return dialer.DialContext(ctx, network, address)
-		},
-		DisableCompression:  true,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      bufferSize,
-		WriteBufferSize:     bufferSize,
-	}
-
-	return client
+	return &Client{address: address, transport: httpdial.New(connections, idleTimeout)}
 }
 
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Dials returns the number of connections opened.
-func (c *Client) Dials() int64 { return c.dials.Load() }
+func (c *Client) Dials() int64 { return c.transport.Dials() }
 
-// Do sends a request. The error is of type *Error: NotRun if no connection was made. The body of the
+// Do sends a request. The error carries a verdict: NotRun if no connection was made. The body of the
 // response returns io.ErrUnexpectedEOF if the server closes it early.
 func (c *Client) Do(ctx context.Context, exchange Exchange) (*http.Response, error) {
 	var connected atomic.Bool
@@ -107,17 +79,17 @@
 
 	outgoing, err := c.newRequest(ctx, exchange)
 	if err != nil {
-		return nil, &Error{Verdict: verdict.NotRun, cause: err}
+		return nil, verdict.WithError(verdict.NotRun, err)
 	}
 
 	response, err := c.transport.RoundTrip(outgoing)
 	if err != nil {
-		failed := &Error{Verdict: verdict.NotRun, cause: errors.Wrap(err, "call backend server")}
+		judged := verdict.NotRun
 		if connected.Load() {
-			failed.Verdict = verdict.MayHaveRun
+			judged = verdict.MayHaveRun
 		}
 
-		return nil, failed
+		return nil, verdict.WithError(judged, errors.Wrap(err, "call backend server"))
 	}
 
 	return response, nil
--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -158,12 +158,7 @@
 
 // judge says what became of a failed attempt. The mutex is held.
 func (d *Daemon) judge(ctx context.Context, err error, out *outgoing, call attempt.Call) (verdict.Verdict, routing.Outcome) {
-	judged := verdict.MayHaveRun
-
-	var failed *attempt.Error
-	if errors.As(err, &failed) {
-		judged = failed.Verdict
-	}
+	judged := verdict.Of(err)
 
 	switch {
 	case out.aborted || ctx.Err() != nil:
@@ -234,8 +229,7 @@
 			}
 		}
 
-		var failed *attempt.Error
-		if !errors.As(err, &failed) || failed.Verdict != verdict.NotRun {
+		if verdict.Of(err) != verdict.NotRun {
 			refusal.Delivery = verdict.MayHaveRun
 		}
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/attempt"
 	"github.com/tarragonmill/tarragonmill/internal/backend"
@@ -189,12 +187,7 @@
 // respondFailed answers an attempt that got no response. If the server broke the connection, it may
 // have crashed; what was in flight is then suspect.
 func (d *Daemon) respondFailed(ctx context.Context, in *attempt.Incoming, id admission.Attempt, begun time.Time, err error) {
-	judged := verdict.MayHaveRun
-
-	var failed *backend.Error
-	if errors.As(err, &failed) {
-		judged = failed.Verdict
-	}
+	judged := verdict.Of(err)
 
 	reply := attempt.Reply{Verdict: judged, Delivery: judged, Reason: serverBroke, Server: d.settings.ID}
 
--- a/internal/standin/logstore/server.go
+++ b/internal/standin/logstore/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/httpserve"
 )
 
 // maxRecord is the largest record in bytes.
@@ -60,29 +62,8 @@
 		// A client that sends its header slowly would hold the connection for ever.
 		ReadHeaderTimeout: 5 * time.Second,
 	}
-	ended := make(chan error, 1)
-
-	go func() { ended <- server.Serve(listener) }()
-
-	select {
-	case err := <-ended:
-		return errors.Wrap(err, "serving the log stand-in")
-	case <-ctx.Done():
-	}
-
-	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTime)
-	defer cancel()
-
-	err := server.Shutdown(grace)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = server.Close()
-	}
-
-	if ended := <-ended; !errors.Is(ended, http.ErrServerClosed) {
-		err = errors.CombineErrors(err, ended)
-	}
 
-	return errors.Wrap(err, "shutting down the log stand-in")
+	return errors.Wrap(httpserve.Run(ctx, server, listener, shutdownTime), "serve the log stand-in")
 }
 
 // Start serves on a loopback port until the returned function is called.
