--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -90,11 +90,11 @@
 	claimed  [Partitions]time.Time
 	based    time.Time
 	extended time.Time
+	// logRead is the time of the last answer of the log, and logSince that of the first one after an outage.
+	logRead, logSince time.Time
 	// changed is when the members of the service last changed.
 	changed time.Time
 	settle  time.Duration
-	// logRead is the time of the last answer of the log, and logSince that of the first one after an outage.
-	logRead, logSince time.Time
 
 	// accepted is the highest issue time admitted, in Unix milliseconds.
 	accepted int64
