core, daemon: a leaving daemon waits for the handover of its keys

Cause: a daemon closed 2 s after it began to drain, whether its key table had been handed over or not, and a combiner held claims and sign-offs back together with extensions, while callers are refused. Change: the drain waits up to 3 s for the handover; claims and sign-offs are appended at once, extensions are collected for 2 s. Process tests do not use a port twice.

--- a/cmd/tarragonmill/process_test.go
+++ b/cmd/tarragonmill/process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -55,16 +56,27 @@
 	pid := os.Getpid()
 	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>(2*bits)%100, pid>>bits&0xff, 1+pid&0x7f)
 
-	listener, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		panic(err)
-	}
+	for {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			panic(err)
+		}
 
-	defer listener.Close()
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			panic(err)
+		}
 
-	return listener.Addr().String()
+		// The kernel may offer a port again that another script has not opened yet.
+		if _, taken := addresses.LoadOrStore(address, true); !taken {
+			return address
+		}
+	}
 }
 
+// addresses are those that freeAddress has returned.
+var addresses sync.Map
+
 // writeSettings is "settings NAME SERVICE REGION DOMAIN". It writes NAME.ini and sets NAME_caller,
 // NAME_admin and NAME_server to its addresses. Daemons defined before are its seeds.
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -9,10 +9,9 @@
 	"github.com/tarragonmill/tarragonmill/internal/logservice/record"
 )
 
-// combineDelay is how long the combiner of a failure domain collects changes of grants before it
-// appends them as one record. Claims wait for it too, so it is well below the second within which a
-// caller is told to retry.
-const combineDelay = 300 * time.Millisecond
+// combineDelay is how long the combiner of a failure domain collects extensions before it appends them as
+// one record. Extensions are sent at the same second of the clock and are due minutes later.
+const combineDelay = 2 * time.Second
 
 // combined are the changes that wait to be appended.
 type combined struct {
@@ -45,11 +44,16 @@
 		s.combined.due = now.Add(combineDelay)
 	}
 
+	if len(change.Claims)+len(change.Signoffs) > 0 {
+		// Callers are refused until a claim or sign-off is in the log, so these do not wait.
+		s.combined.due = now
+	}
+
 	s.combined.record.Signoffs = append(s.combined.record.Signoffs, change.Signoffs...)
 	s.combined.record.Extensions = append(s.combined.record.Extensions, change.Extensions...)
 	s.combined.record.Claims = append(s.combined.record.Claims, change.Claims...)
 
-	return nil
+	return s.flushGrants(now)
 }
 
 // flushGrants appends what was collected.
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -28,3 +28,6 @@
 
 	return count
 }
+
+// Released reports whether a draining daemon has signed off its grants and handed its key table over.
+func (s *State) Released() bool { return s.keys.Released() }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -13,7 +13,10 @@
 // leavePeriod lets the announcement that this daemon has left reach its neighbours.
 const leavePeriod = 200 * time.Millisecond
 
-// quietInterval is the period at which the end of the last request is looked for.
+// releaseLimit bounds the wait for the handover of the key table.
+const releaseLimit = 3 * time.Second
+
+// quietInterval is the period at which the end of the last request or of the handover is looked for.
 const quietInterval = 5 * time.Millisecond
 
 // ErrSuperseded is returned if a later run with the same instance ID was seen.
@@ -46,6 +49,7 @@
 	}
 
 	sleep(limited, drainPeriod-time.Since(begun))
+	d.waitReleased(limited)
 
 	if err := d.stopCallers(limited); err != nil {
 		result = errors.CombineErrors(result, err)
@@ -58,6 +62,27 @@
 	return result
 }
 
+// waitReleased waits until the key table was handed over, so that its keys are answered by a successor and
+// not in doubt. Without a successor, or while the log is down, the wait is given up.
+func (d *Daemon) waitReleased(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
+	defer cancel()
+
+	for ctx.Err() == nil {
+		d.mutex.Lock()
+		released := d.state.Released()
+		d.mutex.Unlock()
+
+		if released {
+			return
+		}
+
+		sleep(ctx, quietInterval)
+	}
+
+	d.logger.Warn().Msg("key table was not handed over in time; its keys are in doubt")
+}
+
 // stopCallers accepts the connections that wait, closes the socket, waits for the requests in flight and
 // only then calls Shutdown, after which net/http drops requests that it still reads. Connections end after
 // one request by then, because keep-alive is off.
