attempt, daemon: a load hint is attached only if it was paid for

Change: an attempt asks for a hint once routing has paid for it; refusals say separately that the server drains; connection errors of the peer server go to the log.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -24,7 +24,7 @@
 		Request: request.Request{
 			ID: "r1", Service: "stockdesk", Kind: manifest.NonIdempotent, Key: "k", Fingerprint: 7, Depth: 2, Alone: true,
 		},
-		Number: 3, NoWait: true, Timeout: time.Second, From: "a", Method: http.MethodPost,
+		Number: 3, NoWait: true, Hint: true, Timeout: time.Second, From: "a", Method: http.MethodPost,
 		Target: "/orders?x=1&y=%20", Host: "stockdesk", Header: http.Header{}, Body: []byte("12 dumplings"),
 	}
 }
@@ -43,7 +43,7 @@
 	reply := Reply{
 		ID: "r1", Number: 3, Verdict: verdict.NotRun, Delivery: verdict.NotRun, Status: 503, Size: 12, Reason: "busy",
 		Crash: "a/1/2", RetryAfter: time.Second, Server: "b",
-		Hint: load.Hint{InFlight: 1, Queue: 2, Limit: 3, Latency: time.Millisecond, Draining: true},
+		Hinted: true, Hint: load.Hint{InFlight: 1, Queue: 2, Limit: 3, Latency: time.Millisecond, Draining: true},
 	}
 	decoded, err := decodeReply(reply.encode())
 	require.NoError(t, err)
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -49,6 +49,8 @@
 	Number  int
 	// NoWait asks for a refusal instead of a place in the queue.
 	NoWait bool
+	// Hint asks for a load hint in the reply; its bytes are paid for.
+	Hint bool
 	// Timeout is the time left until the deadline when the call is sent.
 	Timeout time.Duration
 	From    instance.ID
@@ -76,7 +78,9 @@
 	Crash string
 	// RetryAfter says when a refused request may be sent again.
 	RetryAfter time.Duration
-	Hint       load.Hint
+	// Hint is valid if Hinted is set.
+	Hint   load.Hint
+	Hinted bool
 	// Server is the instance whose backend server answered.
 	Server instance.ID
 }
@@ -92,6 +96,7 @@
 		"depth":   {strconv.Itoa(c.Request.Depth)},
 		"alone":   {strconv.FormatBool(c.Request.Alone)},
 		"nowait":  {strconv.FormatBool(c.NoWait)},
+		"hint":    {strconv.FormatBool(c.Hint)},
 		"timeout": {c.Timeout.String()},
 		"from":    {string(c.From)},
 		"method":  {c.Method},
@@ -114,6 +119,7 @@
 	call := Call{
 		Number:  int(fields.integer("attempt")),
 		NoWait:  fields.text("nowait") == strconv.FormatBool(true),
+		Hint:    fields.text("hint") == strconv.FormatBool(true),
 		Timeout: fields.duration("timeout"),
 		From:    instance.ID(fields.text("from")),
 		Method:  fields.text("method"),
@@ -140,17 +146,13 @@
 
 func (r Reply) encode() string {
 	values := url.Values{
-		"request":  {string(r.ID)},
-		"attempt":  {strconv.Itoa(r.Number)},
-		"verdict":  {r.Verdict.String()},
-		"server":   {string(r.Server)},
-		"inflight": {strconv.Itoa(r.Hint.InFlight)},
-		"queue":    {strconv.Itoa(r.Hint.Queue)},
-		"limit":    {strconv.Itoa(r.Hint.Limit)},
-		"latency":  {r.Hint.Latency.String()},
+		"request": {string(r.ID)},
+		"attempt": {strconv.Itoa(r.Number)},
+		"verdict": {r.Verdict.String()},
+		"server":  {string(r.Server)},
 	}
-	if r.Hint.Draining {
-		values.Set("draining", "true")
+	if r.Hinted {
+		r.encodeHint(values)
 	}
 
 	if r.Status != 0 {
@@ -174,6 +176,14 @@
 	return values.Encode()
 }
 
+func (r Reply) encodeHint(values url.Values) {
+	values.Set("inflight", strconv.Itoa(r.Hint.InFlight))
+	values.Set("queue", strconv.Itoa(r.Hint.Queue))
+	values.Set("limit", strconv.Itoa(r.Hint.Limit))
+	values.Set("latency", r.Hint.Latency.String())
+	values.Set("draining", strconv.FormatBool(r.Hint.Draining))
+}
+
 func decodeReply(text string) (Reply, error) {
 	fields, err := parseFields(text)
 	if err != nil {
@@ -207,6 +217,8 @@
 			Draining: fields.text("draining") == "true",
 		},
 	}
+	reply.Hinted = fields.values.Has("inflight")
+
 	if fields.values.Has("size") {
 		reply.Size = fields.integer("size")
 	}
--- a/internal/attempt/server.go
+++ b/internal/attempt/server.go
@@ -78,6 +78,8 @@
 // aborted, so that the receiver sees an incomplete transfer.
 func (in *Incoming) Respond(reply Reply, header http.Header, body io.Reader) {
 	reply.ID, reply.Number = in.Call.Request.ID, in.Call.Number
+	// A hint that was not asked for was not paid for.
+	reply.Hinted = in.Call.Hint
 
 	out := in.writer.Header()
 	httpheader.Copy(out, httpheader.Forwardable(header))
--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/attempt"
 	"github.com/tarragonmill/tarragonmill/internal/caller"
 	"github.com/tarragonmill/tarragonmill/internal/core"
@@ -43,7 +44,7 @@
 	out := &outgoing{}
 	current.outgoing[e.Number] = out
 	call := d.newCall(current.submission, e.Request, e.Number)
-	call.NoWait = e.NoWait
+	call.NoWait, call.Hint = e.NoWait, e.Hint
 
 	ctx, cancel := context.WithCancel(context.Background())
 	out.cancel = cancel
@@ -113,7 +114,8 @@
 func (d *Daemon) examine(response *attempt.Response, ended *core.AttemptEnded) (*attempt.Response, error) {
 	reply := response.Reply
 	ended.Ended.Verdict = reply.Verdict
-	ended.Ended.Hint, ended.Ended.Hinted = reply.Hint, true
+	ended.Ended.Hint, ended.Ended.Hinted = reply.Hint, reply.Hinted
+	ended.Ended.Draining = reply.Verdict == verdict.NotRun && reply.Reason == string(admission.IsDraining)
 	ended.Crash = reply.Crash
 
 	if reply.Status == 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -197,7 +198,8 @@
 	data.Handle(attempt.Path, attempt.Handler(d.settings.Key, d.serveAttempt))
 	data.Handle(attempt.OwnedPath, attempt.Handler(d.settings.Key, d.serveOwned))
 
-	d.server, err = peer.NewServer(d.settings.Key, control{d}, peer.WithData(data))
+	d.server, err = peer.NewServer(d.settings.Key, control{d}, peer.WithData(data),
+		peer.WithErrorLog(log.New(d.logger, "", 0)))
 
 	return errors.Wrap(err, "create peer server")
 }
