core: claims of a failure domain are combined

Ruled out: extensions (none in the stream), bases (4 records), configuration and contacts (no new record). Change: claims and sign-offs are collected for 300 ms, extensions for 2 s, and while an append of grants waits for its turn.

--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -13,10 +13,15 @@
 // one record. Extensions are sent at the same second of the clock and are due minutes later.
 const combineDelay = 2 * time.Second
 
+// claimDelay is the same for claims and sign-offs, until whose appending callers are refused.
+const claimDelay = 300 * time.Millisecond
+
 // combined are the changes that wait to be appended.
 type combined struct {
 	record keys.Record
 	due    time.Time
+	// appending is the token of the record that is being appended, or zero.
+	appending uint64
 }
 
 // appendGrants passes a change of this daemon's grants to the combiner of its failure domain. A change
@@ -45,27 +50,41 @@
 	}
 
 	if len(change.Claims)+len(change.Signoffs) > 0 {
-		// Callers are refused until a claim or sign-off is in the log, so these do not wait.
-		s.combined.due = now
+		s.combined.due = minTime(s.combined.due, now.Add(claimDelay))
 	}
 
 	s.combined.record.Signoffs = append(s.combined.record.Signoffs, change.Signoffs...)
 	s.combined.record.Extensions = append(s.combined.record.Extensions, change.Extensions...)
 	s.combined.record.Claims = append(s.combined.record.Claims, change.Claims...)
 
-	return s.flushGrants(now)
+	return nil
 }
 
-// flushGrants appends what was collected.
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
+
+// flushGrants appends what was collected, one record at a time. While an append waits for its turn, more is
+// collected, because the rate of appends is limited: when a fleet starts, each record holds many claims.
 func (s *State) flushGrants(now time.Time) []Effect {
-	if s.combined.record.Empty() || now.Before(s.combined.due) {
+	if s.combined.record.Empty() || now.Before(s.combined.due) || s.combined.appending != 0 {
 		return nil
 	}
 
 	change := s.combined.record
-	s.combined = combined{}
+	s.combined = combined{appending: s.token + 1}
+	effects := s.writeGrants(now, change)
+
+	if s.token < s.combined.appending {
+		// The record could not be encoded, so that no AppendDone follows.
+		s.combined.appending = 0
+	}
 
-	return s.writeGrants(now, change)
+	return effects
 }
 
 func (s *State) writeGrants(now time.Time, change keys.Record) []Effect {
--- a/internal/core/streams.go
+++ b/internal/core/streams.go
@@ -153,6 +153,9 @@
 			all = append(all, s.saveBase(now, e.Stream)...)
 		case logrelay.AppendDone:
 			// The outcome is learned by reading the stream.
+			if e.Token == s.combined.appending {
+				s.combined.appending = 0
+			}
 		default:
 			all = append(all, effect)
 		}
