--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -55,6 +55,7 @@
 		result = errors.CombineErrors(result, err)
 	}
 
+	d.waitEntries(limited)
 	d.apply(membership.LeaveStarted{})
 	sleep(limited, leavePeriod)
 	d.logger.Info().Dur("took", time.Since(begun)).Msg("stopped")
@@ -83,6 +84,21 @@
 	d.logger.Warn().Msg("key table was not handed over in time; its keys are in doubt")
 }
 
+// waitEntries waits for requests that other daemons have forwarded because this one owns their keys.
+func (d *Daemon) waitEntries(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.mutex.Lock()
+		left := len(d.entries)
+		d.mutex.Unlock()
+
+		if left == 0 {
+			return
+		}
+
+		sleep(ctx, quietInterval)
+	}
+}
+
 // stopCallers accepts the connections that wait, closes the socket, waits for the requests in flight and
 // only then calls Shutdown, after which net/http drops requests that it still reads. Connections end after
 // one request by then, because keep-alive is off.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/httpserve"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/peer/peerpb"
 	"github.com/tarragonmill/tarragonmill/internal/peer/peerpb/peerpbconnect"
@@ -29,7 +30,8 @@
 	readTimeout = 5 * time.Second
 	// writeTimeout bounds how long a control call may take in all, with the reading of its response.
 	writeTimeout = 15 * time.Second
-	// shutdownTimeout bounds how long running calls may take after the context has ended.
+	// shutdownTimeout bounds how long running calls may take after the context has ended. Connections on
+	// which no call was made yet count as busy to net/http and are cut off then.
 	shutdownTimeout = 5 * time.Second
 	maxStreams      = 250
 )
@@ -107,28 +109,7 @@
 // Serve accepts connections until the context ends, then waits a bounded time for running calls.
 // It closes the listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	ended := make(chan error, 1)
-	go func() { ended <- s.http.Serve(meteredListener{listener}) }()
-
-	select {
-	case err := <-ended:
-		return errors.Wrap(err, "serving peers")
-	case <-ctx.Done():
-	}
-
-	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-
-	err := s.http.Shutdown(grace)
-	if err != nil {
-		err = errors.CombineErrors(err, s.http.Close())
-	}
-
-	if served := <-ended; !errors.Is(served, http.ErrServerClosed) {
-		err = errors.CombineErrors(err, served)
-	}
-
-	return errors.Wrap(err, "shutting down the peer server")
+	return errors.Wrap(httpserve.Run(ctx, s.http, meteredListener{listener}, shutdownTimeout), "serve peers")
 }
 
 type connKey struct{}
