record: drop the second codec of grants

Change: types, codec and fuzz test of the unused one are removed; FuzzDecodeGrants and the round trip in internal/logservice cover the stream.

--- a/internal/logservice/record/codec_test.go
+++ b/internal/logservice/record/codec_test.go
@@ -2,32 +2,17 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/logservice/record"
 )
 
-func at(second int64) time.Time { return time.Unix(second, 0).UTC() }
-
 var (
 	configs = []record.Config{
 		record.Publish{ID: "a", Base: 3, Manifest: "[service]\n"},
 		record.Snapshot{Version: 4, Through: 9, Manifest: "[service]\n", ID: "a"},
 	}
-	grants = []record.Grants{
-		{
-			Claims: []record.Claim{{
-				Service: "stockdesk", Partitions: []uint32{0, 15}, Owner: "i1", Incarnation: 7, From: at(1), Until: at(601),
-			}},
-			Extensions: []record.Extension{{Owner: "i1", Incarnation: 7, Until: at(661)}},
-			Signoffs:   []record.Signoff{{Owner: "i1", Incarnation: 7, End: at(30)}},
-		},
-		{Base: &record.GrantBase{Through: 5, Grants: []record.Claim{{
-			Service: "stockdesk", Partitions: []uint32{1}, Owner: "i2", Incarnation: 1, From: at(2), Until: at(3),
-		}}}},
-	}
 	contacts = []record.Contact{{Domain: "cleveland", Peers: []string{"127.0.0.1:7000", "[::1]:7000"}}}
 )
 
@@ -62,6 +47,4 @@
 
 func FuzzConfig(f *testing.F) { fuzz(f, configs, record.EncodeConfig, record.DecodeConfig) }
 
-func FuzzGrants(f *testing.F) { fuzz(f, grants, record.EncodeGrants, record.DecodeGrants) }
-
 func FuzzContact(f *testing.F) { fuzz(f, contacts, record.EncodeContact, record.DecodeContact) }
--- a/internal/logservice/record/record.go
+++ b/internal/logservice/record/record.go
@@ -3,8 +3,6 @@
 // that one bad record does not stop a stream.
 package record
 
-import "time"
-
 // Stream names.
 const (
 	ConfigStream  = "config"
@@ -37,43 +35,6 @@
 func (Publish) isConfig()  {}
 func (Snapshot) isConfig() {}
 
-// Grants is a record of the stream "grants". It may hold changes of several owners.
-type Grants struct {
-	Claims     []Claim
-	Extensions []Extension
-	Signoffs   []Signoff
-	// Base is nil unless the record replaces all earlier ones.
-	Base *GrantBase
-}
-
-type (
-	// Claim asks for partitions of a service for key issue times in [From, Until).
-	Claim struct {
-		Service     string
-		Partitions  []uint32
-		Owner       string
-		Incarnation uint64
-		From, Until time.Time
-	}
-	// Extension moves the end of all grants that an owner holds.
-	Extension struct {
-		Owner       string
-		Incarnation uint64
-		Until       time.Time
-	}
-	// Signoff ends all grants of an owner early.
-	Signoff struct {
-		Owner       string
-		Incarnation uint64
-		End         time.Time
-	}
-	// GrantBase is the state of all grants before offset Through.
-	GrantBase struct {
-		Through uint64
-		Grants  []Claim
-	}
-)
-
 // Contact is a record of the stream "members": peer addresses of a failure domain from which a
 // daemon can start.
 type Contact struct {
