--- a/internal/logservice/record/codec.go
+++ b/internal/logservice/record/codec.go
@@ -13,9 +13,6 @@
 // ErrMalformed is the cause of every decoding error.
 var ErrMalformed = errors.New("malformed record")
 
-// maxPartition bounds partition numbers; a service has 16 partitions today.
-const maxPartition = 1 << 16
-
 // deterministic makes equal records equal bytes, by which an append is recognized when read back.
 var deterministic = proto.MarshalOptions{Deterministic: true}
 
