--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
 	"github.com/tarragonmill/tarragonmill/internal/task"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
@@ -22,6 +23,9 @@
 const (
 	// orderShare of the requests are orders with an idempotency key.
 	orderShare = 0.2
+	// downloadShare of the requests to stockdesk are label sheets of downloadSize bytes.
+	downloadShare = 0.02
+	downloadSize  = 2 << 20
 	// resendShare of the orders are sent twice at the same moment, through two entries.
 	resendShare = 0.2
 	// sends bounds how often a caller sends one request before it gives up.
@@ -46,6 +50,8 @@
 	entries []string
 	random  *rand.Rand
 	report  *report
+	// label is the content of a download.
+	label string
 }
 
 // call is one request. Resends have the same key and body.
@@ -66,6 +72,10 @@
 	}
 	c.client.Timeout = callerTimeout
 
+	// The pattern is read from memory and does not fail.
+	label, _ := io.ReadAll(backend.NewPattern(downloadSize))
+	c.label = string(label)
+
 	for _, i := range f.Instances {
 		c.entries = append(c.entries, i.Caller())
 	}
@@ -152,6 +162,13 @@
 		return c.newOrder(service)
 	}
 
+	if service == "stockdesk" && c.random.Float64() < downloadShare {
+		return call{
+			service: service, method: http.MethodGet, target: fmt.Sprintf("/label/%d", downloadSize),
+			want: c.label, entries: c.shuffled(),
+		}
+	}
+
 	item := c.random.IntN(1_000_000)
 
 	return call{
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -76,7 +76,7 @@
 
 	success := o.status == http.StatusOK || o.status == http.StatusCreated
 	if success && !strings.HasPrefix(o.body, c.want) {
-		r.wrong = append(r.wrong, fmt.Sprintf("%s %s got %q", c.method, c.target, o.body))
+		r.wrong = append(r.wrong, fmt.Sprintf("%s %s got %.80q", c.method, c.target, o.body))
 	}
 }
 
@@ -130,7 +130,7 @@
 		args   []any
 	}{
 		{float64(r.probes) <= budget, "G1 probes within the budget: %d of %.0f", []any{r.probes, budget}},
-		{len(r.wrong) == 0, "G2 responses of another request: %d", []any{len(r.wrong)}},
+		{len(r.wrong) == 0, "G2 responses of another request, or not whole: %d", []any{len(r.wrong)}},
 		{falseNotRun == 0, "G3 orders reported as not run that ran: %d", []any{falseNotRun}},
 		{repeated == 0, "G4 orders that ran more than once: %d of %d", []any{repeated, len(r.orders)}},
 		{r.lost() == 0, "G6 requests cut off while a daemon restarted: %d", []any{r.lost()}},
