--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
@@ -12,21 +13,22 @@
 
 // requestArrived routes a request, unless its key belongs to another daemon.
 func (s *State) requestArrived(now time.Time, r request.Request) []Effect {
-	s.requests[r.ID] = &tracked{request: r}
-
 	if r.Idempotent() || r.Key == "" {
+		s.requests[r.ID] = &tracked{request: r}
+
 		return s.route(now, r)
 	}
 
 	owner, incarnation, known := s.keys.Owner(r.Service, r.Key)
 	if !known || (owner == s.self.ID && incarnation == s.self.Incarnation) {
-		return s.fromKeys(now, s.keys.Apply(now, keys.Arrived{Request: r}))
+		return s.ownedArrived(now, r)
 	}
 
-	for _, member := range s.membership.Members(r.Service) {
-		if member.ID == owner && member.Incarnation == incarnation {
-			return []Effect{Forward{ID: r.ID, Owner: member}}
-		}
+	s.requests[r.ID] = &tracked{request: r}
+
+	member, found := s.membership.Member(owner)
+	if found && member.Incarnation == incarnation && member.Status != instance.Dead && member.Status != instance.Left {
+		return []Effect{Forward{ID: r.ID, Owner: member}}
 	}
 
 	return []Effect{Refuse{
@@ -35,7 +37,7 @@
 	}}
 }
 
-// ownedArrived treats a request that another daemon forwarded to this one as the owner of its key.
+// ownedArrived asks the key table about a request whose key this daemon owns, or has to refuse.
 func (s *State) ownedArrived(now time.Time, r request.Request) []Effect {
 	s.requests[r.ID] = &tracked{request: r}
 
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -15,12 +15,12 @@
 func (s *State) attemptArrived(now time.Time, e AttemptArrived) []Effect {
 	attempt := admission.Attempt{ID: e.Request.ID, Number: e.Number}
 
-	if s.suspects.Check(now, e.Request) == suspects.Barred {
+	switch s.suspects.Check(now, e.Request) {
+	case suspects.Barred:
 		return []Effect{admission.Refuse{Attempt: attempt, Reason: CrashesServers, Hint: s.admission.Hint(now)}}
-	}
-
-	if s.suspects.Check(now, e.Request) == suspects.Alone {
+	case suspects.Alone:
 		e.Request = e.Request.WithAlone()
+	case suspects.Free:
 	}
 
 	s.serving[attempt] = &served{request: e.Request}
@@ -78,7 +78,10 @@
 // serverCrashed makes everything that was in flight suspect. The attempts that were in flight notice
 // the crash one after the other; each is reported once.
 func (s *State) serverCrashed(now time.Time, only admission.Attempt) []Effect {
-	var requests []request.Request
+	var (
+		requests []request.Request
+		hit      []*served
+	)
 
 	for _, attempt := range s.order {
 		at := s.serving[attempt]
@@ -87,6 +90,7 @@
 		}
 
 		requests = append(requests, at.request)
+		hit = append(hit, at)
 	}
 
 	if len(requests) == 0 {
@@ -96,11 +100,8 @@
 	s.crashes++
 	source := fmt.Sprintf("%s/%d/%d", s.self.ID, s.self.Incarnation, s.crashes)
 
-	for _, attempt := range s.order {
-		at := s.serving[attempt]
-		if at.started && at.crash == "" && (only.ID == "" || only == attempt) {
-			at.crash = source
-		}
+	for _, at := range hit {
+		at.crash = source
 	}
 
 	return list(s.suspects.Apply(now, suspects.Crashed{Source: source, Requests: requests}))
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -27,9 +27,6 @@
 	logTimeout      = 3 * time.Second
 )
 
-// probeBytes is the size of a probe and its answer on the wire, headers included.
-const probeBytes = routing.ProbeBytes
-
 // control answers other daemons.
 type control struct{ daemon *Daemon }
 
@@ -162,7 +159,7 @@
 		begun := time.Now()
 		hint, err := d.control.Probe(ctx, e.Target.Peer)
 		d.apply(routing.ProbeEnded{
-			Target: e.Target.ID, Hint: hint, OK: err == nil, Elapsed: time.Since(begun), Bytes: probeBytes,
+			Target: e.Target.ID, Hint: hint, OK: err == nil, Elapsed: time.Since(begun), Bytes: routing.ProbeBytes,
 		})
 	})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -176,16 +176,7 @@
 	return opened, nil
 }
 
-// Add starts a further instance.
-func (f *Fleet) Add(node Node) error {
-	opened, err := openSockets(f.ctx)
-	if err != nil {
-		return err
-	}
-
-	return f.add(node, opened)
-}
-
+// add starts an instance on open sockets.
 func (f *Fleet) add(node Node, opened sockets) error {
 	started := &Instance{Node: node, Server: backend.New(string(node.ID), node.Slots, node.Behaviour)}
 	started.Settings = settings.Settings{
