--- /dev/null
+++ b/internal/health/health.go
@@ -0,0 +1,417 @@
+// Package health keeps what the daemon knows of the backend server beside it: which server it is, whether it
+// takes work, how slow it works and how often it fails. It does no I/O and reads no clock.
+//
+// A server announces itself, says how it is loaded with each response, and can be probed. What was seen goes
+// before what the server says: a health answer does not make up for failed requests.
+package health
+
+import (
+	"math"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+)
+
+const (
+	// downProbeInterval is the pause between probes of a server that does not accept connections.
+	downProbeInterval = 200 * time.Millisecond
+	// failureWeight is the weight of one request in the share of failures.
+	failureWeight = 0.15
+	// failureMemory is the time in which the share of failures decays if nothing is sent to the server.
+	failureMemory = 3 * time.Second
+	// downAfterLost is the number of probes in a row without an answer after which a server counts as down.
+	downAfterLost = 2
+)
+
+// Event is something that was learned of the server.
+type Event interface{ isEvent() }
+
+// Effect is an action that the daemon performs.
+type Effect interface{ isEffect() }
+
+type (
+	// Started begins the life of the daemon with what an earlier run has stored.
+	Started struct {
+		// Last is the server that announced itself last, for the daemon's own service.
+		Last backend.ID
+		// Left is set if that server had left or was about to.
+		Left bool
+	}
+	// Announced brings what the server says of itself.
+	Announced struct{ Announcement backend.Announcement }
+	// Withdrawn reports that a server says that it is leaving for good.
+	Withdrawn struct {
+		ID   backend.ID
+		Born time.Time
+	}
+	// Observed brings the load that a response carried.
+	Observed struct{ Load dialect.Load }
+	// Ran reports the end of a request at the server.
+	Ran struct{ Failed bool }
+	// Refused reports that a connection to the server was refused or could not be made.
+	Refused struct{}
+	// Misdirected reports that another server is at the address.
+	Misdirected struct{ ID backend.ID }
+	// Probed is the outcome of a probe.
+	Probed struct {
+		// Answered is set if there was an answer, Healthy if it says that the server takes work.
+		Answered, Healthy bool
+		ID                backend.ID
+		Load              dialect.Load
+		Loaded            bool
+	}
+	// Busy says whether somebody wants to know the load soon.
+	Busy struct{ Watched bool }
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+type (
+	// Probe asks for the health of the server.
+	Probe struct{}
+	// Changed reports that the answer of Server or Closed has changed.
+	Changed struct{}
+)
+
+func (Started) isEvent()     {}
+func (Announced) isEvent()   {}
+func (Withdrawn) isEvent()   {}
+func (Observed) isEvent()    {}
+func (Ran) isEvent()         {}
+func (Refused) isEvent()     {}
+func (Misdirected) isEvent() {}
+func (Probed) isEvent()      {}
+func (Busy) isEvent()        {}
+func (Tick) isEvent()        {}
+
+func (Probe) isEffect()   {}
+func (Changed) isEffect() {}
+
+// Option configures New.
+type Option func(*State)
+
+// WithProbeInterval sets the age of the load at which a watched server is probed; zero for never.
+func WithProbeInterval(interval time.Duration) Option {
+	return func(s *State) { s.probeInterval = interval }
+}
+
+// WithFixedServer is for a server that does not announce itself and has the given number of slots.
+func WithFixedServer(slots int) Option {
+	return func(s *State) { s.known, s.slots = true, slots }
+}
+
+// State is what is known of one address's server. It is not safe for concurrent use.
+type State struct {
+	probeInterval time.Duration
+
+	known    bool
+	id       backend.ID
+	born     time.Time
+	sequence int64
+	slots    int
+	draining bool
+	// last is the server of an earlier run of the daemon; it may be used before it announces itself again.
+	last backend.ID
+	// left is the last server that has withdrawn; what it still says is not believed.
+	left     backend.ID
+	leftBorn time.Time
+
+	down      bool
+	lost      int
+	slowness  float64
+	observed  time.Time
+	coldUntil time.Time
+	failing   float64
+	failedAt  time.Time
+	watched   bool
+	probing   time.Time
+	probed    time.Time
+	counts    Counts
+}
+
+// Counts are totals since the start.
+type Counts struct{ Probes, Failures, Announcements, Stale uint64 }
+
+// New returns a state that knows nothing of the server.
+func New(options ...Option) *State {
+	s := &State{slowness: 1}
+	for _, option := range options {
+		option(s)
+	}
+
+	return s
+}
+
+// Apply handles one event.
+func (s *State) Apply(now time.Time, event Event) []Effect {
+	before := s.standing()
+
+	switch e := event.(type) {
+	case Started:
+		s.started(e)
+	case Announced:
+		s.announced(now, e.Announcement)
+	case Withdrawn:
+		s.withdrawn(e)
+	case Observed:
+		s.observe(now, e.Load)
+	case Ran:
+		s.ran(now, e.Failed)
+	case Refused:
+		s.down = true
+	case Misdirected:
+		s.misdirected(e.ID)
+	case Probed:
+		s.probedNow(now, e)
+	case Busy:
+		s.watched = e.Watched
+	case Tick:
+	}
+
+	var effects []Effect
+
+	if s.standing() != before {
+		effects = append(effects, Changed{})
+	}
+
+	if at := s.Next(); !at.IsZero() && !now.Before(at) {
+		s.probing, s.probed = now, now
+		s.counts.Probes++
+
+		effects = append(effects, Probe{})
+	}
+
+	return effects
+}
+
+// standing is what others are told at once if it changes.
+type standing struct {
+	id     backend.ID
+	closed admission.Reason
+	slots  int
+}
+
+func (s *State) standing() standing {
+	return standing{id: s.id, closed: s.Closed(), slots: s.slots}
+}
+
+// Closed is the reason for refusing all attempts, or empty.
+func (s *State) Closed() admission.Reason {
+	switch {
+	case !s.known:
+		return admission.ServerUnknown
+	case s.draining:
+		return admission.IsDraining
+	case s.down:
+		return admission.ServerDown
+	default:
+		return ""
+	}
+}
+
+// Server is the server at the address; empty if it has no name or is not known.
+func (s *State) Server() backend.ID { return s.id }
+
+// Left is the last server that has withdrawn.
+func (s *State) Left() backend.ID { return s.left }
+
+// Draining reports whether the server is about to leave.
+func (s *State) Draining() bool { return s.draining }
+
+// Slots is the number of requests that the server runs at once.
+func (s *State) Slots() int { return max(1, s.slots) }
+
+// Slowness is how long work takes relative to the usual time.
+func (s *State) Slowness() float64 { return s.slowness }
+
+// Failing is the share of recent requests that got no usable response.
+func (s *State) Failing(now time.Time) float64 {
+	if s.failing == 0 {
+		return 0
+	}
+
+	return s.failing * math.Exp(-float64(now.Sub(s.failedAt))/float64(failureMemory))
+}
+
+// ColdFor is how much longer the server is slow after its start.
+func (s *State) ColdFor(now time.Time) time.Duration { return max(0, s.coldUntil.Sub(now)) }
+
+// Next is when a probe is due; the zero time if none is.
+func (s *State) Next() time.Time {
+	if !s.probing.IsZero() {
+		return time.Time{}
+	}
+
+	switch {
+	case !s.known && s.last == "":
+		return time.Time{}
+	case !s.known || s.down:
+		return s.probed.Add(downProbeInterval)
+	case s.watched && s.probeInterval > 0 && !s.draining:
+		return latest(s.observed, s.probed).Add(s.probeInterval)
+	default:
+		return time.Time{}
+	}
+}
+
+func (s *State) started(e Started) {
+	switch {
+	case s.known:
+	case e.Left:
+		s.left = e.Last
+	default:
+		s.last = e.Last
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
+// announced takes an announcement unless it is older than what is known.
+func (s *State) announced(now time.Time, a backend.Announcement) {
+	s.counts.Announcements++
+
+	if s.stale(a) {
+		s.counts.Stale++
+
+		return
+	}
+
+	if a.ID != s.id || !a.Born.Equal(s.born) {
+		s.reset()
+	}
+
+	s.known, s.last = true, ""
+	s.id, s.born, s.sequence = a.ID, a.Born, a.Sequence
+	s.slots, s.draining = a.Slots, a.Draining
+	s.down = false
+	s.coldUntil = now.Add(a.ColdFor)
+}
+
+// stale reports whether an announcement is of an earlier run, of a server that has left, or out of order.
+func (s *State) stale(a backend.Announcement) bool {
+	if a.ID == s.left && !a.Born.After(s.leftBorn) {
+		return true
+	}
+
+	if !a.Born.IsZero() && !s.born.IsZero() && !a.Born.Equal(s.born) {
+		return a.Born.Before(s.born)
+	}
+
+	return a.ID == s.id && s.known && a.Born.Equal(s.born) && a.Sequence <= s.sequence
+}
+
+// reset forgets what was seen of an earlier run.
+func (s *State) reset() {
+	s.failing, s.lost, s.slowness = 0, 0, 1
+	s.observed = time.Time{}
+	s.draining, s.down = false, false
+}
+
+func (s *State) withdrawn(e Withdrawn) {
+	if s.known && e.ID == s.id && !e.Born.IsZero() && e.Born.Before(s.born) {
+		return
+	}
+
+	s.left, s.leftBorn = e.ID, latest(e.Born, s.bornOf(e.ID))
+
+	if e.ID == s.id || !s.known {
+		s.known, s.last = false, ""
+	}
+}
+
+func (s *State) bornOf(id backend.ID) time.Time {
+	if id == s.id {
+		return s.born
+	}
+
+	return time.Time{}
+}
+
+// misdirected treats the answer of another server: the known one is gone.
+func (s *State) misdirected(id backend.ID) {
+	if id != "" && id != s.id {
+		s.known = false
+	}
+}
+
+func (s *State) observe(now time.Time, l dialect.Load) {
+	if l.Slowness > 0 {
+		s.slowness = l.Slowness
+	}
+
+	if l.Slots > 0 {
+		s.slots = l.Slots
+	}
+
+	s.observed = now
+	s.down, s.lost = false, 0
+}
+
+func (s *State) ran(now time.Time, failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+		s.counts.Failures++
+	}
+
+	s.failing = s.Failing(now)*(1-failureWeight) + sample*failureWeight
+	s.failedAt = now
+}
+
+// probedNow takes the outcome of a probe. After a restart of the daemon, the server that announced itself to
+// the earlier run is used as soon as it says that it is healthy. Any other server at the address may belong
+// to another service, and is not used before it announces itself.
+func (s *State) probedNow(now time.Time, e Probed) {
+	s.probing = time.Time{}
+
+	if !e.Answered {
+		s.lost++
+		s.down = s.down || s.lost >= downAfterLost
+
+		return
+	}
+
+	s.lost = 0
+
+	if e.Loaded {
+		s.observe(now, e.Load)
+	}
+
+	if e.Healthy {
+		s.down = false
+	}
+
+	if !s.known && e.Healthy && e.ID != "" && e.ID == s.last && e.Load.Slots > 0 {
+		s.reset()
+		s.known, s.id, s.born, s.sequence = true, e.ID, time.Time{}, 0
+		s.slots, s.last = e.Load.Slots, ""
+	}
+}
+
+// Dump holds the state for the state dump.
+type Dump struct {
+	Server   backend.ID
+	Closed   admission.Reason
+	Slots    int
+	Slowness float64
+	Failing  float64
+	Counts   Counts
+}
+
+// Dump returns plain values.
+func (s *State) Dump(now time.Time) Dump {
+	return Dump{
+		Server: s.id, Closed: s.Closed(), Slots: s.slots, Slowness: s.slowness, Failing: s.Failing(now), Counts: s.counts,
+	}
+}
+
+// Watched reports whether somebody wants to know the load soon.
+func (s *State) Watched() bool { return s.watched }
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,35 @@
+package load
+
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+)
+
+// Report is the load of a backend server as the daemon beside it tells other daemons.
+type Report struct {
+	Server      instance.ID
+	Incarnation instance.Incarnation
+	// Counter orders the reports of one incarnation.
+	Counter uint64
+	// Open is set while the server takes new work.
+	Open bool
+	// Running is the number of requests at the backend server, Waiting the number that wait for a slot.
+	Running, Waiting int
+	Slots            int
+	// Slowness is how long work takes at present relative to the usual time; 1 is as usual.
+	Slowness float64
+	// Failing is the share of requests that recently got no usable response.
+	Failing float64
+	// ColdFor is how much longer the server is slow after its start.
+	ColdFor time.Duration
+}
+
+// Newer reports whether r supersedes another report of the same server.
+func (r Report) Newer(other Report) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+
+	return r.Counter > other.Counter
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -37,6 +37,17 @@
 	Key         string
 	Fingerprint Fingerprint
 	Deadline    time.Time
+	// Target is when a response is still of full use to the caller; zero if that is the deadline.
+	Target time.Time
+	// Route names the route or rule that applies, for estimates of its work.
+	Route string
+	// Attempts is the largest number of backend servers that may run the request; zero means that the
+	// service's limit applies.
+	Attempts int
+	// Priority orders requests that wait for the same server; 0 is the highest.
+	Priority int
+	// Origin is the service on whose instance the request began.
+	Origin string
 	// Depth is the number of calls above this one; zero for a call from outside.
 	Depth int
 	// Alone asks for a server that runs nothing else meanwhile.
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -18,8 +18,20 @@
 	defaultInterval    = time.Second
 	defaultLevel       = "info"
 	defaultLimit       = 64 << 20 // bytes
+	defaultBacklog     = 2
+	defaultShare       = 0.1
+	defaultSlack       = 10
+	defaultWindow      = 10 * time.Second
+	// defaultGrace is what supervisors commonly leave a process before they kill it.
+	defaultGrace = 30 * time.Second
 
 	maxSlots       = 10_000
+	maxBacklog     = 100
+	maxSlack       = 1_000_000
+	minWindow      = time.Second
+	maxWindow      = 10 * time.Minute
+	minGrace       = time.Second
+	maxGrace       = time.Hour
 	maxQueue       = 100_000
 	maxConnections = 100_000
 	minInterval    = 50 * time.Millisecond
@@ -30,6 +42,12 @@
 	minKey = 16
 )
 
+// Values of Settings.Fields.
+const (
+	OwnFields      = "own"
+	PlatformFields = "platform"
+)
+
 // Load reads and checks the settings in a file. Errors about the content are *ini.Error values,
 // joined; others come from reading the file.
 func Load(path string) (Settings, error) {
@@ -65,6 +83,7 @@
 		log     = document.Section("log")
 		trace   = document.Section("trace")
 		logging = document.Section("logging")
+		repeat  = document.Section("repeat")
 	)
 
 	return Settings{
@@ -78,24 +97,36 @@
 			Caller: ini.Required(listen, "caller", ini.Address),
 			Peer:   ini.Required(listen, "peer", ini.Address),
 			Admin:  ini.Required(listen, "admin", ini.Address),
+
+			Ready:    ini.Optional(listen, "ready", netip.AddrPort{}, ini.Address),
+			Announce: ini.Optional(listen, "announce", netip.AddrPort{}, ini.Address),
 		},
 		Advertise: ini.Required(peer, "advertise", reachable),
 		Seeds:     ini.Optional(peer, "seeds", nil, ini.List(reachable)),
-		Key:       ini.Required(peer, "key", secret),
+		Key:       ini.Optional(peer, "key", "", secret),
 		Backend: Backend{
 			Address:     ini.Required(backend, "address", reachable),
-			Slots:       ini.Required(backend, "slots", ini.Range(ini.Whole, 1, maxSlots)),
-			Queue:       ini.Required(backend, "queue", ini.Range(ini.Whole, 0, maxQueue)),
+			Slots:       ini.Optional(backend, "slots", 0, ini.Range(ini.Whole, 0, maxSlots)),
+			Queue:       ini.Optional(backend, "queue", 0, ini.Range(ini.Whole, 0, maxQueue)),
+			Backlog:     ini.Optional(backend, "backlog", defaultBacklog, ini.Range(ini.Whole, 0, maxBacklog)),
 			Connections: ini.Optional(backend, "connections", defaultConnections, ini.Range(ini.Whole, 1, maxConnections)),
 			Health:      ini.Optional(backend, "health", "", path),
 			Interval:    ini.Optional(backend, "interval", defaultInterval, ini.Range(ini.Duration, minInterval, maxInterval)),
 		},
-		Log: ini.Required(log, "url", ini.URL),
+		Log:   ini.Optional(log, "url", "", ini.URL),
+		Store: ini.Optional(log, "address", netip.AddrPort{}, ini.Address),
 		Trace: Trace{
 			File:  ini.Optional(trace, "file", "", ini.Text),
 			Limit: ini.Optional(trace, "limit", defaultLimit, ini.Range(ini.Size, minLimit, maxLimit)),
 		},
-		Level: ini.Optional(logging, "level", defaultLevel, ini.OneOf("trace", "debug", "info", "warn", "error")),
+		Level:  ini.Optional(logging, "level", defaultLevel, ini.OneOf("trace", "debug", "info", "warn", "error")),
+		Fields: ini.Optional(document.Section("callers"), "fields", OwnFields, ini.OneOf(OwnFields, PlatformFields)),
+		Repeat: Repeat{
+			Share:  ini.Optional(repeat, "share", defaultShare, ini.Range(ini.Number, 0, 1)),
+			Slack:  ini.Optional(repeat, "slack", defaultSlack, ini.Range(ini.Number, 0, maxSlack)),
+			Window: ini.Optional(repeat, "window", defaultWindow, ini.Range(ini.Duration, minWindow, maxWindow)),
+		},
+		Grace: ini.Optional(document.Section("stop"), "grace", defaultGrace, ini.Range(ini.Duration, minGrace, maxGrace)),
 	}
 }
 
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -32,11 +32,15 @@
 		Key:       "correct horse # battery",
 		Backend: settings.Backend{
 			Address: address("127.0.0.1:7000"), Slots: 6, Queue: 0, Connections: 100,
-			Health: "/health", Interval: 250 * time.Millisecond,
+			Health: "/health", Interval: 250 * time.Millisecond, Backlog: 2,
 		},
 		Log:   "http://10.0.0.9:9000/logs",
 		Trace: settings.Trace{File: "trace.jsonl", Limit: 10 << 20},
 		Level: "debug",
+
+		Fields: settings.OwnFields,
+		Repeat: settings.Repeat{Share: 0.1, Slack: 10, Window: 10 * time.Second},
+		Grace:  30 * time.Second,
 	}, s)
 	require.Equal(t, "west-lakes", s.Place.Region)
 	require.Equal(t, "milwaukee", s.Place.Domain)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,8 @@
 	Backend   Backend
 	// Log is the base URL of the log service.
 	Log string
+	// Store is the address of the platform's store.
+	Store netip.AddrPort
 	// Seeds are peer addresses to start from.
 	Seeds []netip.AddrPort
 	// Key is the fleet's shared secret, which peer and remote admin traffic has to present.
@@ -26,6 +28,20 @@
 	Trace Trace
 	// Level is a zerolog level name.
 	Level string
+	// Fields selects the header fields of callers and backend servers: "own" or "platform".
+	Fields string
+	Repeat Repeat
+	// Grace is the time from SIGTERM until the process is killed.
+	Grace time.Duration
+}
+
+// Repeat limits how often requests are sent once more, for each service.
+type Repeat struct {
+	// Share is the number of repeats allowed per request.
+	Share float64
+	// Slack is the number of repeats that the whole fleet is allowed in each window besides.
+	Slack  float64
+	Window time.Duration
 }
 
 // Listen holds the listen addresses.
@@ -33,15 +49,21 @@
 	Caller netip.AddrPort
 	Peer   netip.AddrPort
 	Admin  netip.AddrPort
+	// Ready is asked by the platform whether callers are to be sent here; not set for none.
+	Ready netip.AddrPort
+	// Announce is where the backend server announces itself; not set for a server that does not.
+	Announce netip.AddrPort
 }
 
 // Backend describes the backend server beside the daemon.
 type Backend struct {
 	Address netip.AddrPort
-	// Slots is the number of requests that it runs at once.
+	// Slots is the number of requests that it runs at once; zero if the server announces it.
 	Slots int
 	// Queue is the number of requests that may wait for a slot.
 	Queue int
+	// Backlog is the number of requests that may wait for each slot.
+	Backlog int
 	// Connections is the largest number of connections to it.
 	Connections int
 	// Health is the path that is asked whether the server is up and whether it drains; empty for none.
--- /dev/null
+++ b/internal/v2/admission/queue.go
@@ -0,0 +1,61 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// waiting is an attempt in the queue.
+type waiting struct {
+	Arrived
+	since time.Time
+}
+
+// expires is when the attempt has waited long enough.
+func (w *waiting) expires() time.Time {
+	if at := w.since.Add(w.Wait); at.Before(w.Deadline) {
+		return at
+	}
+
+	return w.Deadline
+}
+
+// before reports whether w gets a slot before other. Of equal rank, the one that came first does.
+func (w *waiting) before(other *waiting) bool {
+	if w.Nested != other.Nested {
+		return w.Nested
+	}
+
+	return w.Priority < other.Priority
+}
+
+// queue holds attempts in the order in which they get slots. It is short, so linear search is cheap.
+type queue []*waiting
+
+func (q *queue) push(w *waiting) {
+	at := len(*q)
+	for at > 0 && w.before((*q)[at-1]) {
+		at--
+	}
+
+	*q = slices.Insert(*q, at, w)
+}
+
+func (q *queue) pop() *waiting {
+	w := (*q)[0]
+	*q = slices.Delete(*q, 0, 1)
+
+	return w
+}
+
+// remove takes an attempt out and reports whether it was there.
+func (q *queue) remove(attempt Attempt) bool {
+	before := len(*q)
+	*q = slices.DeleteFunc(*q, func(w *waiting) bool { return w.Attempt == attempt })
+
+	return len(*q) < before
+}
+
+func (q queue) has(attempt Attempt) bool {
+	return slices.ContainsFunc(q, func(w *waiting) bool { return w.Attempt == attempt })
+}
--- /dev/null
+++ b/internal/v2/attempt/call.go
@@ -0,0 +1,292 @@
+// Package attempt is the protocol by which an entry daemon hands a request to the daemon beside a
+// backend server, and by which the response comes back.
+//
+// A call is an HTTP/1.1 POST whose body is the caller's body and one more byte, the commit byte. The daemon
+// beside the server says 102 Processing when the request waits for a slot and 100 Continue when it has one.
+// The body of a request that must not run twice is sent only after that, and runs only when the commit byte
+// has arrived: until then, the entry daemon can withdraw the request and knows that it has not run.
+//
+// A reply always has HTTP status 200; the backend server's status is part of the reply header.
+package attempt
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/httpheader"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// Header fields of the protocol.
+const (
+	CallHeader  = httpheader.Prefix + "Call"
+	ReplyHeader = httpheader.Prefix + "Reply"
+	FleetHeader = httpheader.Prefix + "Fleet"
+)
+
+// Path takes a request for the backend server beside the daemon.
+const Path = "/attempt"
+
+// ErrMalformed is returned for a call or reply header that cannot be decoded.
+var ErrMalformed = errors.New("malformed attempt header")
+
+// Call is one attempt of a request.
+type Call struct {
+	Request request.Request
+	Number  int
+	// Wait is the longest time that the attempt may wait for a slot.
+	Wait time.Duration
+	// Slowest is the slowness of the server above which the attempt is refused; zero for any.
+	Slowest float64
+	// Timeout is the time left until the deadline when the call is sent.
+	Timeout time.Duration
+	From    instance.ID
+	Method  string
+	// Target is the request target, path and query.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Reply describes a response or refusal. A refusal has no status.
+type Reply struct {
+	ID      request.ID
+	Number  int
+	Verdict verdict.Verdict
+	// Status is the backend server's HTTP status, or zero.
+	Status int
+	Reason string
+	// Unusable is set if the server takes no other attempt either until it says so.
+	Unusable bool
+	// Crash identifies the crash of the backend server that ended the attempt, or is empty.
+	Crash string
+	// Report is the load of the server when the reply was made.
+	Report load.Report
+}
+
+func (c Call) encode() string {
+	r := c.Request
+	values := url.Values{
+		"request": {string(r.ID)},
+		"attempt": {strconv.Itoa(c.Number)},
+		"service": {r.Service},
+		"route":   {r.Route},
+		"print":   {strconv.FormatUint(uint64(r.Fingerprint), 16)},
+		"wait":    {formatDuration(c.Wait)},
+		"timeout": {formatDuration(c.Timeout)},
+		"from":    {string(c.From)},
+		"method":  {c.Method},
+		"target":  {c.Target},
+		"host":    {c.Host},
+	}
+
+	setText(values, "origin", r.Origin)
+	setText(values, "key", r.Key)
+	setNumber(values, "depth", r.Depth)
+	setNumber(values, "rank", r.Priority)
+
+	if r.Idempotent() {
+		values.Set("kind", r.Kind.String())
+	}
+
+	if r.Alone {
+		values.Set("alone", "1")
+	}
+
+	if c.Slowest > 0 {
+		values.Set("slowest", formatRatio(c.Slowest))
+	}
+
+	return values.Encode()
+}
+
+func decodeCall(text string, now time.Time) (Call, error) {
+	fields, err := parseFields(text)
+	if err != nil {
+		return Call{}, err
+	}
+
+	kind := manifest.NonIdempotent
+	if fields.text("kind") == manifest.Idempotent.String() {
+		kind = manifest.Idempotent
+	}
+
+	call := Call{
+		Number:  int(fields.integer("attempt")),
+		Wait:    fields.duration("wait"),
+		Slowest: fields.ratio("slowest"),
+		Timeout: fields.duration("timeout"),
+		From:    instance.ID(fields.text("from")),
+		Method:  fields.text("method"),
+		Target:  fields.text("target"),
+		Host:    fields.text("host"),
+		Request: request.Request{
+			ID:          request.ID(fields.text("request")),
+			Service:     fields.text("service"),
+			Route:       fields.text("route"),
+			Kind:        kind,
+			Key:         fields.text("key"),
+			Fingerprint: request.Fingerprint(fields.hexadecimal("print")),
+			Depth:       int(fields.integer("depth")),
+			Priority:    int(fields.integer("rank")),
+			Origin:      fields.text("origin"),
+			Alone:       fields.text("alone") != "",
+		},
+	}
+	call.Request.Deadline = now.Add(call.Timeout)
+
+	if call.Request.ID == "" || call.Method == "" || call.Target == "" {
+		return Call{}, errors.Wrap(ErrMalformed, "request, method or target is missing")
+	}
+
+	return call, fields.err
+}
+
+func (r Reply) encode() string {
+	values := url.Values{
+		"request":  {string(r.ID)},
+		"attempt":  {strconv.Itoa(r.Number)},
+		"verdict":  {r.Verdict.String()},
+		"server":   {string(r.Report.Server)},
+		"run":      {strconv.FormatUint(uint64(r.Report.Incarnation), 10)},
+		"counter":  {strconv.FormatUint(r.Report.Counter, 10)},
+		"running":  {strconv.Itoa(r.Report.Running)},
+		"slots":    {strconv.Itoa(r.Report.Slots)},
+		"slowness": {formatRatio(r.Report.Slowness)},
+	}
+
+	setNumber(values, "waiting", r.Report.Waiting)
+	setNumber(values, "status", r.Status)
+	setText(values, "reason", r.Reason)
+	setText(values, "crash", r.Crash)
+
+	if r.Report.Open {
+		values.Set("open", "1")
+	}
+
+	if r.Unusable {
+		values.Set("unusable", "1")
+	}
+
+	if r.Report.Failing > 0 {
+		values.Set("failing", formatRatio(r.Report.Failing))
+	}
+
+	if r.Report.ColdFor > 0 {
+		values.Set("cold", formatDuration(r.Report.ColdFor))
+	}
+
+	return values.Encode()
+}
+
+func decodeReply(text string) (Reply, error) {
+	fields, err := parseFields(text)
+	if err != nil {
+		return Reply{}, err
+	}
+
+	parsed, err := verdict.Parse(fields.text("verdict"))
+	if err != nil {
+		return Reply{}, errors.Mark(err, ErrMalformed)
+	}
+
+	reply := Reply{
+		ID:       request.ID(fields.text("request")),
+		Number:   int(fields.integer("attempt")),
+		Verdict:  parsed,
+		Status:   int(fields.integer("status")),
+		Reason:   fields.text("reason"),
+		Unusable: fields.text("unusable") != "",
+		Crash:    fields.text("crash"),
+		Report: load.Report{
+			Server:      instance.ID(fields.text("server")),
+			Incarnation: instance.Incarnation(fields.integer("run")),
+			Counter:     uint64(fields.integer("counter")),
+			Open:        fields.text("open") != "",
+			Running:     int(fields.integer("running")),
+			Waiting:     int(fields.integer("waiting")),
+			Slots:       int(fields.integer("slots")),
+			Slowness:    fields.ratio("slowness"),
+			Failing:     fields.ratio("failing"),
+			ColdFor:     fields.duration("cold"),
+		},
+	}
+
+	return reply, fields.err
+}
+
+func setText(values url.Values, name, text string) {
+	if text != "" {
+		values.Set(name, text)
+	}
+}
+
+func setNumber(values url.Values, name string, number int) {
+	if number != 0 {
+		values.Set(name, strconv.Itoa(number))
+	}
+}
+
+func formatRatio(ratio float64) string { return strconv.FormatFloat(ratio, 'f', 3, 64) }
+
+// formatDuration writes microseconds.
+func formatDuration(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
+
+// fieldSet reads typed fields and keeps the first error.
+type fieldSet struct {
+	values url.Values
+	err    error
+}
+
+func parseFields(text string) (*fieldSet, error) {
+	values, err := url.ParseQuery(text)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "parse attempt header"), ErrMalformed)
+	}
+
+	return &fieldSet{values: values}, nil
+}
+
+func (f *fieldSet) text(name string) string { return f.values.Get(name) }
+
+// parse reads a field with a parser; a missing field is the zero value.
+func parse[T any](f *fieldSet, name string, parser func(string) (T, error)) T {
+	var zero T
+
+	text := f.text(name)
+	if text == "" {
+		return zero
+	}
+
+	value, err := parser(text)
+	if err != nil && f.err == nil {
+		f.err = errors.Mark(errors.Wrapf(err, "field %s", name), ErrMalformed)
+	}
+
+	return value
+}
+
+func (f *fieldSet) integer(name string) int64 {
+	return parse(f, name, func(text string) (int64, error) { return strconv.ParseInt(text, 10, 64) })
+}
+
+func (f *fieldSet) hexadecimal(name string) uint64 {
+	return parse(f, name, func(text string) (uint64, error) { return strconv.ParseUint(text, 16, 64) })
+}
+
+func (f *fieldSet) ratio(name string) float64 {
+	return parse(f, name, func(text string) (float64, error) { return strconv.ParseFloat(text, 64) })
+}
+
+func (f *fieldSet) duration(name string) time.Duration {
+	return time.Duration(f.integer(name)) * time.Microsecond
+}
--- /dev/null
+++ b/internal/v2/attempt/client.go
@@ -0,0 +1,276 @@
+package attempt
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/http1"
+	"github.com/tarragonmill/tarragonmill/internal/httpheader"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+const (
+	dialTimeout = time.Second
+	// idleTimeout is below the time for which the daemon at the other end keeps an unused connection.
+	idleTimeout = 30 * time.Second
+	// maxIdle bounds the unused connections to one daemon.
+	maxIdle = 16
+	// commitByte ends the body of a call. A request runs only after it has arrived.
+	commitByte = '\n'
+)
+
+// ErrForeign is returned for a reply that belongs to another request or attempt.
+var ErrForeign = errors.New("reply belongs to another attempt")
+
+// Client sends calls to other daemons.
+type Client struct {
+	key string
+
+	mutex sync.Mutex
+	pools map[netip.AddrPort]*http1.Pool
+}
+
+// NewClient returns a client that presents the fleet's key.
+func NewClient(key string) *Client {
+	return &Client{key: key, pools: make(map[netip.AddrPort]*http1.Pool)}
+}
+
+// Close closes unused connections.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	for _, pool := range c.pools {
+		pool.Close()
+	}
+}
+
+// Dials returns the number of connections opened.
+func (c *Client) Dials() int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	total := int64(0)
+	for _, pool := range c.pools {
+		total += pool.Dials()
+	}
+
+	return total
+}
+
+// Forget closes the unused connections to a daemon and drops it from the books.
+func (c *Client) Forget(peer netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if pool := c.pools[peer]; pool != nil {
+		pool.Close()
+		delete(c.pools, peer)
+	}
+}
+
+func (c *Client) pool(peer netip.AddrPort) *http1.Pool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	pool := c.pools[peer]
+	if pool == nil {
+		pool = http1.NewPool(peer, http1.WithDialTimeout(dialTimeout), http1.WithIdle(maxIdle, idleTimeout))
+		c.pools[peer] = pool
+	}
+
+	return pool
+}
+
+// Progress is told what the daemon beside the server says before its reply: that the request waits for a
+// slot, or that it runs.
+type Progress func(running bool)
+
+// Response is the reply to a call together with the backend server's header and body.
+type Response struct {
+	Reply  Reply
+	Header http.Header
+	// Body ends with an error other than io.EOF if the transfer is not whole.
+	Body io.ReadCloser
+	// Length of the body, or http1.UnknownLength.
+	Length int64
+}
+
+// Do sends a call to a daemon. The returned error carries a verdict: the request has not run if no
+// connection was made, or if it must not run twice and its body was not sent. When ctx ends, the call is
+// withdrawn.
+func (c *Client) Do(ctx context.Context, peer netip.AddrPort, call Call, progress Progress) (*Response, error) {
+	connection, err := c.pool(peer).Get(ctx, idleTimeout)
+	if err != nil {
+		return nil, verdict.WithError(verdict.NotRun, errors.Wrapf(err, "daemon %s", peer))
+	}
+
+	stop := connection.CloseOn(ctx)
+
+	e := &exchange{connection: connection, call: call, progress: progress, guarded: !call.Request.Idempotent()}
+
+	response, err := e.run(c.key)
+	if err != nil {
+		stop()
+		connection.Close()
+
+		return nil, verdict.WithError(e.verdict(), errors.Wrapf(err, "daemon %s", peer))
+	}
+
+	response.Body = &replyBody{reader: response.Body, connection: connection, stop: stop, close: e.close}
+
+	return response, nil
+}
+
+// exchange is a call in progress on a connection.
+type exchange struct {
+	connection *http1.ClientConn
+	call       Call
+	progress   Progress
+	// guarded calls send their body only when the request has a slot.
+	guarded bool
+	// committed is set before the commit byte is handed to the connection.
+	committed bool
+	close     bool
+}
+
+func (e *exchange) verdict() verdict.Verdict {
+	if e.committed {
+		return verdict.MayHaveRun
+	}
+
+	return verdict.NotRun
+}
+
+func (e *exchange) run(key string) (*Response, error) {
+	if err := e.send(key); err != nil {
+		return nil, err
+	}
+
+	for {
+		response, err := e.connection.Read(http.MethodPost) //nolint:bodyclose // replyBody closes it
+		if err != nil {
+			return nil, err
+		}
+
+		switch response.StatusCode {
+		case http.StatusProcessing:
+			e.progress(false)
+		case http.StatusContinue:
+			if err := e.commit(); err != nil {
+				return nil, err
+			}
+
+			e.progress(true)
+		default:
+			return e.finish(response)
+		}
+	}
+}
+
+func (e *exchange) send(key string) error {
+	head := http1.Request{
+		Method: http.MethodPost, Target: Path, Host: "daemon",
+		Header: make(http.Header, len(e.call.Header)+3),
+	}
+
+	httpheader.Copy(head.Header, e.call.Header)
+	head.Header[FleetHeader] = []string{key}
+	head.Header[CallHeader] = []string{e.call.encode()}
+
+	if e.guarded {
+		head.Header["Expect"] = []string{"100-continue"}
+
+		return e.connection.WriteHead(head, int64(len(e.call.Body))+1)
+	}
+
+	head.Body = e.body()
+	e.committed = true
+
+	return e.connection.Write(head)
+}
+
+func (e *exchange) body() []byte {
+	body := make([]byte, 0, len(e.call.Body)+1)
+
+	return append(append(body, e.call.Body...), commitByte)
+}
+
+// commit sends the body of a guarded call.
+func (e *exchange) commit() error {
+	if e.committed {
+		return nil
+	}
+
+	e.committed = true
+
+	return e.connection.WriteBody(e.body())
+}
+
+func (e *exchange) finish(response *http.Response) (*Response, error) {
+	e.close = response.Close
+
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("daemon answered with status %d", response.StatusCode)
+	}
+
+	reply, err := decodeReply(response.Header.Get(ReplyHeader))
+	if err != nil {
+		return nil, err
+	}
+
+	if reply.ID != e.call.Request.ID || reply.Number != e.call.Number {
+		return nil, errors.Wrapf(ErrForeign, "sent %s/%d, received %s/%d",
+			e.call.Request.ID, e.call.Number, reply.ID, reply.Number)
+	}
+
+	return &Response{
+		Reply: reply, Header: httpheader.Forwardable(response.Header), Body: response.Body, Length: response.ContentLength,
+	}, nil
+}
+
+// replyBody gives the connection back at the end of the body.
+type replyBody struct {
+	reader     io.ReadCloser
+	connection *http1.ClientConn
+	stop       func() bool
+	close      bool
+	ended      bool
+}
+
+// Read implements io.Reader.
+func (b *replyBody) Read(data []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+
+	n, err := b.reader.Read(data)
+	if errors.Is(err, io.EOF) {
+		b.ended = true
+
+		if b.stop() && !b.close {
+			b.connection.Release()
+		} else {
+			b.connection.Close()
+		}
+	}
+
+	return n, err
+}
+
+// Close ends the connection unless the body was read to its end.
+func (b *replyBody) Close() error {
+	if !b.ended {
+		b.ended = true
+		b.stop()
+		b.connection.Close()
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/v2/caller/refusal.go
@@ -0,0 +1,110 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/http1"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// Refusal is the final answer to a request that no backend server answered.
+type Refusal struct {
+	Verdict verdict.Verdict
+	Reason  Reason
+	// RetryAfter says when to come back; zero if that would not help.
+	RetryAfter time.Duration
+}
+
+func notRun(reason Reason) Refusal { return Refusal{Verdict: verdict.NotRun, Reason: reason} }
+
+// Reason is the machine-readable cause of a refusal. Reasons of the reducers are passed on as they are.
+type Reason string
+
+// Reasons that arise at the caller interface and those that map to a status of their own.
+const (
+	Unsupported  Reason = "unsupported"
+	NoManifest   Reason = "no-manifest"
+	NoRule       Reason = "no-rule"
+	BodyTooLarge Reason = "body-too-large"
+	BodyBroken   Reason = "body-broken"
+	TooDeep      Reason = "too-deep"
+	Deadline     Reason = "deadline"
+)
+
+// statuses gives the HTTP status of reasons that have one of their own, if the request was not run.
+var statuses = map[Reason]int{
+	Unsupported:  http.StatusNotImplemented,
+	NoRule:       http.StatusNotFound,
+	BodyTooLarge: http.StatusRequestEntityTooLarge,
+	BodyBroken:   http.StatusBadRequest,
+	TooDeep:      http.StatusLoopDetected,
+}
+
+// Status returns the HTTP status of a refusal.
+func (r Refusal) Status() int {
+	if status, ok := statuses[r.Reason]; ok {
+		return status
+	}
+
+	switch {
+	case r.Verdict == verdict.NotRun:
+		return http.StatusServiceUnavailable
+	case r.Reason == Deadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// titles explains the verdicts to a person.
+var titles = map[verdict.Verdict]string{
+	verdict.NotRun:     "The request was not run.",
+	verdict.MayHaveRun: "The request may have run; its outcome is not known.",
+}
+
+// problem is the wire form of a refusal.
+type problem struct {
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Verdict string `json:"verdict"`
+	Reason  string `json:"reason"`
+}
+
+func (r Refusal) response() http1.Response {
+	status := r.Status()
+
+	var body bytes.Buffer
+
+	// A struct of texts and numbers can always be encoded.
+	_ = json.NewEncoder(&body).Encode(problem{
+		Title: titles[r.Verdict], Status: status, Verdict: r.Verdict.String(), Reason: string(r.Reason),
+	})
+
+	header := make(http.Header)
+	header.Set("Content-Type", "application/problem+json")
+	header.Set(verdictHeader, r.Verdict.String())
+
+	return http1.Response{
+		Status: status, Header: header, Body: http1.Body{Reader: &body, Length: int64(body.Len())},
+	}
+}
+
+func (r Refusal) setRetryAfter(header http.Header, fractional bool) {
+	if r.RetryAfter <= 0 {
+		return
+	}
+
+	seconds := r.RetryAfter.Seconds()
+	if fractional {
+		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
+
+		return
+	}
+
+	header.Set("Retry-After", strconv.FormatInt(int64(math.Ceil(seconds)), 10))
+}
--- /dev/null
+++ b/internal/v2/core/core.go
@@ -0,0 +1,266 @@
+// Package core composes the reducers of routing, admission, health, suspects, membership and
+// configuration into the one reducer of a daemon.
+//
+// It does no I/O and reads no clock: the daemon feeds events in and performs the effects that come
+// out. Equal events give equal effects, so that a recording can be replayed.
+package core
+
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/suspects"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
+	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+)
+
+// CrashesServers is the reason for refusing a request that crashed servers before.
+const CrashesServers = "crashes-servers"
+
+// Options are what a daemon starts with.
+type Options struct {
+	Self instance.Member
+	// Queue is the number of requests that may wait for a slot, for each slot.
+	QueuePerSlot int
+	// FixedSlots is the number of slots of a server that does not announce itself; zero for one that does.
+	FixedSlots int
+	// ProbeInterval is the age of the load at which a watched server is probed; zero for never.
+	ProbeInterval time.Duration
+	Repeats       routing.Repeats
+	Seed          uint64
+}
+
+// State is the whole state of a daemon's decisions. It is not safe for concurrent use.
+type State struct {
+	options    Options
+	routing    *routing.State
+	admission  *admission.State
+	health     *health.State
+	suspects   *suspects.State
+	membership *membership.State
+
+	requests map[request.ID]request.Request
+	serving  map[admission.Attempt]*served
+	// order lists the attempts in service in order of arrival, so that effects do not depend on map order.
+	order []admission.Attempt
+	// crashes counts the crashes of the local backend server.
+	crashes int
+	splits  map[string]*split
+
+	version  uint64
+	draining bool
+	// told is the load that others were told last, and counter its number.
+	told    load.Report
+	counter uint64
+	// server is the backend server that connections lead to.
+	server   backend.ID
+	expiring time.Time
+}
+
+// served is an attempt at the local backend server.
+type served struct {
+	request request.Request
+	started bool
+	// crash identifies the crash that the attempt met, or is empty.
+	crash string
+}
+
+// New returns the state of a daemon that has not started.
+func New(options Options) *State {
+	healthOptions := []health.Option{health.WithProbeInterval(options.ProbeInterval)}
+	if options.FixedSlots > 0 {
+		healthOptions = append(healthOptions, health.WithFixedServer(options.FixedSlots))
+	}
+
+	return &State{
+		options: options,
+		routing: routing.New(routing.WithSelf(options.Self), routing.WithSeed(options.Seed),
+			routing.WithRepeats(options.Repeats)),
+		admission:  admission.New(),
+		health:     health.New(healthOptions...),
+		suspects:   suspects.New(),
+		membership: membership.New(options.Self, options.Seed),
+		requests:   make(map[request.ID]request.Request),
+		serving:    make(map[admission.Attempt]*served),
+		splits:     make(map[string]*split),
+	}
+}
+
+// Apply handles one event.
+func (s *State) Apply(now time.Time, event Event) []Effect {
+	effects := s.apply(now, event)
+
+	return append(effects, s.settle(now)...)
+}
+
+func (s *State) apply(now time.Time, event Event) []Effect {
+	switch e := event.(type) {
+	case Started:
+		return s.fromMembership(now, s.membership.Apply(now, membership.Started{}))
+	case RequestArrived:
+		return s.requestArrived(now, e)
+	case RequestCancelled:
+		return s.fromRouting(now, s.routing.Apply(now, routing.Cancelled{ID: e.ID}))
+	case AttemptEnded:
+		return s.attemptEnded(now, e)
+	case AttemptArrived:
+		return s.attemptArrived(now, e)
+	case AttemptServed:
+		return s.attemptServed(now, e)
+	case ServerCrashed:
+		return s.serverCrashed(now, e.Only)
+	case ManifestRead:
+		return s.manifestRead(now, e)
+	case DrainStarted:
+		return s.drain(now)
+	case Resumed:
+		return s.fromMembership(now, s.membership.Apply(now, membership.Resumed{}))
+	case Tick:
+		return s.tick(now)
+	default:
+		return s.delegate(now, event)
+	}
+}
+
+// delegate passes an event to the package that it belongs to.
+func (s *State) delegate(now time.Time, event Event) []Effect {
+	switch e := event.(type) {
+	case routing.Event:
+		return s.fromRouting(now, s.routing.Apply(now, e))
+	case admission.Event:
+		return s.toAdmission(now, e)
+	case health.Event:
+		return s.toHealth(now, e)
+	case suspects.Event:
+		return list(s.suspects.Apply(now, e))
+	case membership.Event:
+		return s.fromMembership(now, s.membership.Apply(now, e))
+	default:
+		return nil
+	}
+}
+
+func list[T any](effects []T) []Effect {
+	all := make([]Effect, len(effects))
+	for i, effect := range effects {
+		all[i] = effect
+	}
+
+	return all
+}
+
+// suspectsInterval is the time between two looks for suspicions that have expired.
+const suspectsInterval = time.Minute
+
+func (s *State) tick(now time.Time) []Effect {
+	effects := s.fromRouting(now, s.routing.Apply(now, routing.Tick{}))
+	effects = append(effects, s.toAdmission(now, admission.Tick{})...)
+	effects = append(effects, s.toHealth(now, health.Tick{})...)
+	effects = append(effects, s.fromMembership(now, s.membership.Apply(now, membership.Tick{}))...)
+
+	if !now.Before(s.expiring) {
+		s.expiring = now.Add(suspectsInterval)
+		effects = append(effects, list(s.suspects.Apply(now, suspects.Tick{}))...)
+	}
+
+	return effects
+}
+
+// Next is when Tick is due; the zero time if nothing waits.
+func (s *State) Next() time.Time {
+	var next time.Time
+
+	for _, at := range []time.Time{
+		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(),
+	} {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+
+	return next
+}
+
+// manifestRead puts a configuration in force unless it is older than the one that is.
+func (s *State) manifestRead(now time.Time, e ManifestRead) []Effect {
+	if e.Version <= s.version {
+		return nil
+	}
+
+	s.version = e.Version
+	effects := s.fromRouting(now, s.routing.Apply(now, routing.PolicyChanged{Services: e.Manifest.Services}))
+
+	return append(effects, ManifestChanged(e))
+}
+
+func (s *State) drain(now time.Time) []Effect {
+	s.draining = true
+
+	return s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))
+}
+
+// entry describes the daemon for the store.
+func (s *State) entry() membership.Entry {
+	entry := s.membership.Self()
+	entry.Server = string(s.health.Server())
+	entry.Left = s.health.Closed() == admission.IsDraining || s.health.Server() != "" && s.health.Server() == s.health.Left()
+	entry.Member.Slots = s.health.Slots()
+	entry.Member.Status = instance.Alive
+
+	if s.draining {
+		entry.Member.Status = instance.Draining
+	}
+
+	return entry
+}
+
+// split spreads the requests of one route over its parts by weight.
+type split struct {
+	parts   []manifest.Part
+	current []int
+}
+
+// choosePart returns the service for the next request of a route. Each part gets its share of any run of
+// requests, whatever its servers can take: what does not fit is refused and not moved.
+func (s *State) choosePart(route string, parts []manifest.Part) string {
+	sp := s.splits[route]
+	if sp == nil || !equalParts(sp.parts, parts) {
+		sp = &split{parts: parts, current: make([]int, len(parts))}
+		s.splits[route] = sp
+	}
+
+	best, total := 0, 0
+
+	for i, part := range parts {
+		sp.current[i] += part.Weight
+		total += part.Weight
+
+		if sp.current[i] > sp.current[best] {
+			best = i
+		}
+	}
+
+	sp.current[best] -= total
+
+	return parts[best].Service
+}
+
+func equalParts(a, b []manifest.Part) bool {
+	if len(a) != len(b) {
+		return false
+	}
+
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+
+	return true
+}
--- /dev/null
+++ b/internal/v2/core/members.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/suspects"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
+	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
+)
+
+// fromMembership passes what is learned of other daemons to the packages that need it.
+func (s *State) fromMembership(now time.Time, effects []membership.Effect) []Effect {
+	var all []Effect
+
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case membership.MembersChanged:
+			all = append(all, s.fromRouting(now, s.routing.Apply(now, routing.MembersChanged(e)))...)
+			all = append(all, e)
+		case membership.Reported:
+			all = append(all, s.fromRouting(now, s.routing.Apply(now, routing.Reported(e)))...)
+		case membership.Ready:
+			all = append(all, s.membersReady(now, e)...)
+			all = append(all, e)
+		default:
+			all = append(all, effect)
+		}
+	}
+
+	return all
+}
+
+// membersReady takes what an earlier run of this daemon has stored.
+func (s *State) membersReady(now time.Time, e membership.Ready) []Effect {
+	var effects []Effect
+
+	if e.Own.Member.Incarnation >= s.options.Self.Incarnation {
+		// The clock was set back since the earlier run; others would take this one for it.
+		s.options.Self.Incarnation = e.Own.Member.Incarnation + 1
+		entry := s.entry()
+		entry.Member.Incarnation = s.options.Self.Incarnation
+		effects = s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: entry}))
+	}
+
+	if e.Own.Server != "" && e.Own.Member.Service == s.options.Self.Service {
+		effects = append(effects, s.toHealth(now, health.Started{Last: backend.ID(e.Own.Server), Left: e.Own.Left})...)
+	}
+
+	return effects
+}
+
+// Members returns the members that may take work.
+func (s *State) Members() int { return s.membership.Members() }
+
+// Version returns the version of the configuration in force, or zero.
+func (s *State) Version() uint64 { return s.version }
+
+// Server returns the backend server that requests are meant for; empty if it has no name.
+func (s *State) Server() backend.ID { return s.health.Server() }
+
+// Self returns the daemon's own member.
+func (s *State) Self() instance.Member { return s.membership.Self().Member }
+
+// Busy is the number of requests and attempts in progress.
+func (s *State) Busy() int { return len(s.requests) + len(s.serving) }
+
+// Dump is the state in plain values.
+type Dump struct {
+	Requests   int
+	Serving    int
+	Crashes    int
+	Version    uint64
+	Draining   bool
+	Routing    routing.Dump
+	Admission  admission.Dump
+	Health     health.Dump
+	Suspects   suspects.Dump
+	Membership membership.Dump
+	Told       load.Report
+}
+
+// Dump returns the state for the state dump.
+func (s *State) Dump(now time.Time) Dump {
+	return Dump{
+		Requests: len(s.requests), Serving: len(s.serving), Crashes: s.crashes, Version: s.version,
+		Draining: s.draining, Routing: s.routing.Dump(now), Admission: s.admission.Dump(),
+		Health: s.health.Dump(now), Suspects: s.suspects.Dump(now), Membership: s.membership.Dump(now), Told: s.told,
+	}
+}
--- /dev/null
+++ b/internal/v2/core/messages.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// Event is an event of this package or of one of the packages that it is composed of.
+type Event any
+
+// Effect is an effect of this package or of one of the packages that it is composed of.
+type Effect any
+
+type (
+	// Started begins the life of the daemon.
+	Started struct{}
+	// RequestArrived brings a request of a caller. If Parts is not empty, the service is chosen by weight.
+	RequestArrived struct {
+		Request request.Request
+		Parts   []manifest.Part
+	}
+	// RequestCancelled reports that the caller has left.
+	RequestCancelled struct{ ID request.ID }
+	// AttemptEnded reports the end of an attempt of this daemon as entry.
+	AttemptEnded struct {
+		Ended routing.Ended
+		// Report is the load that the reply carried; without a server if it carried none.
+		Report load.Report
+		// Crash identifies the crash of the backend server that ended the attempt, or is empty.
+		Crash string
+		// Alone is set if the attempt asked for a server of its own.
+		Alone bool
+	}
+	// AttemptArrived brings an attempt for the backend server beside this daemon.
+	AttemptArrived struct {
+		Attempt admission.Attempt
+		Request request.Request
+		Wait    time.Duration
+		Slowest float64
+	}
+	// AttemptServed reports the end of an attempt at the backend server.
+	AttemptServed struct {
+		Attempt admission.Attempt
+		// Ran is set if the server has begun to work on it, Failed if it could not do its work.
+		Ran, Failed bool
+	}
+	// ServerCrashed reports that the backend server has died, or only broken the connection of one attempt.
+	ServerCrashed struct{ Only admission.Attempt }
+	// ManifestRead brings a configuration that was read.
+	ManifestRead struct {
+		Version  uint64
+		Manifest manifest.Manifest
+	}
+	// DrainStarted makes the daemon take no further work from others.
+	DrainStarted struct{}
+	// Resumed reports that the process stood still for some time.
+	Resumed struct{}
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+type (
+	// Refuse ends a request of a caller without a response.
+	Refuse struct {
+		ID      request.ID
+		Verdict verdict.Verdict
+		Reason  string
+		// RetryAfter is when another try makes sense; zero if it makes none.
+		RetryAfter time.Duration
+	}
+	// ManifestChanged puts a configuration in force.
+	ManifestChanged struct {
+		Version  uint64
+		Manifest manifest.Manifest
+	}
+	// ServerReplaced reports that another backend server is at the address.
+	ServerReplaced struct{ ID backend.ID }
+)
--- /dev/null
+++ b/internal/v2/core/serving.go
@@ -0,0 +1,252 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/suspects"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
+	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
+)
+
+// attemptArrived asks admission for a slot. The check for suspects stands here too, because the entry
+// may not have heard of a crash yet.
+func (s *State) attemptArrived(now time.Time, e AttemptArrived) []Effect {
+	switch s.suspects.Check(now, e.Request) {
+	case suspects.Barred:
+		return []Effect{admission.Refuse{Attempt: e.Attempt, Reason: CrashesServers}}
+	case suspects.Alone:
+		e.Request = e.Request.WithAlone()
+	case suspects.Free:
+	}
+
+	s.serving[e.Attempt] = &served{request: e.Request}
+	s.order = append(s.order, e.Attempt)
+
+	return s.toAdmission(now, admission.Arrived{
+		Attempt:  e.Attempt,
+		Deadline: e.Request.Deadline,
+		Nested:   e.Request.Nested(),
+		Priority: e.Request.Priority,
+		Alone:    e.Request.Alone,
+		Wait:     e.Wait,
+		Slowest:  e.Slowest,
+	})
+}
+
+// toAdmission applies an event and keeps the list of what is at the backend server.
+func (s *State) toAdmission(now time.Time, event admission.Event) []Effect {
+	if done, ok := event.(admission.Done); ok {
+		s.forget(done.Attempt)
+	}
+
+	effects := s.admission.Apply(now, event)
+	all := make([]Effect, 0, len(effects))
+
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case admission.Start:
+			if at, ok := s.serving[e.Attempt]; ok {
+				at.started = true
+			}
+		case admission.Refuse:
+			s.forget(e.Attempt)
+		}
+
+		all = append(all, effect)
+	}
+
+	if cancelled, ok := event.(admission.Cancelled); ok {
+		if at, known := s.serving[cancelled.Attempt]; known && !at.started {
+			s.forget(cancelled.Attempt)
+		}
+	}
+
+	return all
+}
+
+func (s *State) forget(attempt admission.Attempt) {
+	if _, ok := s.serving[attempt]; !ok {
+		return
+	}
+
+	delete(s.serving, attempt)
+	s.order = slices.DeleteFunc(s.order, func(a admission.Attempt) bool { return a == attempt })
+}
+
+func (s *State) attemptServed(now time.Time, e AttemptServed) []Effect {
+	effects := s.toAdmission(now, admission.Done{Attempt: e.Attempt})
+
+	if e.Ran {
+		effects = append(effects, s.toHealth(now, health.Ran{Failed: e.Failed})...)
+	}
+
+	return effects
+}
+
+// toHealth applies an event and tells admission and membership what it changes.
+func (s *State) toHealth(now time.Time, event health.Event) []Effect {
+	var all []Effect
+
+	for _, effect := range s.health.Apply(now, event) {
+		if _, changed := effect.(health.Changed); !changed {
+			all = append(all, effect)
+
+			continue
+		}
+
+		if id := s.health.Server(); id != s.server {
+			s.server = id
+			all = append(all, ServerReplaced{ID: id})
+		}
+
+		all = append(all, s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))...)
+	}
+
+	return append(all, s.toAdmission(now, admission.ServerChanged{
+		Closed: s.health.Closed(), Slots: s.health.Slots(),
+		Queue: s.options.QueuePerSlot * s.health.Slots(), Slowness: s.health.Slowness(),
+	})...)
+}
+
+// settle tells routing and the other daemons how the own server is loaded, if that has changed.
+func (s *State) settle(now time.Time) []Effect {
+	watched := s.membership.Watched(now) || s.admission.Running() > 0
+	effects := s.busy(now, watched)
+
+	report := s.loadReport(now)
+	if !significant(s.told, report) {
+		return effects
+	}
+
+	s.counter++
+	report.Counter = s.counter
+	s.told = report
+
+	own := report
+	own.Open = s.health.Closed() == ""
+	effects = append(effects, s.fromRouting(now, s.routing.Apply(now, routing.Reported{Report: own}))...)
+
+	return append(effects, s.fromMembership(now, s.membership.Apply(now, membership.LoadChanged{
+		Report: report, Version: s.version, Urgent: true,
+	}))...)
+}
+
+// busy tells health whether the load is of interest.
+func (s *State) busy(now time.Time, watched bool) []Effect {
+	if watched == s.health.Watched() {
+		return nil
+	}
+
+	return s.toHealth(now, health.Busy{Watched: watched})
+}
+
+func (s *State) loadReport(now time.Time) load.Report {
+	return load.Report{
+		Server: s.options.Self.ID, Incarnation: s.membership.Self().Member.Incarnation,
+		Open:    s.health.Closed() == "" && !s.draining,
+		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.health.Slots(),
+		Slowness: s.health.Slowness(), Failing: s.health.Failing(now), ColdFor: s.health.ColdFor(now),
+	}
+}
+
+const (
+	// slownessStep is the relative change of the slowness that others are told.
+	slownessStep = 1.15
+	// failingStep is the change of the share of failures that others are told.
+	failingStep = 0.08
+)
+
+// significant reports whether a change of the load matters to those who choose a server. How many of its
+// slots are taken does not matter while half of them are free.
+func significant(before, after load.Report) bool {
+	if before.Server == "" || before.Open != after.Open || before.Slots != after.Slots ||
+		before.Incarnation != after.Incarnation {
+		return true
+	}
+
+	if after.Slowness > before.Slowness*slownessStep || after.Slowness*slownessStep < before.Slowness {
+		return true
+	}
+
+	if diff := after.Failing - before.Failing; diff > failingStep || diff < -failingStep {
+		return true
+	}
+
+	was, is := before.Running+before.Waiting, after.Running+after.Waiting
+
+	return was != is && 2*max(was, is) >= after.Slots
+}
+
+// Report is the present load of the backend server, for a reply.
+func (s *State) Report(now time.Time) load.Report {
+	report := s.loadReport(now)
+	s.counter++
+	report.Counter = s.counter
+
+	return report
+}
+
+// serverCrashed makes everything that was in flight suspect. The attempts that were in flight notice
+// the crash one after the other; each is reported once.
+func (s *State) serverCrashed(now time.Time, only admission.Attempt) []Effect {
+	var (
+		requests []request.Request
+		hit      []*served
+	)
+
+	for _, attempt := range s.order {
+		at := s.serving[attempt]
+		if !at.started || at.crash != "" || (only.ID != "" && only != attempt) {
+			continue
+		}
+
+		requests = append(requests, at.request)
+		hit = append(hit, at)
+	}
+
+	if len(requests) == 0 {
+		return nil
+	}
+
+	s.crashes++
+	source := fmt.Sprintf("%s/%d/%d", s.options.Self.ID, s.options.Self.Incarnation, s.crashes)
+
+	for _, at := range hit {
+		at.crash = source
+	}
+
+	return list(s.suspects.Apply(now, suspects.Crashed{Source: source, Requests: requests}))
+}
+
+// Crash returns the identifier of the crash that an attempt at the local backend server met, or an
+// empty text.
+func (s *State) Crash(attempt admission.Attempt) string {
+	if at, ok := s.serving[attempt]; ok {
+		return at.crash
+	}
+
+	return ""
+}
+
+// Parent returns the request in flight at the local backend server that carries a call token.
+func (s *State) Parent(call string) (request.Request, bool) {
+	for _, attempt := range s.order {
+		if at := s.serving[attempt]; at.started && CallToken(attempt) == call {
+			return at.request, true
+		}
+	}
+
+	return request.Request{}, false
+}
+
+// CallToken identifies an attempt towards the backend server. It cannot be guessed, because request
+// identifiers are random.
+func CallToken(attempt admission.Attempt) string {
+	return fmt.Sprintf("%s.%d", attempt.ID, attempt.Number)
+}
--- /dev/null
+++ b/internal/v2/daemon/drain.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/v2/core"
+	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
+)
+
+const (
+	// noticePeriod is how long a leaving daemon takes new connections, until whoever sends callers here has
+	// seen twice in a row, a second apart, that it is not ready.
+	noticePeriod = 2300 * time.Millisecond
+	// quietPeriod is how long no request may be in progress before the sockets close.
+	quietPeriod = 150 * time.Millisecond
+	// drainMargin is kept between the end of the drain and the time at which the process is killed.
+	drainMargin = 400 * time.Millisecond
+	drainStep   = 25 * time.Millisecond
+	acceptPause = 20 * time.Millisecond
+	// leaveWait is the time for the last call to the store.
+	leaveWait = 100 * time.Millisecond
+
+	// resumeInterval is the time between two looks at whether the process stood still.
+	resumeInterval = 500 * time.Millisecond
+)
+
+// waitAndDrain waits for the end of ctx, and then until no request is in progress.
+func (d *Daemon) waitAndDrain(ctx context.Context) error {
+	<-ctx.Done()
+
+	begun := time.Now()
+	limit := begun.Add(d.settings.Load().Grace - drainMargin)
+
+	d.logger.Info().Msg("stopping")
+	d.leaving.Store(true)
+	d.apply(core.DrainStarted{})
+	d.callers.Drain()
+
+	quiet := time.Now()
+
+	for time.Now().Before(limit) {
+		time.Sleep(drainStep)
+
+		if d.busy() {
+			quiet = time.Now()
+		}
+
+		if time.Since(begun) > noticePeriod && time.Since(quiet) > quietPeriod {
+			break
+		}
+	}
+
+	d.peers.Drain()
+	d.apply(membership.Left{})
+	time.Sleep(leaveWait)
+
+	return nil
+}
+
+func (d *Daemon) busy() bool {
+	if d.callers.Open() > 0 || d.peers.Open() > 0 {
+		return true
+	}
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.state.Busy() > 0
+}
--- /dev/null
+++ b/internal/v2/daemon/follow.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/store"
+	"github.com/tarragonmill/tarragonmill/internal/v2/core"
+)
+
+const (
+	// configWait is how long one read waits for a new configuration.
+	configWait = 25 * time.Second
+	// followMin and followMax bound the pause after a failed read.
+	followMin = 50 * time.Millisecond
+	followMax = 800 * time.Millisecond
+)
+
+// followConfiguration reads the operator's configuration and every later one until ctx ends.
+func (d *Daemon) followConfiguration(ctx context.Context) error {
+	f := follower{daemon: d, pause: followMin, connected: true}
+
+	for ctx.Err() == nil {
+		f.step(ctx)
+	}
+
+	return nil
+}
+
+// follower reads one topic.
+type follower struct {
+	daemon *Daemon
+	// from is the offset to read next, valid if listed is set.
+	from      int64
+	listed    bool
+	pause     time.Duration
+	connected bool
+}
+
+// step makes one call to the store.
+func (f *follower) step(ctx context.Context) {
+	page, err := f.read(ctx)
+
+	switch {
+	case err == nil:
+		f.pause = followMin
+		f.report(nil)
+		f.take(page)
+	case errors.Is(err, store.ErrExpired):
+		f.listed = false
+	case ctx.Err() != nil:
+	case errors.Is(err, errReread):
+		f.listed = false
+	default:
+		f.report(err)
+		sleep(ctx, f.pause/2+rand.N(f.pause))
+
+		f.pause = min(2*f.pause, followMax)
+		// What was missed is found faster among the newest records.
+		f.listed = false
+	}
+}
+
+// errReread ends a read because another daemon has a newer configuration.
+var errReread = errors.New("a newer configuration was heard of")
+
+func (f *follower) read(ctx context.Context) (store.Page, error) {
+	if !f.listed {
+		page, err := f.daemon.platform.Configuration.Newest(ctx)
+		if err == nil {
+			f.from, f.listed = page.End, true
+		}
+
+		return page, err
+	}
+
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+
+	stop := make(chan struct{})
+	defer close(stop)
+
+	go func() {
+		select {
+		case <-f.daemon.reread:
+			cancel(errReread)
+		case <-stop:
+		}
+	}()
+
+	page, err := f.daemon.platform.Configuration.Read(ctx, f.from, configWait)
+	if err == nil {
+		f.from = page.Next(f.from)
+	} else if errors.Is(context.Cause(ctx), errReread) {
+		return page, errReread
+	}
+
+	return page, err
+}
+
+// take puts the newest configuration of a page in force.
+func (f *follower) take(page store.Page) {
+	d := f.daemon
+
+	for _, record := range page.Records {
+		if record.Key != d.platform.ConfigKey || len(record.Value) == 0 {
+			continue
+		}
+
+		version, m, err := d.platform.Decode(record.Value)
+		if err == nil {
+			err = m.Validate()
+		}
+
+		if err != nil {
+			d.logger.Warn().Err(err).Int64("offset", record.Offset).Msg("configuration ignored")
+
+			continue
+		}
+
+		d.apply(core.ManifestRead{Version: version, Manifest: m})
+	}
+}
+
+// report logs a lost and a regained store.
+func (f *follower) report(err error) {
+	if connected := err == nil; connected != f.connected {
+		f.connected = connected
+
+		if connected {
+			f.daemon.logger.Info().Msg("store regained")
+		} else {
+			f.daemon.logger.Warn().Err(err).Msg("store lost")
+		}
+	}
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/v2/daemon/local.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/health"
+)
+
+// probeTimeout bounds a probe of the backend server, which answers within milliseconds.
+const probeTimeout = 400 * time.Millisecond
+
+// probe asks the backend server for its health. The mutex is held.
+func (d *Daemon) probe() {
+	path := d.healthPath()
+
+	d.tasks.Go("probe", func(ctx context.Context) {
+		if path == "" {
+			d.apply(health.Probed{})
+
+			return
+		}
+
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+
+		answer, err := d.backend.Probe(ctx, path)
+		if errors.Is(err, backend.ErrUnreachable) {
+			d.apply(health.Refused{})
+		}
+
+		d.apply(health.Probed{
+			Answered: err == nil, Healthy: answer.Healthy, ID: answer.Instance, Load: answer.Load, Loaded: answer.Loaded,
+		})
+	})
+}
+
+// healthPath is the path of the own service in the manifest, or that of the settings.
+func (d *Daemon) healthPath() string {
+	chosen := d.settings.Load()
+
+	if m := d.manifest.Load(); m != nil {
+		for _, service := range m.Services {
+			if service.Name == chosen.Service && service.Health != "" {
+				return service.Health
+			}
+		}
+	}
+
+	return chosen.Backend.Health
+}
+
+var (
+	errOtherService = errors.New("announcement is of another service")
+	errOtherAddress = errors.New("announcement is of another address")
+	errNoSlots      = errors.New("announcement states no slots")
+)
+
+// Announce implements Announcements.
+func (d *Daemon) Announce(_ context.Context, a backend.Announcement) error {
+	if err := d.checkAnnouncement(a); err != nil {
+		d.logger.Warn().Err(err).Str("server", string(a.ID)).Msg("announcement refused")
+
+		return err
+	}
+
+	d.apply(health.Announced{Announcement: a})
+
+	if a.Draining {
+		d.logger.Info().Str("server", string(a.ID)).Int64("sequence", a.Sequence).Msg("backend server drains")
+	}
+
+	return nil
+}
+
+func (d *Daemon) checkAnnouncement(a backend.Announcement) error {
+	chosen := d.settings.Load()
+
+	switch {
+	case a.Service != chosen.Service:
+		return errOtherService
+	case a.Address != chosen.Backend.Address:
+		return errOtherAddress
+	case a.Slots <= 0:
+		return errNoSlots
+	default:
+		return nil
+	}
+}
+
+// Withdraw implements Announcements.
+func (d *Daemon) Withdraw(_ context.Context, id backend.ID, born time.Time) error {
+	d.apply(health.Withdrawn{ID: id, Born: born})
+	d.logger.Info().Str("server", string(id)).Msg("backend server withdrew")
+
+	return nil
+}
--- /dev/null
+++ b/internal/v2/daemon/loop.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/suspects"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+	"github.com/tarragonmill/tarragonmill/internal/v2/core"
+	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
+	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+)
+
+// apply feeds an event to the reducer and performs its effects. Effects only start tasks, send datagrams or
+// on buffered channels, or queue further events, so that the mutex is held briefly.
+func (d *Daemon) apply(event core.Event) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	d.applyLocked(event)
+}
+
+// applyLocked is apply for a holder of the mutex, which may itself be performing an effect.
+func (d *Daemon) applyLocked(event core.Event) {
+	d.pending = append(d.pending, event)
+	if d.applying {
+		return
+	}
+
+	d.applying = true
+
+	for len(d.pending) > 0 {
+		next := d.pending[0]
+		d.pending = d.pending[1:]
+		now := d.now()
+
+		for _, effect := range d.state.Apply(now, next) {
+			d.perform(effect)
+		}
+	}
+
+	d.applying = false
+	d.pending = d.pending[:0]
+	d.arm()
+}
+
+// arm sets the timer to when the reducer wants to know the time. The mutex is held.
+func (d *Daemon) arm() {
+	next := d.state.Next()
+	if next.Equal(d.armed) || d.timer == nil {
+		return
+	}
+
+	d.armed = next
+	if next.IsZero() {
+		d.timer.Stop()
+
+		return
+	}
+
+	d.timer.Reset(max(0, next.Sub(d.now())))
+}
+
+// tick is run by the timer.
+func (d *Daemon) tick() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	d.armed = time.Time{}
+	d.applyLocked(core.Tick{})
+}
+
+// perform starts what an effect asks for. The mutex is held.
+func (d *Daemon) perform(effect core.Effect) {
+	switch e := effect.(type) {
+	case routing.Effect:
+		d.performRouting(e)
+	case admission.Effect:
+		d.performAdmission(e)
+	case membership.Effect:
+		d.performMembership(e)
+	case health.Probe:
+		d.probe()
+	case suspects.Announce:
+		d.announceSuspects(e)
+	case core.Refuse:
+		d.refuse(e)
+	case core.ManifestChanged:
+		d.changeManifest(e)
+	case core.ServerReplaced:
+		d.logger.Info().Str("server", string(e.ID)).Msg("backend server changed")
+		d.backend.Forget()
+	}
+}
+
+func (d *Daemon) performRouting(effect routing.Effect) {
+	switch e := effect.(type) {
+	case routing.Attempt:
+		d.startAttempt(e)
+	case routing.CancelAttempt:
+		d.cancelAttempt(e)
+	case routing.Deliver:
+		d.deliver(e)
+	}
+}
+
+func (d *Daemon) performAdmission(effect admission.Effect) {
+	switch e := effect.(type) {
+	case admission.Start:
+		d.decide(e.Attempt, decision{start: true})
+	case admission.Refuse:
+		d.decide(e.Attempt, decision{refusal: e})
+	case admission.Queued:
+		d.decide(e.Attempt, decision{queued: true})
+	case admission.Abort:
+		if j, ok := d.jobs[e.Attempt]; ok {
+			j.cancel()
+		}
+	}
+}
+
+func (d *Daemon) performMembership(effect membership.Effect) {
+	switch e := effect.(type) {
+	case membership.ReadEntries:
+		d.tasks.Go("read entries", d.readEntries)
+	case membership.WriteEntry:
+		d.writeEntry(e)
+	case membership.SendBeat:
+		d.sendBeat(e)
+	case membership.VersionHeard:
+		select {
+		case d.reread <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// changeManifest puts a manifest in force at the caller interface.
+func (d *Daemon) changeManifest(e core.ManifestChanged) {
+	matcher, err := manifest.NewMatcher(e.Manifest)
+	if err != nil {
+		d.logger.Error().Err(err).Uint64("version", e.Version).Msg("manifest in force cannot be compiled")
+
+		return
+	}
+
+	m := e.Manifest
+	d.manifest.Store(&m)
+	d.matcher.Store(matcher)
+	d.logger.Info().Uint64("version", e.Version).Int("routes", len(m.Routes)).Msg("manifest in force")
+}
--- /dev/null
+++ b/internal/v2/daemon/serve.go
@@ -0,0 +1,356 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/http1"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+	"github.com/tarragonmill/tarragonmill/internal/v2/attempt"
+	"github.com/tarragonmill/tarragonmill/internal/v2/core"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// Reasons for refusing an attempt that arise here.
+const (
+	serverBroke  = "server-broke"
+	serverShed   = "server-refused"
+	notCommitted = "not-committed"
+	duplicate    = "duplicate-attempt"
+	withdrawn    = "withdrawn"
+	timedOut     = "deadline"
+)
+
+// job is an attempt at the local backend server.
+type job struct {
+	// decisions receives admission's decisions. It has room for all, so that sending never blocks.
+	decisions chan decision
+	cancel    context.CancelFunc
+}
+
+type decision struct {
+	queued, start bool
+	refusal       admission.Refuse
+}
+
+// decide passes admission's decision to the attempt. The mutex is held.
+func (d *Daemon) decide(id admission.Attempt, decided decision) {
+	if j, ok := d.jobs[id]; ok {
+		j.decisions <- decided
+	}
+}
+
+// Parent implements caller.Parents.
+func (d *Daemon) Parent(call string) (request.Request, bool) {
+	if call == "" {
+		return request.Request{}, false
+	}
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.state.Parent(call)
+}
+
+// local is a call of this daemon's own callers.
+type local struct {
+	progress attempt.Progress
+	body     []byte
+}
+
+func (l local) Queued() error {
+	l.progress(false)
+
+	return nil
+}
+
+func (l local) Running() error {
+	l.progress(true)
+
+	return nil
+}
+
+func (l local) Body() ([]byte, error) { return l.body, nil }
+
+// serveLocal runs a call of this daemon's own callers.
+func (d *Daemon) serveLocal(ctx context.Context, call attempt.Call, progress attempt.Progress) *attempt.Response {
+	answer := d.serveRemote(ctx, call, local{progress: progress, body: call.Body})
+	response := &attempt.Response{
+		Reply: answer.Reply, Header: answer.Header, Body: answer.Body, Length: answer.Length,
+	}
+
+	if response.Body == nil {
+		response.Body = http.NoBody
+	}
+
+	return response
+}
+
+// serveRemote runs a call at the local backend server, or refuses it.
+func (d *Daemon) serveRemote(ctx context.Context, call attempt.Call, in attempt.Incoming) attempt.Answer {
+	id := admission.Attempt{Entry: string(call.From), ID: call.Request.ID, Number: call.Number}
+	r := call.Request
+	r.Deadline = d.now().Add(call.Timeout)
+
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer func() {
+		if ctx.Err() != nil {
+			cancel()
+		}
+	}()
+
+	j := &job{decisions: make(chan decision, 2), cancel: cancel}
+	if !d.enter(id, j, core.AttemptArrived{Attempt: id, Request: r, Wait: call.Wait, Slowest: call.Slowest}) {
+		return d.refusal(call, verdict.MayHaveRun, duplicate)
+	}
+
+	defer d.leave(id)
+
+	if reason, started := d.await(ctx, id, j, in); !started {
+		return d.refusal(call, verdict.NotRun, reason)
+	}
+
+	return d.execute(ctx, cancel, call, id, in)
+}
+
+// await waits for a slot.
+func (d *Daemon) await(ctx context.Context, id admission.Attempt, j *job, in attempt.Incoming) (string, bool) {
+	for {
+		select {
+		case decided := <-j.decisions:
+			switch {
+			case decided.start:
+				return "", true
+			case decided.queued:
+				// If the entry daemon is gone, its context ends.
+				_ = in.Queued()
+			default:
+				return string(decided.refusal.Reason), false
+			}
+		case <-ctx.Done():
+			return withdrawn, d.startedAnyway(id, j)
+		}
+	}
+}
+
+// startedAnyway cancels an attempt whose entry has gone away and reports whether it holds a slot.
+func (d *Daemon) startedAnyway(id admission.Attempt, j *job) bool {
+	d.apply(admission.Cancelled{Attempt: id})
+
+	for {
+		select {
+		case decided := <-j.decisions:
+			if decided.start {
+				return true
+			}
+		default:
+			return false
+		}
+	}
+}
+
+// enter registers an attempt. It is false if the same attempt is in progress.
+func (d *Daemon) enter(id admission.Attempt, j *job, arrival core.AttemptArrived) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if _, ok := d.jobs[id]; ok {
+		return false
+	}
+
+	d.jobs[id] = j
+	d.applyLocked(arrival)
+
+	return true
+}
+
+func (d *Daemon) leave(id admission.Attempt) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	delete(d.jobs, id)
+}
+
+// reply fills in what each reply holds.
+func (d *Daemon) reply(call attempt.Call, reply attempt.Reply) attempt.Reply {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	reply.ID, reply.Number = call.Request.ID, call.Number
+	reply.Report = d.state.Report(d.now())
+
+	return reply
+}
+
+func (d *Daemon) refusal(call attempt.Call, judged verdict.Verdict, reason string) attempt.Answer {
+	return attempt.Answer{Reply: d.reply(call, attempt.Reply{
+		Verdict: judged, Reason: reason, Unusable: isClosed(reason),
+	})}
+}
+
+func isClosed(reason string) bool {
+	switch admission.Reason(reason) {
+	case admission.IsDraining, admission.ServerDown, admission.ServerUnknown:
+		return true
+	default:
+		return false
+	}
+}
+
+// execute holds a slot. The slot is free again when AttemptServed is applied, exactly once.
+func (d *Daemon) execute(
+	ctx context.Context, cancel context.CancelFunc, call attempt.Call, id admission.Attempt, in attempt.Incoming,
+) attempt.Answer {
+	// The body is complete before the server is contacted, so that a call that breaks off has not run.
+	err := in.Running()
+	if err == nil {
+		call.Body, err = in.Body()
+	}
+
+	if err != nil || ctx.Err() != nil {
+		d.apply(core.AttemptServed{Attempt: id})
+		cancel()
+
+		return d.refusal(call, verdict.NotRun, notCommitted)
+	}
+
+	response, err := d.backend.Do(ctx, d.backendCall(call, id))
+	if err != nil {
+		return d.failed(ctx, cancel, call, id, err)
+	}
+
+	d.observe(response)
+
+	if response.NotRun {
+		return d.shed(cancel, call, id, response)
+	}
+
+	body, length, err := readWhole(response.Body, response.Length)
+	if err != nil {
+		return d.failed(ctx, cancel, call, id, verdict.WithError(verdict.MayHaveRun, errors.Wrap(err, "response broke off")))
+	}
+
+	// A response that is larger than what is read at once holds the slot only that long.
+	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: isFailure(response.Status)})
+
+	return attempt.Answer{
+		Reply:  d.reply(call, attempt.Reply{Verdict: verdict.Answered, Status: response.Status}),
+		Header: response.Header, Body: body, Length: length,
+	}
+}
+
+// backendCall describes a call to the backend server.
+func (d *Daemon) backendCall(call attempt.Call, id admission.Attempt) backend.Call {
+	names := d.platform.Dialect
+	header := call.Header.Clone()
+
+	if header == nil {
+		header = http.Header{}
+	}
+
+	d.mutex.Lock()
+	server := d.state.Server()
+	d.mutex.Unlock()
+
+	names.SetTimeout(header, time.Until(time.Now().Add(call.Request.Deadline.Sub(d.now()))))
+	dialect.Set(header, names.Origin, call.Request.Origin)
+	dialect.Set(header, names.Call, core.CallToken(id))
+
+	if server != "" {
+		dialect.Set(header, names.Expected, string(server))
+	}
+
+	return backend.Call{
+		Request: http1.Request{
+			Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body,
+			Bare: isBare(call.Method),
+		},
+		Attempt: names.AttemptOf(header),
+		Once:    !call.Request.Idempotent(),
+	}
+}
+
+// isBare reports whether a request without a body states no length.
+func isBare(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodDelete ||
+		method == http.MethodOptions
+}
+
+// observe takes the load that a response carried.
+func (d *Daemon) observe(response *backend.Response) {
+	if response.Loaded {
+		d.apply(health.Observed{Load: response.Load})
+	}
+}
+
+// shed treats a response that says that the server did not run the request.
+func (d *Daemon) shed(
+	cancel context.CancelFunc, call attempt.Call, id admission.Attempt, response *backend.Response,
+) attempt.Answer {
+	_, _, err := readWhole(response.Body, response.Length)
+	cancel()
+
+	d.logger.Info().Str("request", string(call.Request.ID)).Int("status", response.Status).
+		Str("instance", string(response.Instance)).Err(err).Msg("backend server refused")
+
+	if response.Status == http.StatusMisdirectedRequest {
+		d.apply(health.Misdirected{ID: response.Instance})
+	}
+
+	d.apply(core.AttemptServed{Attempt: id})
+
+	return d.refusal(call, verdict.NotRun, serverShed)
+}
+
+// failed answers an attempt that got no response. If the server broke the connection, it may
+// have crashed; what was in flight is then suspect.
+func (d *Daemon) failed(
+	ctx context.Context, cancel context.CancelFunc, call attempt.Call, id admission.Attempt, err error,
+) attempt.Answer {
+	judged := verdict.Of(err)
+	reply := attempt.Reply{Verdict: judged, Reason: serverBroke}
+	gone := ctx.Err() != nil
+
+	switch {
+	case gone:
+		reply.Reason = timedOut
+	case errors.Is(err, backend.ErrUnreachable):
+		reply.Unusable = true
+
+		d.apply(health.Refused{})
+	default:
+		reply.Crash = d.reportCrash(id)
+	}
+
+	d.logger.Info().Str("request", string(call.Request.ID)).Str("reason", reply.Reason).
+		Stringer("verdict", judged).Err(err).Msg("backend server did not answer")
+	d.apply(core.AttemptServed{Attempt: id, Ran: !gone && judged != verdict.NotRun, Failed: true})
+	cancel()
+
+	return attempt.Answer{Reply: d.reply(call, reply)}
+}
+
+// reportCrash makes what was in flight suspect and returns the identifier of the crash.
+func (d *Daemon) reportCrash(id admission.Attempt) string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	// Whether the server is down or has broken one connection shows when the others break, too.
+	d.applyLocked(core.ServerCrashed{Only: id})
+
+	return d.state.Crash(id)
+}
+
+// statically assert that entries of this package are calls.
+var (
+	_ attempt.Incoming = local{}
+	_                  = instance.ID("")
+)
--- /dev/null
+++ b/internal/v2/membership/codec.go
@@ -0,0 +1,235 @@
+package membership
+
+import (
+	"encoding/json"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+)
+
+// errBadBeat is returned for a datagram that is not a beat.
+var errBadBeat = errors.New("malformed beat")
+
+// Field numbers of a beat in the encoding of Protocol Buffers. Fields that are not known are skipped, so that
+// daemons of several versions understand each other.
+const (
+	fieldID protowire.Number = iota + 1
+	fieldRun
+	fieldCounter
+	fieldStatus
+	fieldService
+	fieldRegion
+	fieldDomain
+	fieldPeer
+	fieldSlots
+	fieldFlags
+	fieldVersion
+	fieldReport
+	fieldRunning
+	fieldWaiting
+	fieldReportSlots
+	fieldSlowness
+	fieldFailing
+	fieldCold
+)
+
+const (
+	flagWatch = 1 << iota
+	flagGreeting
+	flagOpen
+)
+
+// ratioScale keeps three decimals of a ratio.
+const ratioScale = 1000
+
+// EncodeBeat returns the datagram of a beat.
+func EncodeBeat(b Beat) []byte {
+	out := make([]byte, 0, 160)
+	out = appendText(out, fieldID, string(b.From.ID))
+	out = appendNumber(out, fieldRun, uint64(b.From.Incarnation))
+	out = appendNumber(out, fieldCounter, b.From.Counter)
+	out = appendNumber(out, fieldStatus, uint64(b.From.Status))
+	out = appendText(out, fieldService, b.From.Service)
+	out = appendText(out, fieldRegion, b.From.Place.Region)
+	out = appendText(out, fieldDomain, b.From.Place.Domain)
+	out = appendText(out, fieldPeer, b.From.Peer.String())
+	out = appendNumber(out, fieldSlots, uint64(max(0, b.From.Slots)))
+	out = appendNumber(out, fieldVersion, b.Version)
+
+	flags := uint64(0)
+	if b.Watch {
+		flags |= flagWatch
+	}
+
+	if b.Greeting {
+		flags |= flagGreeting
+	}
+
+	if b.Report.Open {
+		flags |= flagOpen
+	}
+
+	out = appendNumber(out, fieldFlags, flags)
+
+	if b.Report.Server == "" {
+		return out
+	}
+
+	out = appendNumber(out, fieldReport, b.Report.Counter)
+	out = appendNumber(out, fieldRunning, uint64(b.Report.Running))
+	out = appendNumber(out, fieldWaiting, uint64(b.Report.Waiting))
+	out = appendNumber(out, fieldReportSlots, uint64(b.Report.Slots))
+	out = appendNumber(out, fieldSlowness, toRatio(b.Report.Slowness))
+	out = appendNumber(out, fieldFailing, toRatio(b.Report.Failing))
+
+	return appendNumber(out, fieldCold, uint64(b.Report.ColdFor.Milliseconds()))
+}
+
+func toRatio(ratio float64) uint64 { return uint64(math.Round(max(0, ratio) * ratioScale)) }
+
+// appendNumber leaves out zeros.
+func appendNumber(out []byte, field protowire.Number, number uint64) []byte {
+	if number == 0 {
+		return out
+	}
+
+	return protowire.AppendVarint(protowire.AppendTag(out, field, protowire.VarintType), number)
+}
+
+func appendText(out []byte, field protowire.Number, text string) []byte {
+	return protowire.AppendString(protowire.AppendTag(out, field, protowire.BytesType), text)
+}
+
+// DecodeBeat reads a datagram.
+func DecodeBeat(data []byte) (Beat, error) {
+	numbers := make(map[protowire.Number]uint64)
+	texts := make(map[protowire.Number]string)
+
+	for len(data) > 0 {
+		field, kind, n := protowire.ConsumeTag(data)
+		if n < 0 {
+			return Beat{}, errors.Wrap(errBadBeat, "tag")
+		}
+
+		data = data[n:]
+
+		switch kind {
+		case protowire.VarintType:
+			number, n := protowire.ConsumeVarint(data)
+			if n < 0 {
+				return Beat{}, errors.Wrap(errBadBeat, "number")
+			}
+
+			numbers[field], data = number, data[n:]
+		case protowire.BytesType:
+			text, n := protowire.ConsumeString(data)
+			if n < 0 {
+				return Beat{}, errors.Wrap(errBadBeat, "text")
+			}
+
+			texts[field], data = text, data[n:]
+		default:
+			n := protowire.ConsumeFieldValue(field, kind, data)
+			if n < 0 {
+				return Beat{}, errors.Wrap(errBadBeat, "field")
+			}
+
+			data = data[n:]
+		}
+	}
+
+	return toBeat(numbers, texts)
+}
+
+func toBeat(numbers map[protowire.Number]uint64, texts map[protowire.Number]string) (Beat, error) {
+	peer, err := netip.ParseAddrPort(texts[fieldPeer])
+	if err != nil || texts[fieldID] == "" || numbers[fieldStatus] > uint64(instance.Left) {
+		return Beat{}, errors.Wrap(errBadBeat, "sender")
+	}
+
+	flags := numbers[fieldFlags]
+	beat := Beat{
+		From: instance.Member{
+			ID: instance.ID(texts[fieldID]), Incarnation: instance.Incarnation(numbers[fieldRun]),
+			Counter: numbers[fieldCounter], Status: instance.Status(numbers[fieldStatus]),
+			Service: texts[fieldService],
+			Place:   instance.Place{Region: texts[fieldRegion], Domain: texts[fieldDomain]},
+			Peer:    peer, Slots: int(numbers[fieldSlots]),
+		},
+		Watch: flags&flagWatch != 0, Greeting: flags&flagGreeting != 0, Version: numbers[fieldVersion],
+	}
+
+	if numbers[fieldReport] > 0 {
+		beat.Report = load.Report{
+			Server: beat.From.ID, Incarnation: beat.From.Incarnation, Counter: numbers[fieldReport],
+			Open: flags&flagOpen != 0, Running: int(numbers[fieldRunning]), Waiting: int(numbers[fieldWaiting]),
+			Slots: int(numbers[fieldReportSlots]), Slowness: float64(numbers[fieldSlowness]) / ratioScale,
+			Failing: float64(numbers[fieldFailing]) / ratioScale,
+			ColdFor: time.Duration(numbers[fieldCold]) * time.Millisecond,
+		}
+	}
+
+	return beat, nil
+}
+
+// storedEntry is the form of an entry in the store.
+type storedEntry struct {
+	ID      string `json:"id"`
+	Run     uint64 `json:"run"`
+	Counter uint64 `json:"counter"`
+	Status  string `json:"status"`
+	Service string `json:"service"`
+	Region  string `json:"region"`
+	Domain  string `json:"domain"`
+	Peer    string `json:"peer"`
+	Slots   int    `json:"slots"`
+	Server  string `json:"server,omitempty"`
+	Left    bool   `json:"left,omitempty"`
+}
+
+// EncodeEntry returns the form of an entry in the store.
+func EncodeEntry(e Entry) []byte {
+	m := e.Member
+
+	// A struct of texts and numbers can always be encoded.
+	data, _ := json.Marshal(storedEntry{
+		ID: string(m.ID), Run: uint64(m.Incarnation), Counter: m.Counter, Status: m.Status.String(),
+		Service: m.Service, Region: m.Place.Region, Domain: m.Place.Domain, Peer: m.Peer.String(), Slots: m.Slots,
+		Server: e.Server, Left: e.Left,
+	})
+
+	return data
+}
+
+// DecodeEntry reads an entry of the store.
+func DecodeEntry(data []byte) (Entry, error) {
+	var stored storedEntry
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return Entry{}, errors.Wrap(err, "decode entry")
+	}
+
+	peer, err := netip.ParseAddrPort(stored.Peer)
+	if err != nil || stored.ID == "" {
+		return Entry{}, errors.Newf("entry of %q names no address", stored.ID)
+	}
+
+	var status instance.Status
+	if err := status.UnmarshalText([]byte(stored.Status)); err != nil {
+		return Entry{}, err
+	}
+
+	return Entry{
+		Member: instance.Member{
+			ID: instance.ID(stored.ID), Incarnation: instance.Incarnation(stored.Run), Counter: stored.Counter,
+			Status: status, Service: stored.Service,
+			Place: instance.Place{Region: stored.Region, Domain: stored.Domain}, Peer: peer, Slots: stored.Slots,
+		},
+		Server: stored.Server, Left: stored.Left,
+	}, nil
+}
--- /dev/null
+++ b/internal/v2/membership/membership.go
@@ -0,0 +1,449 @@
+// Package membership knows the daemons of the fleet. It does no I/O and reads no clock.
+//
+// Each daemon keeps an entry of its own in a topic of the platform's store, writes it before it reads the
+// others', and then greets every daemon that it found. Of two daemons that start at the same time, at least
+// one therefore finds the other. What changes quickly (whether a daemon lives, its load, its version of the
+// configuration) goes directly from daemon to daemon in beats, and only to those that watch it.
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+)
+
+const (
+	// watchInterval is the time between two beats that renew a watch.
+	watchInterval = time.Second
+	// watchTime is how long a watch lasts after a beat that asked for it; two such beats may get lost.
+	watchTime = 3500 * time.Millisecond
+	// maxWatched bounds the members that one daemon watches, so that the traffic of a daemon does not grow
+	// with the fleet.
+	maxWatched = 24
+	// idleInterval is the time between beats to a watcher if nothing changes.
+	idleInterval = 400 * time.Millisecond
+	// changeInterval is the least time between beats to a watcher.
+	changeInterval = 15 * time.Millisecond
+	// silence is the time without a beat after which a watched member counts as accused.
+	silence = 1300 * time.Millisecond
+	// rereadInterval is the time between two reads of all entries; a greeting that got lost is made up for.
+	rereadInterval = 30 * time.Second
+	// retryMin and retryMax bound the pause after a failed call to the store.
+	retryMin = 150 * time.Millisecond
+	retryMax = 2 * time.Second
+)
+
+// Entry is what a daemon keeps in the store.
+type Entry struct {
+	Member instance.Member
+	// Server is the backend server that announced itself last; empty if none did.
+	Server string
+	// Left is set if that server has left or is about to.
+	Left bool
+}
+
+// Beat is a datagram from one daemon to another.
+type Beat struct {
+	From instance.Member
+	// Watch asks for the receiver's beats for some seconds.
+	Watch bool
+	// Greeting asks for one beat in return.
+	Greeting bool
+	// Version of the configuration in force at the sender.
+	Version uint64
+	Report  load.Report
+}
+
+// Event is something that was learned of the fleet.
+type Event interface{ isEvent() }
+
+// Effect is an action that the daemon performs.
+type Effect interface{ isEffect() }
+
+type (
+	// Started begins membership.
+	Started struct{}
+	// EntriesRead brings all entries of the store, or says that they could not be read.
+	EntriesRead struct {
+		Entries []Entry
+		Failed  bool
+	}
+	// EntryWritten is the outcome of WriteEntry.
+	EntryWritten struct{ Failed bool }
+	// BeatHeard brings a beat.
+	BeatHeard struct{ Beat Beat }
+	// SelfChanged brings a change of the daemon's own entry.
+	SelfChanged struct{ Entry Entry }
+	// LoadChanged brings the load of the daemon's own server and the version in force. Urgent changes are told
+	// to watchers at once.
+	LoadChanged struct {
+		Report  load.Report
+		Version uint64
+		Urgent  bool
+	}
+	// Used says that this daemon sends requests of a service.
+	Used struct{ Service string }
+	// Resumed reports that the process stood still for some time.
+	Resumed struct{}
+	// Left ends membership: the others are told and the entry is dropped.
+	Left struct{}
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+type (
+	// ReadEntries asks for all entries of the store.
+	ReadEntries struct{}
+	// WriteEntry stores the daemon's own entry, or drops it.
+	WriteEntry struct {
+		Entry Entry
+		Drop  bool
+	}
+	// SendBeat sends a datagram.
+	SendBeat struct {
+		To   netip.AddrPort
+		Beat Beat
+	}
+	// MembersChanged brings all members.
+	MembersChanged struct{ Members []instance.Member }
+	// Reported brings the load of a member's server.
+	Reported struct{ Report load.Report }
+	// VersionHeard says that a member has a newer configuration.
+	VersionHeard struct {
+		Version uint64
+		From    instance.Member
+	}
+	// Ready follows the first read of the entries, or the first failure to read them.
+	Ready struct{ Own Entry }
+)
+
+func (Started) isEvent()      {}
+func (EntriesRead) isEvent()  {}
+func (EntryWritten) isEvent() {}
+func (BeatHeard) isEvent()    {}
+func (SelfChanged) isEvent()  {}
+func (LoadChanged) isEvent()  {}
+func (Used) isEvent()         {}
+func (Resumed) isEvent()      {}
+func (Left) isEvent()         {}
+func (Tick) isEvent()         {}
+
+func (ReadEntries) isEffect()    {}
+func (WriteEntry) isEffect()     {}
+func (SendBeat) isEffect()       {}
+func (MembersChanged) isEffect() {}
+func (Reported) isEffect()       {}
+func (VersionHeard) isEffect()   {}
+func (Ready) isEffect()          {}
+
+// State is what one daemon knows of the others. It is not safe for concurrent use.
+type State struct {
+	self    Entry
+	report  load.Report
+	version uint64
+	random  *rand.Rand
+	peers   map[instance.ID]*peer
+	// order lists the peers by ID, so that effects do not depend on map order.
+	order []*peer
+	// services are those that this daemon sends requests of.
+	services map[string]bool
+
+	ready   bool
+	left    bool
+	writing bool
+	// dirty is set while the store does not hold the own entry.
+	dirty   bool
+	writeAt time.Time
+	reading bool
+	readAt  time.Time
+	retry   time.Duration
+	watchAt time.Time
+}
+
+// peer is another daemon.
+type peer struct {
+	member instance.Member
+	// heard is when its last beat arrived; zero if none did.
+	heard time.Time
+	// watched is set while this daemon watches it, since the given time.
+	watched bool
+	since   time.Time
+	// watcher is until when it watches this daemon.
+	watcher time.Time
+	// told is when it was last sent a beat, and pending whether a change waits for it.
+	told    time.Time
+	pending bool
+}
+
+// New returns a state that knows only the daemon itself.
+func New(self instance.Member, seed uint64) *State {
+	return &State{
+		self: Entry{Member: self}, random: rand.New(rand.NewPCG(seed, 1)),
+		peers: make(map[instance.ID]*peer), services: make(map[string]bool), retry: retryMin,
+	}
+}
+
+// Apply handles one event.
+func (s *State) Apply(now time.Time, event Event) []Effect {
+	switch e := event.(type) {
+	case Started:
+		s.dirty = true
+
+		return append(s.write(now), s.members())
+	case EntriesRead:
+		return s.entriesRead(now, e)
+	case EntryWritten:
+		return s.entryWritten(now, e)
+	case BeatHeard:
+		return s.beatHeard(now, e.Beat)
+	case SelfChanged:
+		return s.selfChanged(now, e.Entry)
+	case LoadChanged:
+		return s.loadChanged(now, e)
+	case Used:
+		return s.used(now, e.Service)
+	case Resumed:
+		return s.resumed(now)
+	case Left:
+		return s.leave(now)
+	case Tick:
+		return s.tick(now)
+	default:
+		return nil
+	}
+}
+
+// write stores the own entry unless a call is in progress.
+func (s *State) write(now time.Time) []Effect {
+	if s.writing || !s.dirty || now.Before(s.writeAt) {
+		return nil
+	}
+
+	s.writing, s.dirty = true, false
+
+	return []Effect{WriteEntry{Entry: s.self, Drop: s.left}}
+}
+
+func (s *State) read(now time.Time) []Effect {
+	if s.reading || s.left {
+		return nil
+	}
+
+	s.reading = true
+	s.readAt = now.Add(rereadInterval + time.Duration(s.random.Int64N(int64(rereadInterval/3))))
+
+	return []Effect{ReadEntries{}}
+}
+
+func (s *State) entryWritten(now time.Time, e EntryWritten) []Effect {
+	s.writing = false
+
+	if e.Failed {
+		s.dirty = true
+		s.writeAt = now.Add(s.pause())
+
+		// Others may still be found while the own entry cannot be stored.
+		if !s.ready {
+			return s.read(now)
+		}
+
+		return nil
+	}
+
+	s.retry = retryMin
+	effects := s.write(now)
+
+	if !s.ready {
+		effects = append(effects, s.read(now)...)
+	}
+
+	return effects
+}
+
+// pause returns a growing time with jitter.
+func (s *State) pause() time.Duration {
+	period := s.retry/2 + time.Duration(s.random.Int64N(int64(s.retry)))
+	s.retry = min(2*s.retry, retryMax)
+
+	return period
+}
+
+func (s *State) entriesRead(now time.Time, e EntriesRead) []Effect {
+	s.reading = false
+
+	if e.Failed {
+		s.readAt = now.Add(s.pause())
+
+		return s.becomeReady(Entry{})
+	}
+
+	var own Entry
+
+	changed := false
+	listed := make(map[instance.ID]bool, len(e.Entries))
+	effects := make([]Effect, 0, len(e.Entries))
+
+	for _, entry := range e.Entries {
+		if entry.Member.ID == s.self.Member.ID {
+			own = entry
+
+			continue
+		}
+
+		listed[entry.Member.ID] = true
+
+		if s.learn(entry.Member) {
+			changed = true
+
+			effects = append(effects, SendBeat{To: entry.Member.Peer, Beat: s.beat(now, true, true)})
+		}
+	}
+
+	changed = s.dropUnlisted(now, listed) || changed
+
+	if changed {
+		s.watch(now)
+
+		effects = append(effects, s.members())
+	}
+
+	return append(s.becomeReady(own), effects...)
+}
+
+// dropUnlisted forgets peers without an entry that are not heard either.
+func (s *State) dropUnlisted(now time.Time, listed map[instance.ID]bool) bool {
+	dropped := false
+
+	for _, p := range slices.Clone(s.order) {
+		if !listed[p.member.ID] && now.Sub(p.heard) > rereadInterval {
+			s.forget(p)
+
+			dropped = true
+		}
+	}
+
+	return dropped
+}
+
+func (s *State) becomeReady(own Entry) []Effect {
+	if s.ready {
+		return nil
+	}
+
+	s.ready = true
+
+	return []Effect{Ready{Own: own}}
+}
+
+// learn stores a member and reports whether something is new.
+func (s *State) learn(member instance.Member) bool {
+	if member.ID == s.self.Member.ID {
+		return false
+	}
+
+	p := s.peers[member.ID]
+	if p == nil {
+		if member.Status == instance.Left {
+			return false
+		}
+
+		p = &peer{member: member}
+		s.peers[member.ID] = p
+		s.order = append(s.order, p)
+		slices.SortFunc(s.order, func(a, b *peer) int { return cmp.Compare(a.member.ID, b.member.ID) })
+
+		return true
+	}
+
+	if !supersedes(member, p.member) {
+		return false
+	}
+
+	p.member = member
+
+	if member.Status == instance.Left {
+		s.forget(p)
+	}
+
+	return true
+}
+
+// supersedes reports whether a is a later statement of the same member than b.
+func supersedes(a, b instance.Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+
+	return a.Counter > b.Counter
+}
+
+func (s *State) forget(p *peer) {
+	delete(s.peers, p.member.ID)
+	s.order = slices.DeleteFunc(s.order, func(other *peer) bool { return other == p })
+}
+
+// members lists all members with the status that follows from their beats.
+func (s *State) members() Effect {
+	all := make([]instance.Member, 0, len(s.order)+1)
+	all = append(all, s.self.Member)
+
+	for _, p := range s.order {
+		all = append(all, p.member)
+	}
+
+	slices.SortFunc(all, func(a, b instance.Member) int { return cmp.Compare(a.ID, b.ID) })
+
+	return MembersChanged{Members: all}
+}
+
+func (s *State) selfChanged(now time.Time, entry Entry) []Effect {
+	entry.Member.Counter = s.self.Member.Counter + 1
+	s.self = entry
+	s.dirty = true
+	effects := s.write(now)
+
+	effects = append(effects, s.members())
+
+	return append(effects, s.tell(now, true)...)
+}
+
+// resumed treats all that was known of others as old.
+func (s *State) resumed(now time.Time) []Effect {
+	for _, p := range s.order {
+		p.since = now
+	}
+
+	s.watchAt = now
+
+	return append(s.read(now), s.tick(now)...)
+}
+
+func (s *State) leave(now time.Time) []Effect {
+	s.left, s.dirty = true, true
+	s.self.Member = s.self.Member.WithStatus(instance.Left, s.self.Member.Counter+1)
+	effects := s.write(now)
+
+	for _, p := range s.order {
+		if p.watched || now.Before(p.watcher) {
+			effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, false, false)})
+		}
+	}
+
+	return effects
+}
+
+// Members returns the number of members, this daemon included.
+func (s *State) Members() int { return len(s.order) + 1 }
+
+// Self returns the daemon's own entry.
+func (s *State) Self() Entry { return s.self }
+
+// Watched reports whether another daemon wants to know the load of this daemon's server.
+func (s *State) Watched(now time.Time) bool {
+	return slices.ContainsFunc(s.order, func(p *peer) bool { return now.Before(p.watcher) })
+}
--- /dev/null
+++ b/internal/v2/routing/budget.go
@@ -0,0 +1,61 @@
+package routing
+
+import "time"
+
+// budgetSlots is the number of parts of a budget's window. The window slides by one part.
+const budgetSlots = 10
+
+// Repeats limits how often requests are sent once more.
+type Repeats struct {
+	// Share is the number of repeats allowed per request of the window.
+	Share float64
+	// Slack is the number of repeats that the whole fleet is allowed in each window besides.
+	Slack float64
+	// Window is the time over which both are counted.
+	Window time.Duration
+}
+
+// budget counts the requests and repeats of one service in a sliding window.
+type budget struct {
+	requests [budgetSlots]int
+	repeats  [budgetSlots]int
+	slot     int64
+}
+
+func (b *budget) advance(now time.Time, window time.Duration) {
+	slot := now.UnixNano() / (window.Nanoseconds() / budgetSlots)
+	if b.slot == 0 || slot-b.slot >= budgetSlots {
+		*b = budget{slot: slot}
+
+		return
+	}
+
+	for b.slot < slot {
+		b.slot++
+		b.requests[b.slot%budgetSlots] = 0
+		b.repeats[b.slot%budgetSlots] = 0
+	}
+}
+
+func (b *budget) addRequest(now time.Time, limits Repeats) {
+	b.advance(now, limits.Window)
+	b.requests[b.slot%budgetSlots]++
+}
+
+func (b *budget) addRepeat(now time.Time, limits Repeats) {
+	b.advance(now, limits.Window)
+	b.repeats[b.slot%budgetSlots]++
+}
+
+// left is the number of repeats that may still be sent, if the fleet's slack is divided among daemons.
+func (b *budget) left(now time.Time, limits Repeats, daemons int) float64 {
+	b.advance(now, limits.Window)
+
+	requests, repeats := 0, 0
+	for i := range budgetSlots {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
+	}
+
+	return limits.Share*float64(requests) + limits.Slack/float64(max(1, daemons)) - float64(repeats)
+}
--- /dev/null
+++ b/internal/v2/routing/choice.go
@@ -0,0 +1,137 @@
+package routing
+
+import (
+	"time"
+)
+
+const (
+	// nearFull is the share of its slots beyond which a server is expected to work slower.
+	nearFull       = 0.8
+	nearFullFactor = 1.25
+	// failureCost is added for a server that fails every request.
+	failureCost = 2 * time.Second
+	// similar is how much a server may cost more than the best one and still be chosen, so that daemons that
+	// know the same do not all choose the same server.
+	similar = 1.08
+
+	// domainRate and regionRate are the bytes that weigh as much as one second of a caller's time if they
+	// leave the failure domain or the region, because that traffic is billed.
+	domainRate = 160_000
+	regionRate = 40_000
+	// headBytes is added to what a request and its response carry.
+	headBytes = 700
+)
+
+// cost is the time in seconds that a request is expected to take at a server, plus what its bytes weigh.
+func (s *State) cost(now time.Time, f *flight, srv *server) float64 {
+	work := f.estimate.workOrDefault().Seconds()
+	slow := srv.slowness(now)
+	slots := srv.slots()
+	ahead := srv.ahead(now)
+
+	run := min(work*slow, work+spell.Seconds())
+	if float64(ahead+1) > nearFull*float64(slots) {
+		run *= nearFullFactor
+	}
+
+	total := run + srv.distance.trip().Seconds()
+
+	if ahead >= slots {
+		usual := srv.service.work.workOrDefault().Seconds() * slow
+		total += usual * float64(ahead-slots+1) / float64(slots)
+	}
+
+	total += srv.report.Failing * failureCost.Seconds()
+
+	bytes := f.estimate.bytes + float64(f.request.Size) + headBytes
+
+	switch srv.distance {
+	case sameRegion:
+		total += bytes / domainRate
+	case otherRegion:
+		total += bytes / regionRate
+	case sameInstance, sameDomain:
+	}
+
+	return total
+}
+
+// choice is the outcome of a comparison of servers.
+type choice struct {
+	server *server
+	// cost of the server, and that of the next best one, in seconds.
+	cost, next float64
+	// others is set if there is a next best one.
+	others bool
+}
+
+// choose returns a server with the least cost among those that the flight may use, or none.
+func (s *State) choose(now time.Time, f *flight) choice {
+	var (
+		best  choice
+		costs = s.costs[:0]
+	)
+
+	for _, srv := range f.service.servers {
+		if !srv.open(now) || f.excludes(now, srv) {
+			costs = append(costs, -1)
+
+			continue
+		}
+
+		cost := s.cost(now, f, srv)
+		costs = append(costs, cost)
+
+		if best.server == nil || cost < best.cost {
+			best.server, best.cost = srv, cost
+		}
+	}
+
+	s.costs = costs
+
+	if best.server == nil {
+		return best
+	}
+
+	best.server = s.pick(f, costs, best.cost)
+	best.next, best.others = nextCost(f, costs, best.server)
+
+	return best
+}
+
+// pick draws one of the servers that cost about as much as the best one.
+func (s *State) pick(f *flight, costs []float64, least float64) *server {
+	var (
+		chosen *server
+		count  int
+	)
+
+	for i, srv := range f.service.servers {
+		if costs[i] < 0 || costs[i] > least*similar {
+			continue
+		}
+
+		count++
+		if s.random.IntN(count) == 0 {
+			chosen = srv
+		}
+	}
+
+	return chosen
+}
+
+func nextCost(f *flight, costs []float64, chosen *server) (float64, bool) {
+	next, found := 0.0, false
+
+	for i, srv := range f.service.servers {
+		if costs[i] < 0 || srv == chosen {
+			continue
+		}
+
+		if !found || costs[i] < next {
+			next, found = costs[i], true
+		}
+	}
+
+	return next, found
+}
--- /dev/null
+++ b/internal/v2/routing/dump.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+)
+
+// Counts are totals since the start.
+type Counts struct {
+	Requests  uint64
+	Attempts  uint64
+	Repeats   uint64
+	Hedges    uint64
+	Delivered uint64
+	GivenUp   uint64
+}
+
+// Dump holds the state for the state dump, sorted by ID.
+type Dump struct {
+	Flights int
+	Servers []DumpServer
+	Counts  Counts
+}
+
+// DumpServer is one server of a Dump.
+type DumpServer struct {
+	ID       instance.ID
+	Service  string
+	Open     bool
+	Ahead    int
+	Slots    int
+	Slowness float64
+	Failing  float64
+	// Age of the last report; negative if there is none.
+	Age   time.Duration
+	Avoid time.Duration
+}
+
+// Dump returns plain values.
+func (s *State) Dump(now time.Time) Dump {
+	d := Dump{Flights: len(s.flights), Counts: s.counts}
+
+	for id, srv := range s.servers {
+		age := time.Duration(-1)
+		if !srv.heard.IsZero() {
+			age = now.Sub(srv.heard)
+		}
+
+		d.Servers = append(d.Servers, DumpServer{
+			ID: id, Service: srv.service.name, Open: srv.open(now), Ahead: srv.ahead(now), Slots: srv.slots(),
+			Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: age,
+			Avoid: max(0, srv.avoidUntil.Sub(now)),
+		})
+	}
+
+	slices.SortFunc(d.Servers, func(a, b DumpServer) int { return cmp.Compare(a.ID, b.ID) })
+
+	return d
+}
+
+// Counts returns the totals since the start.
+func (s *State) Counts() Counts { return s.counts }
--- a/pkg/manifest/codec.go
+++ b/pkg/manifest/codec.go
@@ -31,10 +31,14 @@
 	keysSection = "keys"
 	serviceKind = "service"
 	ruleKind    = "rule"
+	routeKind   = "route"
+
+	limitsSection = "limits"
 )
 
 func serviceSection(service string) string    { return serviceKind + " " + service }
 func ruleSection(service, rule string) string { return ruleKind + " " + service + " " + rule }
+func routeSection(route string) string        { return routeKind + " " + route }
 
 // Parse reads the INI form and validates it; name is used in errors. Each fault has file, line,
 // section and key. Services are sorted by name; the rules of a service keep their order.
@@ -44,7 +48,7 @@
 	}
 
 	document := ini.Parse(name, data)
-	m := Manifest{Keys: decodeKeys(document.Section(keysSection))}
+	m := Manifest{Keys: decodeKeys(document.Section(keysSection)), Limits: decodeLimits(document.Section(limitsSection))}
 	index := map[string]int{}
 
 	for _, section := range document.SectionsOf(serviceKind, "SERVICE") {
@@ -70,6 +74,12 @@
 		m.Services[i].Rules = append(m.Services[i].Rules, rule)
 	}
 
+	for _, section := range document.SectionsOf(routeKind, "ROUTE") {
+		m.Routes = append(m.Routes, decodeRoute(section))
+	}
+
+	slices.SortFunc(m.Routes, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
+
 	// Values that did not parse are zero and would only add consequential errors.
 	if !document.Faulty() {
 		_, problems := m.check()
@@ -92,10 +102,43 @@
 	}
 }
 
+func decodeLimits(s *ini.Section) Limits {
+	return Limits{
+		Header:        int(ini.Optional(s, "header", 0, ini.Size)),
+		Body:          ini.Optional(s, "body", 0, ini.Size),
+		HeaderTimeout: ini.Optional(s, "receive", 0, ini.Duration),
+		IdleTimeout:   ini.Optional(s, "idle", 0, ini.Duration),
+	}
+}
+
+func decodeRoute(s *ini.Section) Route {
+	return Route{
+		Name:   s.Names[0],
+		Host:   ini.Required(s, "host", ini.Text),
+		Prefix: ini.Required(s, "prefix", ini.Text),
+		Parts:  ini.Required(s, "services", ini.List(parsePart)),
+		Rule:   decodeSharedRule(s, s.Names[0]),
+	}
+}
+
+// parsePart reads "stockdesk" or "stockdesk:90".
+func parsePart(text string) (Part, error) {
+	name, weight, weighted := strings.Cut(text, ":")
+	if !weighted {
+		return Part{Service: name, Weight: 1}, nil
+	}
+
+	number, err := strconv.Atoi(weight)
+
+	return Part{Service: name, Weight: number}, errors.Wrapf(err, "%q is not a service and its weight", text)
+}
+
+func formatPart(p Part) string { return p.Service + ":" + strconv.Itoa(p.Weight) }
+
 func decodeService(s *ini.Section) Service {
 	service := Service{
 		Name:  s.Names[0],
-		Hosts: ini.Required(s, "hosts", ini.List(ini.Text)),
+		Hosts: ini.Optional(s, "hosts", nil, ini.List(ini.Text)),
 		Budget: Budget{
 			Probes: ini.Required(s, "probes", ini.Number),
 			Bytes:  ini.Required(s, "bytes", ini.Size),
@@ -110,18 +153,30 @@
 			Share:    ini.Optional(s, "hedges", 0, ini.Number),
 			Quantile: ini.Optional(s, "quantile", defaultQuantile, ini.Number),
 		},
+		Health:      ini.Optional(s, "health", "", ini.Text),
+		Connections: ini.Optional(s, "connections", 0, ini.Whole),
 	}
 
 	return service
 }
 
 func decodeRule(s *ini.Section) Rule {
+	rule := decodeSharedRule(s, s.Names[1])
+	rule.Methods = ini.Optional(s, "methods", nil, ini.List(ini.Text))
+	rule.Path = ini.Required(s, "path", ini.Text)
+
+	return rule
+}
+
+// decodeSharedRule reads what the rules of services and routes have in common.
+func decodeSharedRule(s *ini.Section, name string) Rule {
 	return Rule{
-		Name:     s.Names[1],
-		Methods:  ini.Optional(s, "methods", nil, ini.List(ini.Text)),
-		Path:     ini.Required(s, "path", ini.Text),
+		Name:     name,
 		Kind:     ini.Required(s, "kind", parseKind),
 		Deadline: ini.Required(s, "deadline", ini.Duration),
+		Target:   ini.Optional(s, "target", 0, ini.Duration),
+		Attempts: ini.Optional(s, "attempts", 0, ini.Whole),
+		Priority: ini.Optional(s, "priority", 0, ini.Whole),
 		Body:     ini.Required(s, "body", ini.Size),
 		Answer:   ini.Optional(s, "answer", 0, ini.Size),
 	}
@@ -142,21 +197,75 @@
 func Format(m Manifest) []byte {
 	var out bytes.Buffer
 
-	fmt.Fprintf(&out, "[%s]\n", keysSection)
-	line(&out, "window", m.Keys.Window.String())
-	line(&out, "tolerance", m.Keys.Tolerance.String())
-	line(&out, "grant", m.Keys.Grant.String())
+	if m.Keys != (Keys{}) {
+		fmt.Fprintf(&out, "[%s]\n", keysSection)
+		line(&out, "window", m.Keys.Window.String())
+		line(&out, "tolerance", m.Keys.Tolerance.String())
+		line(&out, "grant", m.Keys.Grant.String())
+	}
+
+	if m.Limits != (Limits{}) {
+		fmt.Fprintf(&out, "\n[%s]\n", limitsSection)
+		line(&out, "header", ini.FormatSize(int64(m.Limits.Header)))
+		line(&out, "body", ini.FormatSize(m.Limits.Body))
+		line(&out, "receive", m.Limits.HeaderTimeout.String())
+		line(&out, "idle", m.Limits.IdleTimeout.String())
+	}
 
 	for _, service := range m.Services {
 		formatService(&out, service)
 	}
 
+	for _, route := range m.Routes {
+		formatRoute(&out, route)
+	}
+
 	return out.Bytes()
 }
 
+func formatRoute(out *bytes.Buffer, r Route) {
+	parts := make([]string, len(r.Parts))
+	for i, part := range r.Parts {
+		parts[i] = formatPart(part)
+	}
+
+	fmt.Fprintf(out, "\n[%s]\n", routeSection(r.Name))
+	line(out, "host", r.Host)
+	line(out, "prefix", r.Prefix)
+	line(out, "services", strings.Join(parts, ", "))
+	formatSharedRule(out, r.Rule)
+}
+
+func formatSharedRule(out *bytes.Buffer, rule Rule) {
+	line(out, "kind", rule.Kind.String())
+	line(out, "deadline", rule.Deadline.String())
+
+	if rule.Target > 0 {
+		line(out, "target", rule.Target.String())
+	}
+
+	if rule.Attempts > 0 {
+		line(out, "attempts", strconv.Itoa(rule.Attempts))
+	}
+
+	if rule.Priority > 0 {
+		line(out, "priority", strconv.Itoa(rule.Priority))
+	}
+
+	line(out, "body", ini.FormatSize(rule.Body))
+
+	if rule.Answer > 0 {
+		line(out, "answer", ini.FormatSize(rule.Answer))
+	}
+}
+
 func formatService(out *bytes.Buffer, s Service) {
 	fmt.Fprintf(out, "\n[%s]\n", serviceSection(s.Name))
-	line(out, "hosts", strings.Join(s.Hosts, ", "))
+
+	if len(s.Hosts) > 0 {
+		line(out, "hosts", strings.Join(s.Hosts, ", "))
+	}
+
 	line(out, "probes", number(s.Budget.Probes))
 	line(out, "bytes", ini.FormatSize(s.Budget.Bytes))
 	line(out, "cross", ini.FormatSize(s.Budget.Cross))
@@ -166,6 +275,14 @@
 	line(out, "hedges", number(s.Hedge.Share))
 	line(out, "quantile", number(s.Hedge.Quantile))
 
+	if s.Health != "" {
+		line(out, "health", s.Health)
+	}
+
+	if s.Connections > 0 {
+		line(out, "connections", strconv.Itoa(s.Connections))
+	}
+
 	for _, rule := range s.Rules {
 		fmt.Fprintf(out, "\n[%s]\n", ruleSection(s.Name, rule.Name))
 
@@ -174,13 +291,7 @@
 		}
 
 		line(out, "path", rule.Path)
-		line(out, "kind", rule.Kind.String())
-		line(out, "deadline", rule.Deadline.String())
-		line(out, "body", ini.FormatSize(rule.Body))
-
-		if rule.Answer > 0 {
-			line(out, "answer", ini.FormatSize(rule.Answer))
-		}
+		formatSharedRule(out, rule)
 	}
 }
 
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -26,10 +26,13 @@
 	return "non-idempotent"
 }
 
-// Manifest is a valid configuration. Services are sorted by name.
+// Manifest is a valid configuration. Services and routes are sorted by name.
 type Manifest struct {
 	Services []Service
-	Keys     Keys
+	Routes   []Route
+	Limits   Limits
+	// Keys is zero if idempotency keys are not used.
+	Keys Keys
 }
 
 // Service is a group of backend servers that answer the same requests.
@@ -41,6 +44,11 @@
 	Budget Budget
 	Retry  Retry
 	Hedge  Hedge
+	// Health is the path that is asked whether a backend server is up; empty for none.
+	Health string
+	// Connections is the largest number of connections to one backend server; zero leaves it to the settings
+	// of the daemon beside it.
+	Connections int
 }
 
 // Rule classifies requests of a service by method and path.
@@ -53,6 +61,13 @@
 	Kind Kind
 	// Deadline is the longest time a request may take.
 	Deadline time.Duration
+	// Target is the time within which a response is of full use to its caller; zero means Deadline.
+	Target time.Duration
+	// Attempts is the largest number of backend servers to which one request may be sent; zero means that
+	// the service's limit applies.
+	Attempts int
+	// Priority orders requests that wait for the same backend server; 0 is the highest.
+	Priority int
 	// Body is the largest request body in bytes.
 	Body int64
 	// Answer is the largest response body in bytes; zero means no limit.
@@ -96,3 +111,15 @@
 	// Grant is the length of a key grant.
 	Grant time.Duration
 }
+
+// Limits bound what a caller may send. A zero value means the default of the daemon.
+type Limits struct {
+	// Header is the largest head of a request in bytes.
+	Header int
+	// Body is the largest request body in bytes, whatever a rule says.
+	Body int64
+	// HeaderTimeout is the longest time that a caller may take to send the head of a request.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a caller's unused connection is kept.
+	IdleTimeout time.Duration
+}
--- a/pkg/manifest/match.go
+++ b/pkg/manifest/match.go
@@ -20,7 +20,8 @@
 
 // Matcher finds the service and rule of a request. It is immutable and safe for concurrent use.
 type Matcher struct {
-	hosts map[string]*compiled
+	hosts  map[string]*compiled
+	routes map[string]prefixes
 }
 
 type compiled struct {
@@ -30,19 +31,21 @@
 
 // Match is the result of a Matcher.
 type Match struct {
-	// Service is the name of the service.
+	// Service is the name of the service, or of the first part of a route.
 	Service string
 	Rule    Rule
+	// Route is nil if the rule belongs to a service.
+	Route *Route
 }
 
 // NewMatcher compiles a manifest. It returns the faults that Validate returns.
 func NewMatcher(m Manifest) (*Matcher, error) {
-	hosts, err := m.compile()
+	matcher, err := m.compile()
 	if err != nil {
 		return nil, err
 	}
 
-	return &Matcher{hosts: hosts}, nil
+	return &matcher, nil
 }
 
 // Match finds the service for a Host header, with or without port, and its rule for the method and
@@ -51,7 +54,13 @@
 //
 // It returns ErrNoService or ErrNoRule; with ErrNoRule, the service is set.
 func (m *Matcher) Match(host, method string, location *url.URL) (Match, error) {
-	service, found := m.hosts[canonicalHost(host)]
+	host = canonicalHost(host)
+
+	if route := m.routes[host].find(location.EscapedPath()); route != nil {
+		return Match{Service: route.Parts[0].Service, Rule: route.Rule, Route: route}, nil
+	}
+
+	service, found := m.hosts[host]
 	if !found {
 		return Match{}, ErrNoService
 	}
--- a/pkg/manifest/validate.go
+++ b/pkg/manifest/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,8 +25,10 @@
 	MaxBytes = 1 << 40
 	// MaxAttempts for one request; more would multiply load while servers fail.
 	MaxAttempts = 8
-	MinQuantile = 0.5
-	MaxQuantile = 0.999
+	// MaxConnections to one backend server.
+	MaxConnections = 100_000
+	MinQuantile    = 0.5
+	MaxQuantile    = 0.999
 
 	MinWindow    = time.Second
 	MaxWindow    = 24 * time.Hour
@@ -33,6 +36,10 @@
 	// MinGrant keeps the number of grant records within what the log service accepts.
 	MinGrant = time.Minute
 	MaxGrant = time.Hour
+	// MaxHeader bounds the head of a request in bytes.
+	MaxHeader = 1 << 20
+	// MaxIdle bounds how long an unused connection of a caller is kept.
+	MaxIdle = time.Hour
 )
 
 // Problem is a fault in a manifest.
@@ -64,16 +71,16 @@
 	return err
 }
 
-// compile returns the muxes by host, and all faults as an error.
-func (m Manifest) compile() (map[string]*compiled, error) {
-	hosts, problems := m.check()
+// compile returns what requests are matched with, and all faults as an error.
+func (m Manifest) compile() (Matcher, error) {
+	matcher, problems := m.check()
 	faults := make([]error, 0, len(problems))
 
 	for _, problem := range problems {
 		faults = append(faults, problem)
 	}
 
-	return hosts, errors.Join(faults...)
+	return matcher, errors.Join(faults...)
 }
 
 // checker collects problems of one section at a time.
@@ -92,17 +99,15 @@
 	}
 }
 
-func (m Manifest) check() (map[string]*compiled, []Problem) {
+func (m Manifest) check() (Matcher, []Problem) {
 	c := &checker{}
 	// Such a manifest would refuse every request; it most likely comes from a fault in the pipeline.
 	if len(m.Services) == 0 {
 		c.fail("", "manifest has no service")
 	}
 
-	c.section = keysSection
-	within(c, "window", m.Keys.Window, MinWindow, MaxWindow)
-	within(c, "tolerance", m.Keys.Tolerance, 0, MaxTolerance)
-	within(c, "grant", m.Keys.Grant, MinGrant, MaxGrant)
+	c.checkKeys(m.Keys)
+	c.checkCallerLimits(m.Limits)
 
 	services := map[string]bool{}
 	hosts := map[string]*compiled{}
@@ -118,13 +123,48 @@
 
 		services[service.Name] = true
 
+		c.checkLimits(service)
+
+		// A service that only routes lead to has neither hosts nor rules.
+		if len(service.Hosts) == 0 && len(service.Rules) == 0 && m.isRouted(service.Name) {
+			continue
+		}
+
 		entry := &compiled{name: service.Name, mux: http.NewServeMux()}
 		c.checkHosts(service, entry, hosts)
-		c.checkLimits(service)
 		c.checkRules(service, entry.mux)
 	}
 
-	return hosts, c.problems
+	return Matcher{hosts: hosts, routes: c.compileRoutes(m)}, c.problems
+}
+
+func (m Manifest) isRouted(service string) bool {
+	return slices.ContainsFunc(m.Routes, func(r Route) bool {
+		return slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Service == service })
+	})
+}
+
+func (c *checker) checkKeys(keys Keys) {
+	if keys == (Keys{}) {
+		return
+	}
+
+	c.section = keysSection
+	within(c, "window", keys.Window, MinWindow, MaxWindow)
+	within(c, "tolerance", keys.Tolerance, 0, MaxTolerance)
+	within(c, "grant", keys.Grant, MinGrant, MaxGrant)
+}
+
+func (c *checker) checkCallerLimits(limits Limits) {
+	c.section = limitsSection
+	within(c, "header", limits.Header, 0, MaxHeader)
+	within(c, "body", limits.Body, 0, MaxBody)
+	within(c, "receive", limits.HeaderTimeout, 0, MaxDeadline)
+	within(c, "idle", limits.IdleTimeout, 0, MaxIdle)
+}
+
+func validHost(host string) bool {
+	return host != "" && canonicalHost(host) == host && !strings.ContainsFunc(host, isForbiddenInHost)
 }
 
 func (c *checker) checkHosts(service Service, entry *compiled, hosts map[string]*compiled) {
@@ -133,7 +173,7 @@
 	}
 
 	for _, host := range service.Hosts {
-		if host == "" || canonicalHost(host) != host || strings.ContainsFunc(host, isForbiddenInHost) {
+		if !validHost(host) {
 			c.fail("hosts", "%q is not a lower-case host without port", host)
 		}
 		if other, found := hosts[host]; found {
@@ -160,6 +200,7 @@
 
 	within(c, "retries", s.Retry.Share, 0, 1)
 	within(c, "attempts", s.Retry.Attempts, 1, MaxAttempts)
+	within(c, "connections", s.Connections, 0, MaxConnections)
 	within(c, "hedges", s.Hedge.Share, 0, 1)
 
 	if s.Hedge.Share > 0 || s.Hedge.Quantile != 0 {
@@ -186,13 +227,8 @@
 
 		names[rule.Name] = true
 
-		within(c, "deadline", rule.Deadline, time.Millisecond, MaxDeadline)
-		within(c, "body", rule.Body, 0, MaxBody)
-		within(c, "answer", rule.Answer, 0, MaxAnswer)
+		c.checkRule(rule)
 
-		if rule.Kind > Idempotent {
-			c.fail("kind", "kind %d is unknown", rule.Kind)
-		}
 		if !c.checkMethods(rule) || !c.checkPath(rule) {
 			continue
 		}
@@ -202,6 +238,20 @@
 	}
 }
 
+// checkRule checks what the rules of services and routes have in common.
+func (c *checker) checkRule(rule Rule) {
+	within(c, "deadline", rule.Deadline, time.Millisecond, MaxDeadline)
+	within(c, "target", rule.Target, 0, MaxDeadline)
+	within(c, "attempts", rule.Attempts, 0, MaxAttempts)
+	within(c, "priority", rule.Priority, 0, MaxPriority)
+	within(c, "body", rule.Body, 0, MaxBody)
+	within(c, "answer", rule.Answer, 0, MaxAnswer)
+
+	if rule.Kind > Idempotent {
+		c.fail("kind", "kind %d is unknown", rule.Kind)
+	}
+}
+
 func (c *checker) checkMethods(rule Rule) bool {
 	seen := map[string]bool{}
 
