settings: slots and log URL stay required unless the platform gives them

Change: slots may be left out only where the backend server announces them, the URL only where the store's address is given.

--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -103,17 +103,17 @@
 		},
 		Advertise: ini.Required(peer, "advertise", reachable),
 		Seeds:     ini.Optional(peer, "seeds", nil, ini.List(reachable)),
-		Key:       ini.Optional(peer, "key", "", secret),
+		Key:       fleetKey(peer),
 		Backend: Backend{
 			Address:     ini.Required(backend, "address", reachable),
-			Slots:       ini.Optional(backend, "slots", 0, ini.Range(ini.Whole, 0, maxSlots)),
+			Slots:       slots(listen, backend),
 			Queue:       ini.Optional(backend, "queue", 0, ini.Range(ini.Whole, 0, maxQueue)),
 			Backlog:     ini.Optional(backend, "backlog", defaultBacklog, ini.Range(ini.Whole, 0, maxBacklog)),
 			Connections: ini.Optional(backend, "connections", defaultConnections, ini.Range(ini.Whole, 1, maxConnections)),
 			Health:      ini.Optional(backend, "health", "", path),
 			Interval:    ini.Optional(backend, "interval", defaultInterval, ini.Range(ini.Duration, minInterval, maxInterval)),
 		},
-		Log:   ini.Optional(log, "url", "", ini.URL),
+		Log:   logURL(log),
 		Store: ini.Optional(log, "address", netip.AddrPort{}, ini.Address),
 		Trace: Trace{
 			File:  ini.Optional(trace, "file", "", ini.Text),
@@ -130,6 +130,42 @@
 	}
 }
 
+// Values of the key "trust": whether other daemons have to present the fleet's key, or the network that they
+// are reached on is private to the fleet.
+const (
+	trustKey     = "key"
+	trustNetwork = "network"
+)
+
+// slots reads the number of slots. A server that announces itself states it.
+func slots(listen, backend *ini.Section) int {
+	within := ini.Range(ini.Whole, 1, maxSlots)
+
+	if ini.Optional(listen, "announce", netip.AddrPort{}, ini.Address).IsValid() {
+		return ini.Optional(backend, "slots", 0, within)
+	}
+
+	return ini.Required(backend, "slots", within)
+}
+
+// logURL reads the base URL of the log service, which is not needed on a platform with a store.
+func logURL(log *ini.Section) string {
+	if ini.Optional(log, "address", netip.AddrPort{}, ini.Address).IsValid() {
+		return ini.Optional(log, "url", "", ini.URL)
+	}
+
+	return ini.Required(log, "url", ini.URL)
+}
+
+// fleetKey reads the fleet's key. A missing key is a fault unless the network itself is trusted.
+func fleetKey(peer *ini.Section) string {
+	if ini.Optional(peer, "trust", trustKey, ini.OneOf(trustKey, trustNetwork)) == trustNetwork {
+		return ini.Optional(peer, "key", "", secret)
+	}
+
+	return ini.Required(peer, "key", secret)
+}
+
 func reachable(text string) (netip.AddrPort, error) {
 	address, err := ini.Address(text)
 	if err != nil {
