--- a/cmd/tarragonmill/main.go
+++ b/cmd/tarragonmill/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -26,6 +27,8 @@
 func runSidecar(
 	ctx context.Context, s settings.Settings, reload func() (settings.Settings, error), logger zerolog.Logger,
 ) error {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+
 	store := platform.NewStore(s.Store)
 	defer store.Close()
 
--- a/internal/command/sidecar.go
+++ b/internal/command/sidecar.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
 )
 
@@ -50,5 +51,16 @@
 		return usage(errors.Wrap(err, "log level"))
 	}
 
-	return run(ctx, s, reload, zerolog.New(c.Root().Writer).Level(level).With().Timestamp().Logger())
+	// Lines are written until the daemon has stopped.
+	queue := eventlog.NewQueue(c.Root().Writer)
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+
+	go queue.Run(writing)
+
+	err = run(ctx, s, reload, zerolog.New(queue).Level(level).With().Timestamp().Logger())
+
+	stop()
+	<-queue.Done()
+
+	return err
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -21,6 +21,8 @@
 	Slowness float64
 	// Failing is the share of requests that recently got no usable response.
 	Failing float64
+	// Calls is the number of nested calls that a request of the server usually makes.
+	Calls float64
 	// ColdFor is how much longer the server is slow after its start.
 	ColdFor time.Duration
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
@@ -78,3 +79,14 @@
 	// Limit is the largest size of the file in bytes.
 	Limit int64
 }
+
+// Equal reports whether two settings are the same.
+func (s Settings) Equal(other Settings) bool { return reflect.DeepEqual(s, other) }
+
+// SameIdentity reports whether what cannot change while a daemon runs is the same: who it is, its addresses and
+// those of the backend server and the store.
+func SameIdentity(a, b Settings) bool {
+	return a.ID == b.ID && a.Service == b.Service && a.Place == b.Place && a.Listen == b.Listen &&
+		a.Advertise == b.Advertise && a.Backend == b.Backend && a.Log == b.Log && a.Store == b.Store &&
+		a.Key == b.Key && a.Fields == b.Fields
+}
--- a/internal/v2/attempt/call.go
+++ b/internal/v2/attempt/call.go
@@ -49,7 +49,9 @@
 	// Timeout is the time left until the deadline when the call is sent.
 	Timeout time.Duration
 	From    instance.ID
-	Method  string
+	// To is the daemon that the call is meant for. Another one may have its address by now.
+	To     instance.ID
+	Method string
 	// Target is the request target, path and query.
 	Target string
 	Host   string
@@ -84,6 +86,7 @@
 		"wait":    {formatDuration(c.Wait)},
 		"timeout": {formatDuration(c.Timeout)},
 		"from":    {string(c.From)},
+		"to":      {string(c.To)},
 		"method":  {c.Method},
 		"target":  {c.Target},
 		"host":    {c.Host},
@@ -126,6 +129,7 @@
 		Slowest: fields.ratio("slowest"),
 		Timeout: fields.duration("timeout"),
 		From:    instance.ID(fields.text("from")),
+		To:      instance.ID(fields.text("to")),
 		Method:  fields.text("method"),
 		Target:  fields.text("target"),
 		Host:    fields.text("host"),
@@ -181,6 +185,10 @@
 		values.Set("failing", formatRatio(r.Report.Failing))
 	}
 
+	if r.Report.Calls > 0 {
+		values.Set("calls", formatRatio(r.Report.Calls))
+	}
+
 	if r.Report.ColdFor > 0 {
 		values.Set("cold", formatDuration(r.Report.ColdFor))
 	}
@@ -217,6 +225,7 @@
 			Slots:       int(fields.integer("slots")),
 			Slowness:    fields.ratio("slowness"),
 			Failing:     fields.ratio("failing"),
+			Calls:       fields.ratio("calls"),
 			ColdFor:     fields.duration("cold"),
 		},
 	}
--- a/internal/v2/caller/refusal.go
+++ b/internal/v2/caller/refusal.go
@@ -34,6 +34,7 @@
 	BodyBroken   Reason = "body-broken"
 	TooDeep      Reason = "too-deep"
 	Deadline     Reason = "deadline"
+	ShuttingDown Reason = "shutting-down"
 )
 
 // statuses gives the HTTP status of reasons that have one of their own, if the request was not run.
--- a/internal/v2/core/core.go
+++ b/internal/v2/core/core.go
@@ -52,6 +52,7 @@
 	// crashes counts the crashes of the local backend server.
 	crashes int
 	splits  map[string]*split
+	calls   callRate
 
 	version  uint64
 	draining bool
--- a/internal/v2/core/members.go
+++ b/internal/v2/core/members.go
@@ -54,6 +54,9 @@
 	return effects
 }
 
+// Admission returns the state of the queue in front of the backend server.
+func (s *State) Admission() admission.Dump { return s.admission.Dump() }
+
 // Members returns the members that may take work.
 func (s *State) Members() int { return s.membership.Members() }
 
--- a/internal/v2/core/messages.go
+++ b/internal/v2/core/messages.go
@@ -48,7 +48,7 @@
 	// AttemptServed reports the end of an attempt at the backend server.
 	AttemptServed struct {
 		Attempt admission.Attempt
-		// Ran is set if the server has begun to work on it, Failed if it could not do its work.
+		// Ran is set if it has reached the server, Failed if the server could not or would not do its work.
 		Ran, Failed bool
 	}
 	// ServerCrashed reports that the backend server has died, or only broken the connection of one attempt.
@@ -82,4 +82,13 @@
 	}
 	// ServerReplaced reports that another backend server is at the address.
 	ServerReplaced struct{ ID backend.ID }
+	// ServerChanged reports a change of what is known of the backend server.
+	ServerChanged struct {
+		ID backend.ID
+		// Closed is the reason for refusing all attempts, or empty.
+		Closed admission.Reason
+		Slots  int
+		// Why names the event that led to the change.
+		Why string
+	}
 )
--- a/internal/v2/core/requests.go
+++ b/internal/v2/core/requests.go
@@ -17,6 +17,10 @@
 		r.Service = s.choosePart(r.Route, e.Parts)
 	}
 
+	if r.Nested() {
+		s.calls.add(1)
+	}
+
 	s.requests[r.ID] = r
 	effects := s.fromMembership(now, s.membership.Apply(now, membership.Used{Service: r.Service}))
 
--- a/internal/v2/core/serving.go
+++ b/internal/v2/core/serving.go
@@ -83,6 +83,8 @@
 	effects := s.toAdmission(now, admission.Done{Attempt: e.Attempt})
 
 	if e.Ran {
+		s.calls.addRun()
+
 		effects = append(effects, s.toHealth(now, health.Ran{Failed: e.Failed})...)
 	}
 
@@ -105,6 +107,9 @@
 			all = append(all, ServerReplaced{ID: id})
 		}
 
+		all = append(all, ServerChanged{
+			ID: s.health.Server(), Closed: s.health.Closed(), Slots: s.health.Slots(), Why: fmt.Sprintf("%T", event),
+		})
 		all = append(all, s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))...)
 	}
 
@@ -152,6 +157,7 @@
 		Open:    s.health.Closed() == "" && !s.draining,
 		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.health.Slots(),
 		Slowness: s.health.Slowness(), Failing: s.health.Failing(now), ColdFor: s.health.ColdFor(now),
+		Calls: s.calls.perRun(),
 	}
 }
 
--- a/internal/v2/daemon/attempt.go
+++ b/internal/v2/daemon/attempt.go
@@ -27,13 +27,15 @@
 	out := &outgoing{}
 	current.outgoing = append(current.outgoing, out)
 
+	d.logSent(e)
+
 	ctx, cancel := context.WithCancel(context.Background())
 	out.cancel = cancel
 	s := current.submission
 
 	call := attempt.Call{
 		Request: e.Request, Number: e.Number, Wait: e.Wait, Slowest: e.Slowest,
-		Timeout: e.Request.Deadline.Sub(d.now()), From: d.options.Self.ID,
+		Timeout: e.Request.Deadline.Sub(d.now()), From: d.options.Self.ID, To: e.Target.ID,
 		Method: s.Method, Target: s.Target, Host: s.Host, Header: s.Header, Body: s.Body,
 	}
 
@@ -56,7 +58,10 @@
 		Ended: routing.Ended{ID: e.Request.ID, Number: e.Number}, Alone: e.Request.Alone,
 	}
 
+	reason := ""
+
 	if err == nil {
+		reason = response.Reply.Reason
 		response, err = examine(response, &ended)
 	}
 
@@ -66,9 +71,10 @@
 	if err != nil {
 		ended.Ended.Verdict = verdict.Of(err)
 		ended.Ended.Outcome = outcomeOf(ended.Ended.Verdict, out.aborted || ctx.Err() != nil)
+	}
 
-		d.logger.Debug().Str("request", string(e.Request.ID)).Int("attempt", e.Number).
-			Str("server", string(e.Target.ID)).Stringer("outcome", ended.Ended.Outcome).Err(err).Msg("attempt failed")
+	if ended.Ended.Outcome != routing.Answered {
+		d.logAttemptEnded(e, ended, reason, err)
 	}
 
 	out.ended = true
@@ -152,6 +158,8 @@
 	}
 
 	if out := current.outgoing[e.Number]; !out.ended {
+		d.logWithdrawn(e)
+
 		out.aborted = true
 		out.cancel()
 	}
--- a/internal/v2/daemon/beats.go
+++ b/internal/v2/daemon/beats.go
@@ -16,7 +16,7 @@
 	}
 
 	if _, err := d.beats.WriteToUDPAddrPort(membership.EncodeBeat(e.Beat), e.To); err != nil {
-		d.logger.Debug().Err(err).Stringer("to", e.To).Msg("beat not sent")
+		d.beatErrors.Add(1)
 	}
 }
 
@@ -28,7 +28,7 @@
 	buffer := make([]byte, maxBeat)
 
 	for ctx.Err() == nil {
-		n, from, err := d.beats.ReadFromUDPAddrPort(buffer)
+		n, _, err := d.beats.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			sleep(ctx, acceptPause)
 
@@ -37,7 +37,7 @@
 
 		beat, err := membership.DecodeBeat(buffer[:n])
 		if err != nil {
-			d.logger.Debug().Err(err).Stringer("from", from).Msg("beat ignored")
+			d.beatErrors.Add(1)
 
 			continue
 		}
--- a/internal/v2/daemon/daemon.go
+++ b/internal/v2/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/request"
@@ -68,7 +69,7 @@
 
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(logger zerolog.Logger) Option {
-	return func(d *Daemon) { d.logger = logger }
+	return func(d *Daemon) { d.log = eventlog.New(logger) }
 }
 
 // WithReload sets a function that reads the settings again.
@@ -79,7 +80,7 @@
 // Daemon is one running daemon.
 type Daemon struct {
 	platform Platform
-	logger   zerolog.Logger
+	log      *eventlog.Log
 	reload   func() (settings.Settings, error)
 	started  time.Time
 	options  core.Options
@@ -93,7 +94,10 @@
 	settings atomic.Pointer[settings.Settings]
 	matcher  atomic.Pointer[manifest.Matcher]
 	manifest atomic.Pointer[manifest.Manifest]
-	leaving  atomic.Bool
+	version  atomic.Uint64
+	// beatErrors counts datagrams that could not be sent or read.
+	beatErrors atomic.Int64
+	drain      atomic.Pointer[drain]
 	// reread tells the follower of the configuration that there may be a newer one.
 	reread chan struct{}
 
@@ -112,7 +116,7 @@
 func New(chosen settings.Settings, platform Platform, options ...Option) *Daemon {
 	d := &Daemon{
 		platform: platform,
-		logger:   zerolog.Nop(),
+		log:      eventlog.New(zerolog.Nop()),
 		started:  time.Now(),
 		reread:   make(chan struct{}, 1),
 		entries:  make(map[request.ID]*entry),
@@ -181,7 +185,7 @@
 }
 
 // Ready reports whether callers are to be sent here.
-func (d *Daemon) Ready() bool { return d.matcher.Load() != nil && !d.leaving.Load() }
+func (d *Daemon) Ready() bool { return d.matcher.Load() != nil && d.drain.Load() == nil }
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -197,7 +201,8 @@
 	d.timer = time.AfterFunc(time.Hour, d.tick)
 	d.mutex.Unlock()
 
-	d.logger.Info().Msg("started")
+	d.log.Notable(eventlog.Started).Str("instance", string(d.options.Self.ID)).
+		Uint64("run", uint64(d.options.Self.Incarnation)).Str("service", d.options.Self.Service).Send()
 	d.apply(core.Started{})
 
 	var group run.Group
@@ -207,6 +212,7 @@
 	addActor(ctx, &group, d.readBeats)
 	addActor(ctx, &group, d.followConfiguration)
 	addActor(ctx, &group, d.watchResume)
+	addActor(ctx, &group, d.watchSettings)
 
 	for _, small := range sockets.small {
 		addActor(ctx, &group, small.serve)
@@ -222,7 +228,7 @@
 	d.tasks.Stop()
 	d.attempts.Close()
 	d.backend.Close()
-	d.logger.Info().Err(err).Msg("stopped")
+	d.log.Notable(eventlog.Stopped).AnErr("error", err).Send()
 
 	return err
 }
--- a/internal/v2/daemon/drain.go
+++ b/internal/v2/daemon/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/v2/core"
 	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
 )
@@ -12,6 +13,9 @@
 	// noticePeriod is how long a leaving daemon takes new connections, until whoever sends callers here has
 	// seen twice in a row, a second apart, that it is not ready.
 	noticePeriod = 2300 * time.Millisecond
+	// takePeriod is how long a leaving daemon takes every request. Callers may still be sent here because the
+	// other daemons of the failure domain are leaving, too.
+	takePeriod = 2800 * time.Millisecond
 	// quietPeriod is how long no request may be in progress before the sockets close.
 	quietPeriod = 150 * time.Millisecond
 	// drainMargin is kept between the end of the drain and the time at which the process is killed.
@@ -32,8 +36,8 @@
 	begun := time.Now()
 	limit := begun.Add(d.settings.Load().Grace - drainMargin)
 
-	d.logger.Info().Msg("stopping")
-	d.leaving.Store(true)
+	d.log.Notable(eventlog.Stopping).Int("requests", d.callers.Open()).Int("calls", d.peers.Open()).Send()
+	d.drain.Store(&drain{begun: begun, limit: limit})
 	d.apply(core.DrainStarted{})
 	d.callers.Drain()
 
@@ -58,6 +62,20 @@
 	return nil
 }
 
+// drain is a shutdown in progress.
+type drain struct {
+	begun time.Time
+	// limit is when requests in progress are cut off.
+	limit time.Time
+}
+
+// takes reports whether a request that arrives now can be finished before the process ends.
+func (s *drain) takes(left time.Duration) bool {
+	now := time.Now()
+
+	return now.Sub(s.begun) < takePeriod || now.Add(left).Before(s.limit)
+}
+
 func (d *Daemon) busy() bool {
 	if d.callers.Open() > 0 || d.peers.Open() > 0 {
 		return true
--- a/internal/v2/daemon/entry.go
+++ b/internal/v2/daemon/entry.go
@@ -34,8 +34,17 @@
 	response *attempt.Response
 }
 
+// restartTime is when a caller may come back to a daemon that is about to end.
+const restartTime = 700 * time.Millisecond
+
 // Submit implements caller.Submitter.
 func (d *Daemon) Submit(ctx context.Context, submission caller.Submission) caller.Result {
+	if leaving := d.drain.Load(); leaving != nil && !leaving.takes(submission.Request.Deadline.Sub(d.now())) {
+		return caller.Result{Refusal: caller.Refusal{
+			Verdict: verdict.NotRun, Reason: caller.ShuttingDown, RetryAfter: restartTime,
+		}}
+	}
+
 	e := &entry{submission: submission, result: make(chan caller.Result, 1)}
 
 	id := d.register(e)
@@ -185,13 +194,3 @@
 	io.Reader
 	io.Closer
 }
-
-// observeResult logs the end of a request.
-func (d *Daemon) observeResult(id request.ID, status int, refusal caller.Refusal, elapsed time.Duration) {
-	if refusal.Reason == "" {
-		return
-	}
-
-	d.logger.Info().Str("request", string(id)).Int("status", status).Stringer("verdict", refusal.Verdict).
-		Str("reason", string(refusal.Reason)).Dur("retry", refusal.RetryAfter).Dur("elapsed", elapsed).Msg("refused")
-}
--- a/internal/v2/daemon/follow.go
+++ b/internal/v2/daemon/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/v2/core"
 )
@@ -116,7 +117,7 @@
 		}
 
 		if err != nil {
-			d.logger.Warn().Err(err).Int64("offset", record.Offset).Msg("configuration ignored")
+			d.log.Warn(eventlog.BadRecord).Str("key", record.Key).Int64("offset", record.Offset).AnErr("error", err).Send()
 
 			continue
 		}
@@ -131,9 +132,9 @@
 		f.connected = connected
 
 		if connected {
-			f.daemon.logger.Info().Msg("store regained")
+			f.daemon.log.Notable(eventlog.Regained).Str("what", "store").Send()
 		} else {
-			f.daemon.logger.Warn().Err(err).Msg("store lost")
+			f.daemon.log.Warn(eventlog.Lost).Str("what", "store").AnErr("error", err).Send()
 		}
 	}
 }
--- a/internal/v2/daemon/local.go
+++ b/internal/v2/daemon/local.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 )
 
@@ -62,17 +63,13 @@
 // Announce implements Announcements.
 func (d *Daemon) Announce(_ context.Context, a backend.Announcement) error {
 	if err := d.checkAnnouncement(a); err != nil {
-		d.logger.Warn().Err(err).Str("server", string(a.ID)).Msg("announcement refused")
+		d.log.Warn(eventlog.BadAnnounce).Str("server", string(a.ID)).AnErr("error", err).Send()
 
 		return err
 	}
 
 	d.apply(health.Announced{Announcement: a})
 
-	if a.Draining {
-		d.logger.Info().Str("server", string(a.ID)).Int64("sequence", a.Sequence).Msg("backend server drains")
-	}
-
 	return nil
 }
 
@@ -94,7 +91,7 @@
 // Withdraw implements Announcements.
 func (d *Daemon) Withdraw(_ context.Context, id backend.ID, born time.Time) error {
 	d.apply(health.Withdrawn{ID: id, Born: born})
-	d.logger.Info().Str("server", string(id)).Msg("backend server withdrew")
+	d.log.Notable(eventlog.Withdrew).Str("server", string(id)).Send()
 
 	return nil
 }
--- /dev/null
+++ b/internal/v2/daemon/log.go
@@ -0,0 +1,114 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+	"github.com/tarragonmill/tarragonmill/internal/v2/attempt"
+	"github.com/tarragonmill/tarragonmill/internal/v2/caller"
+	"github.com/tarragonmill/tarragonmill/internal/v2/core"
+	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
+)
+
+// milliseconds writes a duration as a number of milliseconds with three decimals.
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Round(time.Microsecond)) / float64(time.Millisecond)
+}
+
+// about begins a line about a request. What goes as usual has an allowance of its own.
+func (d *Daemon) about(event eventlog.Event, routine bool, id request.ID) *zerolog.Event {
+	if routine {
+		return d.log.Routine(event).Str("request", string(id))
+	}
+
+	return d.log.Notable(event).Str("request", string(id))
+}
+
+// logSent writes the choice of a server with its inputs.
+func (d *Daemon) logSent(e routing.Attempt) {
+	b := e.Basis
+
+	d.about(eventlog.Sent, e.Why == routing.First, e.Request.ID).
+		Int("attempt", e.Number).Str("why", string(e.Why)).
+		Str("service", e.Request.Service).Str("route", e.Request.Route).Str("to", string(e.Target.ID)).
+		Float64("expected_ms", milliseconds(b.Expected)).Float64("next_ms", milliseconds(b.Next)).
+		Int("ahead", b.Ahead).Int("slots", b.Slots).Float64("slowness", b.Slowness).Float64("failing", b.Failing).
+		Float64("age_ms", milliseconds(b.Age)).Int("candidates", b.Candidates).
+		Float64("left_ms", milliseconds(e.Request.Deadline.Sub(d.now()))).Float64("budget", b.Budget).Send()
+}
+
+// logAttemptEnded writes the end of an attempt that brought no usable response.
+func (d *Daemon) logAttemptEnded(e routing.Attempt, ended core.AttemptEnded, reason string, err error) {
+	line := d.log.Notable(eventlog.AttemptEnded).Str("request", string(e.Request.ID)).Int("attempt", e.Number).
+		Str("to", string(e.Target.ID)).Stringer("outcome", ended.Ended.Outcome).
+		Stringer("verdict", ended.Ended.Verdict)
+
+	if reason != "" {
+		line = line.Str("reason", reason).Int("running", ended.Report.Running).Int("waiting", ended.Report.Waiting).
+			Int("slots", ended.Report.Slots).Float64("slowness", ended.Report.Slowness)
+	}
+
+	if err != nil {
+		line = line.AnErr("error", err)
+	}
+
+	line.Send()
+}
+
+func (d *Daemon) logWithdrawn(e routing.CancelAttempt) {
+	d.log.Notable(eventlog.Withdrawn).Str("request", string(e.ID)).Int("attempt", e.Number).
+		Str("why", string(e.Why)).Send()
+}
+
+// observeResult writes the end of a request as its caller sees it.
+func (d *Daemon) observeResult(id request.ID, status int, refusal caller.Refusal, elapsed time.Duration) {
+	switch refusal.Reason {
+	case "":
+		d.about(eventlog.Answered, !isFailure(status), id).Int("status", status).
+			Float64("elapsed_ms", milliseconds(elapsed)).Send()
+	case caller.Reason(routing.CallerLeft):
+		d.log.Notable(eventlog.CallerLeft).Str("request", string(id)).
+			Float64("elapsed_ms", milliseconds(elapsed)).Send()
+	default:
+		d.log.Notable(eventlog.Refused).Str("request", string(id)).Int("status", status).
+			Stringer("verdict", refusal.Verdict).Str("reason", string(refusal.Reason)).
+			Float64("retry_ms", milliseconds(refusal.RetryAfter)).Float64("elapsed_ms", milliseconds(elapsed)).
+			Uint64("version", d.version.Load()).Send()
+	}
+}
+
+// logTurned writes that an attempt was not run here.
+func (d *Daemon) logTurned(call attempt.Call, reason string, report admission.Dump) {
+	d.log.Notable(eventlog.Turned).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
+		Str("from", string(call.From)).Str("reason", reason).Int("running", report.Running).
+		Int("waiting", report.Waiting).Int("slots", report.Slots).Float64("slowness", report.Slowness).Send()
+}
+
+func (d *Daemon) logServed(call attempt.Call, response *backend.Response, begun time.Time) {
+	line := d.about(eventlog.Served, !isFailure(response.Status), call.Request.ID).Int("attempt", call.Number).
+		Str("from", string(call.From)).Int("status", response.Status).
+		Float64("elapsed_ms", milliseconds(time.Since(begun)))
+
+	if response.Loaded {
+		line = line.Float64("slowness", response.Load.Slowness)
+	}
+
+	line.Send()
+}
+
+func (d *Daemon) logServeFailed(call attempt.Call, reply attempt.Reply, begun time.Time, err error) {
+	d.log.Notable(eventlog.ServeFailed).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
+		Str("from", string(call.From)).Str("reason", reply.Reason).Stringer("verdict", reply.Verdict).
+		Float64("elapsed_ms", milliseconds(time.Since(begun))).AnErr("error", err).Send()
+}
+
+func (d *Daemon) logServerRefused(call attempt.Call, response *backend.Response) {
+	d.log.Notable(eventlog.ServerRefused).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
+		Str("from", string(call.From)).Int("status", response.Status).Str("instance", string(response.Instance)).
+		Int("running", response.Load.Running).Int("waiting", response.Load.Waiting).Send()
+}
--- a/internal/v2/daemon/loop.go
+++ b/internal/v2/daemon/loop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
@@ -89,8 +90,10 @@
 	case core.ManifestChanged:
 		d.changeManifest(e)
 	case core.ServerReplaced:
-		d.logger.Info().Str("server", string(e.ID)).Msg("backend server changed")
 		d.backend.Forget()
+	case core.ServerChanged:
+		d.log.Notable(eventlog.ServerState).Str("server", string(e.ID)).Str("closed", string(e.Closed)).
+			Int("slots", e.Slots).Str("why", e.Why).Send()
 	}
 }
 
@@ -128,6 +131,8 @@
 		d.writeEntry(e)
 	case membership.SendBeat:
 		d.sendBeat(e)
+	case membership.MembersChanged:
+		d.logMembers(e.Members)
 	case membership.VersionHeard:
 		select {
 		case d.reread <- struct{}{}:
@@ -140,7 +145,7 @@
 func (d *Daemon) changeManifest(e core.ManifestChanged) {
 	matcher, err := manifest.NewMatcher(e.Manifest)
 	if err != nil {
-		d.logger.Error().Err(err).Uint64("version", e.Version).Msg("manifest in force cannot be compiled")
+		d.log.Warn(eventlog.BadRecord).Uint64("version", e.Version).AnErr("error", err).Send()
 
 		return
 	}
@@ -148,5 +153,6 @@
 	m := e.Manifest
 	d.manifest.Store(&m)
 	d.matcher.Store(matcher)
-	d.logger.Info().Uint64("version", e.Version).Int("routes", len(m.Routes)).Msg("manifest in force")
+	d.version.Store(e.Version)
+	d.log.Notable(eventlog.Configuration).Uint64("version", e.Version).Int("routes", len(m.Routes)).Send()
 }
--- a/internal/v2/daemon/members.go
+++ b/internal/v2/daemon/members.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
@@ -19,7 +21,7 @@
 
 	page, err := d.platform.Entries.Newest(ctx)
 	if err != nil {
-		d.logger.Warn().Err(err).Msg("entries of other daemons not read")
+		d.log.Warn(eventlog.Lost).Str("what", "entries").AnErr("error", err).Send()
 		d.apply(membership.EntriesRead{Failed: true})
 
 		return
@@ -30,7 +32,7 @@
 	for _, record := range page.Records {
 		entry, err := membership.DecodeEntry(record.Value)
 		if err != nil {
-			d.logger.Warn().Err(err).Str("key", record.Key).Msg("entry ignored")
+			d.log.Warn(eventlog.BadRecord).Str("key", record.Key).AnErr("error", err).Send()
 
 			continue
 		}
@@ -54,7 +56,7 @@
 
 		err := d.platform.Entries.Append(ctx, record)
 		if err != nil {
-			d.logger.Warn().Err(err).Msg("own entry not stored")
+			d.log.Warn(eventlog.EntryNotStored).AnErr("error", err).Send()
 		}
 
 		d.apply(membership.EntryWritten{Failed: err != nil})
@@ -63,5 +65,22 @@
 
 // announceSuspects tells the other daemons which requests may crash servers.
 func (d *Daemon) announceSuspects(e suspects.Announce) {
-	d.logger.Warn().Str("service", e.Service).Int("reports", len(e.Reports)).Msg("requests are suspect")
+	d.log.Warn(eventlog.Suspects).Str("service", e.Service).Int("reports", len(e.Reports)).Send()
+}
+
+// logMembers writes which daemons are known. The mutex is held.
+func (d *Daemon) logMembers(members []instance.Member) {
+	usable := make([]string, 0, len(members))
+	other := make([]string, 0)
+
+	for _, member := range members {
+		name := string(member.ID)
+		if member.Status == instance.Alive {
+			usable = append(usable, name)
+		} else {
+			other = append(other, name+" "+member.Status.String())
+		}
+	}
+
+	d.log.Notable(eventlog.Members).Strs("alive", usable).Strs("other", other).Send()
 }
--- a/internal/v2/daemon/resume.go
+++ b/internal/v2/daemon/resume.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/v2/core"
 )
 
@@ -22,7 +23,7 @@
 
 		current := suspended()
 		if current-last > resumeGap {
-			d.logger.Warn().Dur("gap", current-last).Msg("machine was suspended")
+			d.log.Warn(eventlog.Resumed).Float64("gap_ms", milliseconds(current-last)).Send()
 			d.apply(core.Resumed{})
 
 			select {
--- a/internal/v2/daemon/serve.go
+++ b/internal/v2/daemon/serve.go
@@ -11,7 +11,6 @@
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
-	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
 	"github.com/tarragonmill/tarragonmill/internal/v2/attempt"
@@ -27,6 +26,7 @@
 	duplicate    = "duplicate-attempt"
 	withdrawn    = "withdrawn"
 	timedOut     = "deadline"
+	misdirected  = "misdirected"
 )
 
 // job is an attempt at the local backend server.
@@ -96,6 +96,10 @@
 
 // serveRemote runs a call at the local backend server, or refuses it.
 func (d *Daemon) serveRemote(ctx context.Context, call attempt.Call, in attempt.Incoming) attempt.Answer {
+	if call.To != d.options.Self.ID || call.Request.Service != d.options.Self.Service {
+		return d.refusal(call, verdict.NotRun, misdirected)
+	}
+
 	id := admission.Attempt{Entry: string(call.From), ID: call.Request.ID, Number: call.Number}
 	r := call.Request
 	r.Deadline = d.now().Add(call.Timeout)
@@ -191,12 +195,22 @@
 }
 
 func (d *Daemon) refusal(call attempt.Call, judged verdict.Verdict, reason string) attempt.Answer {
+	d.mutex.Lock()
+	state := d.state.Admission()
+	d.mutex.Unlock()
+
+	d.logTurned(call, reason, state)
+
 	return attempt.Answer{Reply: d.reply(call, attempt.Reply{
 		Verdict: judged, Reason: reason, Unusable: isClosed(reason),
 	})}
 }
 
 func isClosed(reason string) bool {
+	if reason == misdirected {
+		return true
+	}
+
 	switch admission.Reason(reason) {
 	case admission.IsDraining, admission.ServerDown, admission.ServerUnknown:
 		return true
@@ -222,9 +236,11 @@
 		return d.refusal(call, verdict.NotRun, notCommitted)
 	}
 
+	begun := time.Now()
+
 	response, err := d.backend.Do(ctx, d.backendCall(call, id))
 	if err != nil {
-		return d.failed(ctx, cancel, call, id, err)
+		return d.failed(ctx, cancel, call, id, begun, err)
 	}
 
 	d.observe(response)
@@ -235,9 +251,13 @@
 
 	body, length, err := readWhole(response.Body, response.Length)
 	if err != nil {
-		return d.failed(ctx, cancel, call, id, verdict.WithError(verdict.MayHaveRun, errors.Wrap(err, "response broke off")))
+		broken := verdict.WithError(verdict.MayHaveRun, errors.Wrap(err, "response broke off"))
+
+		return d.failed(ctx, cancel, call, id, begun, broken)
 	}
 
+	d.logServed(call, response, begun)
+
 	// A response that is larger than what is read at once holds the slot only that long.
 	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: isFailure(response.Status)})
 
@@ -295,17 +315,18 @@
 func (d *Daemon) shed(
 	cancel context.CancelFunc, call attempt.Call, id admission.Attempt, response *backend.Response,
 ) attempt.Answer {
-	_, _, err := readWhole(response.Body, response.Length)
+	// Whether the body of a refusal is whole matters only to the connection.
+	_, _, _ = readWhole(response.Body, response.Length)
+
 	cancel()
 
-	d.logger.Info().Str("request", string(call.Request.ID)).Int("status", response.Status).
-		Str("instance", string(response.Instance)).Err(err).Msg("backend server refused")
+	d.logServerRefused(call, response)
 
 	if response.Status == http.StatusMisdirectedRequest {
 		d.apply(health.Misdirected{ID: response.Instance})
 	}
 
-	d.apply(core.AttemptServed{Attempt: id})
+	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: true})
 
 	return d.refusal(call, verdict.NotRun, serverShed)
 }
@@ -313,7 +334,7 @@
 // failed answers an attempt that got no response. If the server broke the connection, it may
 // have crashed; what was in flight is then suspect.
 func (d *Daemon) failed(
-	ctx context.Context, cancel context.CancelFunc, call attempt.Call, id admission.Attempt, err error,
+	ctx context.Context, cancel context.CancelFunc, call attempt.Call, id admission.Attempt, begun time.Time, err error,
 ) attempt.Answer {
 	judged := verdict.Of(err)
 	reply := attempt.Reply{Verdict: judged, Reason: serverBroke}
@@ -330,8 +351,7 @@
 		reply.Crash = d.reportCrash(id)
 	}
 
-	d.logger.Info().Str("request", string(call.Request.ID)).Str("reason", reply.Reason).
-		Stringer("verdict", judged).Err(err).Msg("backend server did not answer")
+	d.logServeFailed(call, reply, begun, err)
 	d.apply(core.AttemptServed{Attempt: id, Ran: !gone && judged != verdict.NotRun, Failed: true})
 	cancel()
 
@@ -348,9 +368,3 @@
 
 	return d.state.Crash(id)
 }
-
-// statically assert that entries of this package are calls.
-var (
-	_ attempt.Incoming = local{}
-	_                  = instance.ID("")
-)
--- a/internal/v2/membership/codec.go
+++ b/internal/v2/membership/codec.go
@@ -37,6 +37,7 @@
 	fieldSlowness
 	fieldFailing
 	fieldCold
+	fieldCalls
 )
 
 const (
@@ -88,6 +89,8 @@
 	out = appendNumber(out, fieldSlowness, toRatio(b.Report.Slowness))
 	out = appendNumber(out, fieldFailing, toRatio(b.Report.Failing))
 
+	out = appendNumber(out, fieldCalls, toRatio(b.Report.Calls))
+
 	return appendNumber(out, fieldCold, uint64(b.Report.ColdFor.Milliseconds()))
 }
 
@@ -171,6 +174,7 @@
 			Open: flags&flagOpen != 0, Running: int(numbers[fieldRunning]), Waiting: int(numbers[fieldWaiting]),
 			Slots: int(numbers[fieldReportSlots]), Slowness: float64(numbers[fieldSlowness]) / ratioScale,
 			Failing: float64(numbers[fieldFailing]) / ratioScale,
+			Calls:   float64(numbers[fieldCalls]) / ratioScale,
 			ColdFor: time.Duration(numbers[fieldCold]) * time.Millisecond,
 		}
 	}
--- a/internal/v2/membership/membership.go
+++ b/internal/v2/membership/membership.go
@@ -352,6 +352,8 @@
 			return false
 		}
 
+		s.replaceAt(member)
+
 		p = &peer{member: member}
 		s.peers[member.ID] = p
 		s.order = append(s.order, p)
@@ -373,6 +375,15 @@
 	return true
 }
 
+// replaceAt forgets earlier members at the address of a new one: an address may be used again.
+func (s *State) replaceAt(member instance.Member) {
+	for _, p := range slices.Clone(s.order) {
+		if p.member.Peer == member.Peer && p.member.Incarnation < member.Incarnation {
+			s.forget(p)
+		}
+	}
+}
+
 // supersedes reports whether a is a later statement of the same member than b.
 func supersedes(a, b instance.Member) bool {
 	if a.Incarnation != b.Incarnation {
--- a/internal/v2/routing/budget.go
+++ b/internal/v2/routing/budget.go
@@ -5,6 +5,10 @@
 // budgetSlots is the number of parts of a budget's window. The window slides by one part.
 const budgetSlots = 10
 
+// budgetUse is the part of the budget that a daemon uses. The rest is left for the calls that repeated requests
+// make, which other daemons send and cannot tell from new ones, and which are only estimated.
+const budgetUse = 0.6
+
 // Repeats limits how often requests are sent once more.
 type Repeats struct {
 	// Share is the number of repeats allowed per request of the window.
@@ -18,8 +22,9 @@
 // budget counts the requests and repeats of one service in a sliding window.
 type budget struct {
 	requests [budgetSlots]int
-	repeats  [budgetSlots]int
-	slot     int64
+	// repeats includes the calls that repeated requests are expected to make.
+	repeats [budgetSlots]float64
+	slot    int64
 }
 
 func (b *budget) advance(now time.Time, window time.Duration) {
@@ -42,20 +47,22 @@
 	b.requests[b.slot%budgetSlots]++
 }
 
-func (b *budget) addRepeat(now time.Time, limits Repeats) {
+func (b *budget) addRepeats(now time.Time, limits Repeats, count float64) {
 	b.advance(now, limits.Window)
-	b.repeats[b.slot%budgetSlots]++
+	b.repeats[b.slot%budgetSlots] += count
 }
 
 // left is the number of repeats that may still be sent, if the fleet's slack is divided among daemons.
 func (b *budget) left(now time.Time, limits Repeats, daemons int) float64 {
 	b.advance(now, limits.Window)
 
-	requests, repeats := 0, 0
+	requests, repeats := 0, 0.0
 	for i := range budgetSlots {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
 
-	return limits.Share*float64(requests) + limits.Slack/float64(max(1, daemons)) - float64(repeats)
+	allowed := limits.Share*float64(requests) + limits.Slack/float64(max(1, daemons))
+
+	return budgetUse*allowed - repeats
 }
--- a/internal/v2/routing/choice.go
+++ b/internal/v2/routing/choice.go
@@ -22,8 +22,15 @@
 	headBytes = 700
 )
 
-// cost is the time in seconds that a request is expected to take at a server, plus what its bytes weigh.
-func (s *State) cost(now time.Time, f *flight, srv *server) float64 {
+// cost compares servers, in seconds.
+type cost struct {
+	// time that a request is expected to take at the server.
+	time float64
+	// total adds what its failures and the bytes of the request weigh.
+	total float64
+}
+
+func (s *State) cost(now time.Time, f *flight, srv *server) cost {
 	work := f.estimate.workOrDefault().Seconds()
 	slow := srv.slowness(now)
 	slots := srv.slots()
@@ -41,28 +48,30 @@
 		total += usual * float64(ahead-slots+1) / float64(slots)
 	}
 
-	total += srv.report.Failing * failureCost.Seconds()
-
+	c := cost{time: total, total: total + srv.report.Failing*failureCost.Seconds()}
 	bytes := f.estimate.bytes + float64(f.request.Size) + headBytes
 
 	switch srv.distance {
 	case sameRegion:
-		total += bytes / domainRate
+		c.total += bytes / domainRate
 	case otherRegion:
-		total += bytes / regionRate
+		c.total += bytes / regionRate
 	case sameInstance, sameDomain:
 	}
 
-	return total
+	return c
 }
 
 // choice is the outcome of a comparison of servers.
 type choice struct {
 	server *server
-	// cost of the server, and that of the next best one, in seconds.
-	cost, next float64
+	// cost of the server, and the total of the next best one.
+	cost cost
+	next float64
 	// others is set if there is a next best one.
 	others bool
+	// candidates is the number of servers that were compared.
+	candidates int
 }
 
 // choose returns a server with the least cost among those that the flight may use, or none.
@@ -80,9 +89,10 @@
 		}
 
 		cost := s.cost(now, f, srv)
-		costs = append(costs, cost)
+		costs = append(costs, cost.total)
+		best.candidates++
 
-		if best.server == nil || cost < best.cost {
+		if best.server == nil || cost.total < best.cost.total {
 			best.server, best.cost = srv, cost
 		}
 	}
@@ -93,7 +103,8 @@
 		return best
 	}
 
-	best.server = s.pick(f, costs, best.cost)
+	best.server = s.pick(f, costs, best.cost.total)
+	best.cost = s.cost(now, f, best.server)
 	best.next, best.others = nextCost(f, costs, best.server)
 
 	return best
--- a/internal/v2/routing/flight.go
+++ b/internal/v2/routing/flight.go
@@ -36,6 +36,8 @@
 	attempts []*attempt
 	// runs is the number of servers that run the request or may have run it.
 	runs int
+	// reached is the number of servers that the request has reached, also if they refused to run it.
+	reached int
 	// refusals holds when a server refused the request.
 	refusals map[*server]time.Time
 	// parked is when the next choice is due while no server takes the request; zero if an attempt is live.
@@ -43,7 +45,7 @@
 	parks  int
 	// fallback is the number of an attempt with a response that is delivered if nothing better comes.
 	fallback int
-	// lost is set if an attempt may have run and brought no response.
+	// lost is set if an attempt may have run and brought no usable response.
 	lost bool
 	done bool
 }
@@ -63,6 +65,8 @@
 	ended    bool
 	// withdrawn is set after CancelAttempt.
 	withdrawn bool
+	// silent is set if the daemon beside the server has not acknowledged it in time.
+	silent bool
 }
 
 // advance adds the work done since the last call.
@@ -121,10 +125,18 @@
 
 // send starts an attempt at the best server, parks the request or gives it up.
 func (s *State) send(now time.Time, f *flight, why Reason) []Effect {
+	if f.reached > 0 && (f.reached > f.limit() || f.service.budget.left(now, s.repeats, s.daemons) < 1) {
+		if f.live() > 0 {
+			return nil
+		}
+
+		return s.giveUp(now, f, Exhausted)
+	}
+
 	chosen := s.choose(now, f)
 	left := f.request.Deadline.Sub(now)
 
-	if chosen.server == nil || chosen.cost > left.Seconds() {
+	if chosen.server == nil || chosen.cost.time > left.Seconds() {
 		return s.park(now, f, chosen)
 	}
 
@@ -137,10 +149,27 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: a.number, Target: chosen.server.member,
-		Wait: min(queueWait, left), Slowest: s.slowest(f, chosen), Why: why,
+		Wait: min(queueWait, left), Slowest: s.slowest(f, chosen), Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
 
+func (s *State) basis(now time.Time, f *flight, chosen choice) Basis {
+	srv := chosen.server
+	b := Basis{
+		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now) - 1, Slots: srv.slots(),
+		Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: -1, Candidates: chosen.candidates,
+		Budget: f.service.budget.left(now, s.repeats, s.daemons),
+	}
+
+	if !srv.heard.IsZero() {
+		b.Age = now.Sub(srv.heard)
+	}
+
+	return b
+}
+
+func seconds(number float64) time.Duration { return time.Duration(number * float64(time.Second)) }
+
 const (
 	// slowestMin is the slowness that is never a reason to refuse.
 	slowestMin = 1.6
@@ -166,7 +195,7 @@
 	f.parks++
 
 	switch {
-	case f.lost || f.fallback >= 0 && f.parks > 1:
+	case f.fallback >= 0 && f.parks > 1:
 		return s.giveUp(now, f, Exhausted)
 	case len(f.service.servers) == 0:
 		return s.giveUp(now, f, NoServers)
@@ -189,13 +218,19 @@
 	a.accepted = true
 
 	if e.Running && !a.running {
-		a.running, a.advanced = true, now
-		a.flight.runs++
+		s.started(now, a)
+	}
+}
 
-		if a.flight.runs > 1 {
-			a.flight.service.budget.addRepeat(now, s.repeats)
-			s.counts.Repeats++
-		}
+// started counts an attempt that has reached its server.
+func (s *State) started(now time.Time, a *attempt) {
+	a.running, a.advanced = true, now
+	a.flight.runs++
+	a.flight.reached++
+
+	if a.flight.reached > 1 {
+		a.flight.service.budget.addRepeats(now, s.repeats, 1+a.server.report.Calls)
+		s.counts.Repeats++
 	}
 }
 
@@ -249,23 +284,26 @@
 
 	ran := e.Verdict != verdict.NotRun
 	if ran && !a.running && (e.Outcome == Answered || e.Outcome == Broken) {
-		a.running = true
-		a.flight.runs++
-
-		if a.flight.runs > 1 {
-			a.flight.service.budget.addRepeat(now, s.repeats)
-		}
+		s.started(now, a)
 	}
 
 	if !ran {
 		if a.running {
-			// The server refused a request that had a slot; it has not run.
+			// The server refused a request that had a slot; it has not run and made no calls.
 			a.flight.runs--
+
+			if a.flight.reached > 1 {
+				a.flight.service.budget.addRepeats(now, s.repeats, -srv.report.Calls)
+			}
 		}
 
 		a.running = false
 	}
 
+	if ran && (e.Outcome == Broken || e.Outcome == Aborted) {
+		a.flight.lost = true
+	}
+
 	switch e.Outcome {
 	case Unreachable:
 		srv.missed(now)
@@ -303,8 +341,6 @@
 			return nil
 		}
 
-		f.lost = true
-
 		return s.giveUp(now, f, Lost)
 	default:
 		// An attempt that was withdrawn because it was silent.
@@ -316,8 +352,6 @@
 			return s.resend(now, f, Moved)
 		}
 
-		f.lost = true
-
 		return s.giveUp(now, f, Lost)
 	}
 }
--- a/internal/v2/routing/hedge.go
+++ b/internal/v2/routing/hedge.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 
-	expected := time.Duration(chosen.cost * float64(time.Second))
+	expected := time.Duration(chosen.cost.time * float64(time.Second))
 	rescued := !now.Add(expected).After(target) ||
 		now.Add(left).After(f.request.Deadline) && !now.Add(expected).After(f.request.Deadline)
 
--- a/internal/v2/routing/messages.go
+++ b/internal/v2/routing/messages.go
@@ -82,6 +82,7 @@
 		// Slowest is the slowness of the server above which it is to refuse the attempt; zero for any.
 		Slowest float64
 		Why     Reason
+		Basis   Basis
 	}
 	// CancelAttempt withdraws an attempt.
 	CancelAttempt struct {
@@ -104,6 +105,22 @@
 	}
 )
 
+// Basis is what the choice of a server rests on.
+type Basis struct {
+	// Expected is the time that the request is expected to take there, Next the cost of the next best server.
+	Expected, Next time.Duration
+	// Ahead is the number of requests that run or wait there.
+	Ahead, Slots int
+	Slowness     float64
+	Failing      float64
+	// Age of the report that the figures rest on; negative if there is none.
+	Age time.Duration
+	// Candidates is the number of servers that were compared.
+	Candidates int
+	// Budget is the number of repeats that were left for the service.
+	Budget float64
+}
+
 // Reason says why a decision was made.
 type Reason string
 
--- a/internal/v2/routing/server.go
+++ b/internal/v2/routing/server.go
@@ -73,7 +73,7 @@
 		return unknownSlowness
 	}
 
-	age := now.Sub(srv.heard)
+	age := max(0, now.Sub(srv.heard))
 	slow := srv.report.Slowness
 
 	if slow <= 0 {
@@ -117,12 +117,15 @@
 		return false
 	}
 
+	// What ran until now ran as slowly as the earlier report says.
+	for _, a := range srv.live {
+		a.advance(now, srv)
+	}
+
 	srv.report, srv.heard = report, now
 	srv.unreported = 0
 
 	for _, a := range srv.live {
-		a.advance(now, srv)
-
 		if !a.accepted {
 			srv.unreported++
 		}
--- a/internal/v2/routing/timers.go
+++ b/internal/v2/routing/timers.go
@@ -14,16 +14,25 @@
 	}
 
 	for _, a := range f.attempts {
-		if a.ended || a.withdrawn || a.accepted {
-			continue
+		if a.awaitsAcceptance() {
+			at = earlier(at, a.silentAt())
 		}
-
-		at = earlier(at, a.sent.Add(acceptTimeout+a.server.distance.trip()))
 	}
 
 	return at
 }
 
+// awaitsAcceptance reports whether the daemon beside the server still has to say that it has read the attempt.
+// An attempt at the own instance crosses no network.
+func (a *attempt) awaitsAcceptance() bool {
+	return !a.ended && !a.withdrawn && !a.accepted && !a.silent && a.server.distance != sameInstance
+}
+
+// silentAt is when an attempt without a sign of life counts as silent. A new connection takes a round trip more.
+func (a *attempt) silentAt() time.Time {
+	return a.sent.Add(acceptTimeout + 2*a.server.distance.trip())
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -79,11 +88,9 @@
 	var effects []Effect
 
 	for _, a := range f.attempts {
-		if a.ended || a.withdrawn || a.accepted || now.Before(a.sent.Add(acceptTimeout+a.server.distance.trip())) {
-			continue
+		if a.awaitsAcceptance() && !now.Before(a.silentAt()) {
+			effects = append(effects, s.silent(now, a)...)
 		}
-
-		effects = append(effects, s.silent(now, a)...)
 	}
 
 	if !f.parked.IsZero() && !now.Before(f.parked) {
@@ -94,11 +101,23 @@
 	return effects
 }
 
-// silent treats an attempt that the daemon beside the server has not acknowledged. It is withdrawn; if it
-// turns out not to have been sent whole, the request goes elsewhere.
+// silent treats an attempt that the daemon beside the server has not acknowledged. One that must not run twice
+// is withdrawn; if it was not committed, the request goes elsewhere. Any other goes elsewhere at once, and the
+// first response counts.
 func (s *State) silent(now time.Time, a *attempt) []Effect {
 	a.server.missed(now)
-	a.withdrawn = true
+	a.silent = true
+	f := a.flight
+
+	if !f.request.Idempotent() {
+		a.withdrawn = true
+
+		return []Effect{CancelAttempt{ID: f.request.ID, Number: a.number, Why: Silent}}
+	}
+
+	if f.live() > 1 || !s.mayRepeat(now, f) {
+		return nil
+	}
 
-	return []Effect{CancelAttempt{ID: a.flight.request.ID, Number: a.number, Why: Silent}}
+	return s.send(now, f, Silent)
 }
