daemon: deadlines without the wall clock; a leaving daemon refuses what it cannot finish

Change: the receiver counts from its own monotonic time. A leaving daemon refuses calls that end after it does, and tells others to stay away after 1.9 s.

--- a/internal/v2/attempt/call.go
+++ b/internal/v2/attempt/call.go
@@ -112,7 +112,8 @@
 	return values.Encode()
 }
 
-func decodeCall(text string, now time.Time) (Call, error) {
+// decodeCall leaves the deadline to the receiver, whose clock is not that of the sender.
+func decodeCall(text string) (Call, error) {
 	fields, err := parseFields(text)
 	if err != nil {
 		return Call{}, err
@@ -146,7 +147,6 @@
 			Alone:       fields.text("alone") != "",
 		},
 	}
-	call.Request.Deadline = now.Add(call.Timeout)
 
 	if call.Request.ID == "" || call.Method == "" || call.Target == "" {
 		return Call{}, errors.Wrap(ErrMalformed, "request, method or target is missing")
--- a/internal/v2/attempt/server.go
+++ b/internal/v2/attempt/server.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,7 +47,7 @@
 			return
 		}
 
-		call, err := decodeCall(x.Request.Header.Get(CallHeader), time.Now())
+		call, err := decodeCall(x.Request.Header.Get(CallHeader))
 		if err != nil {
 			respondStatus(x, http.StatusBadRequest)
 
--- a/internal/v2/daemon/drain.go
+++ b/internal/v2/daemon/drain.go
@@ -16,6 +16,9 @@
 	// takePeriod is how long a leaving daemon takes every request. Callers may still be sent here because the
 	// other daemons of the failure domain are leaving, too.
 	takePeriod = 2800 * time.Millisecond
+	// openPeriod is how long the backend server of a leaving daemon takes requests of other daemons. It ends
+	// before noticePeriod, so that they know of it when the sockets close.
+	openPeriod = 1900 * time.Millisecond
 	// quietPeriod is how long no request may be in progress before the sockets close.
 	quietPeriod = 150 * time.Millisecond
 	// drainMargin is kept between the end of the drain and the time at which the process is killed.
@@ -38,14 +41,19 @@
 
 	d.log.Notable(eventlog.Stopping).Int("requests", d.callers.Open()).Int("calls", d.peers.Open()).Send()
 	d.drain.Store(&drain{begun: begun, limit: limit})
-	d.apply(core.DrainStarted{})
 	d.callers.Drain()
 
-	quiet := time.Now()
+	quiet, closed := time.Now(), false
 
 	for time.Now().Before(limit) {
 		time.Sleep(drainStep)
 
+		if !closed && time.Since(begun) > openPeriod {
+			closed = true
+
+			d.apply(core.DrainStarted{})
+		}
+
 		if d.busy() {
 			quiet = time.Now()
 		}
--- a/internal/v2/daemon/serve.go
+++ b/internal/v2/daemon/serve.go
@@ -100,9 +100,12 @@
 		return d.refusal(call, verdict.NotRun, misdirected)
 	}
 
+	if leaving := d.drain.Load(); leaving != nil && !leaving.takes(call.Timeout) {
+		return d.refusal(call, verdict.NotRun, string(admission.IsDraining))
+	}
+
 	id := admission.Attempt{Entry: string(call.From), ID: call.Request.ID, Number: call.Number}
-	r := call.Request
-	r.Deadline = d.now().Add(call.Timeout)
+	call.Request.Deadline = d.now().Add(call.Timeout)
 
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer func() {
@@ -112,7 +115,7 @@
 	}()
 
 	j := &job{decisions: make(chan decision, 2), cancel: cancel}
-	if !d.enter(id, j, core.AttemptArrived{Attempt: id, Request: r, Wait: call.Wait, Slowest: call.Slowest}) {
+	if !d.enter(id, j, core.AttemptArrived{Attempt: id, Request: call.Request, Wait: call.Wait, Slowest: call.Slowest}) {
 		return d.refusal(call, verdict.MayHaveRun, duplicate)
 	}
 
@@ -280,7 +283,7 @@
 	server := d.state.Server()
 	d.mutex.Unlock()
 
-	names.SetTimeout(header, time.Until(time.Now().Add(call.Request.Deadline.Sub(d.now()))))
+	names.SetTimeout(header, call.Request.Deadline.Sub(d.now()))
 	dialect.Set(header, names.Origin, call.Request.Origin)
 	dialect.Set(header, names.Call, core.CallToken(id))
 
