http1, routing: close sockets in order; count the calls of repeated requests

Change: a leaving daemon stops reading before it waits for the last answers. Calls say whether they are repeats, and nested calls are charged by the share of repeats at the server that makes them.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -239,7 +239,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	if c.closing {
+	if c.closing || c.server.stopped.Load() {
+		c.closing = true
+
 		return false
 	}
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -51,9 +51,11 @@
 	tasks    *task.Group
 	open     atomic.Int64
 	draining atomic.Bool
+	stopped  atomic.Bool
 
-	mutex sync.Mutex
-	conns map[*conn]struct{}
+	mutex    sync.Mutex
+	conns    map[*conn]struct{}
+	listener net.Listener
 }
 
 // ServerOption configures a Server.
@@ -84,11 +86,17 @@
 // end is preceded by Drain.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	s.tasks = task.NewGroup(ctx)
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	s.setListener(listener)
 
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 
 	err := s.accept(ctx, listener)
+	if s.stopped.Load() {
+		<-ctx.Done()
+
+		err = nil
+	}
 
 	s.closeAll()
 	s.tasks.Stop()
@@ -157,6 +165,26 @@
 	}
 }
 
+// Stop takes no further connection and no further request. What was read is answered.
+func (s *Server) Stop() {
+	s.stopped.Store(true)
+	s.Drain()
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+}
+
+func (s *Server) setListener(listener net.Listener) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.listener = listener
+}
+
 func (s *Server) add(c *conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/v2/attempt/call.go
+++ b/internal/v2/attempt/call.go
@@ -46,6 +46,8 @@
 	Wait time.Duration
 	// Slowest is the slowness of the server above which the attempt is refused; zero for any.
 	Slowest float64
+	// Repeat is set if the request may have reached another server before.
+	Repeat bool
 	// Timeout is the time left until the deadline when the call is sent.
 	Timeout time.Duration
 	From    instance.ID
@@ -105,6 +107,10 @@
 		values.Set("alone", "1")
 	}
 
+	if c.Repeat {
+		values.Set("repeat", "1")
+	}
+
 	if c.Slowest > 0 {
 		values.Set("slowest", formatRatio(c.Slowest))
 	}
@@ -128,6 +134,7 @@
 		Number:  int(fields.integer("attempt")),
 		Wait:    fields.duration("wait"),
 		Slowest: fields.ratio("slowest"),
+		Repeat:  fields.text("repeat") != "",
 		Timeout: fields.duration("timeout"),
 		From:    instance.ID(fields.text("from")),
 		To:      instance.ID(fields.text("to")),
--- a/internal/v2/core/core.go
+++ b/internal/v2/core/core.go
@@ -68,6 +68,8 @@
 type served struct {
 	request request.Request
 	started bool
+	// repeat is set if the request may have reached another server before.
+	repeat bool
 	// crash identifies the crash that the attempt met, or is empty.
 	crash string
 }
--- a/internal/v2/core/messages.go
+++ b/internal/v2/core/messages.go
@@ -42,6 +42,8 @@
 	AttemptArrived struct {
 		Attempt admission.Attempt
 		Request request.Request
+		// Repeat is set if the request may have reached another server before.
+		Repeat  bool
 		Wait    time.Duration
 		Slowest float64
 	}
--- a/internal/v2/core/requests.go
+++ b/internal/v2/core/requests.go
@@ -17,8 +17,11 @@
 		r.Service = s.choosePart(r.Route, e.Parts)
 	}
 
+	repeated := 0.0
+
 	if r.Nested() {
 		s.calls.add(1)
+		repeated = s.repeatShare()
 	}
 
 	s.requests[r.ID] = r
@@ -28,7 +31,7 @@
 		return append(effects, s.refuseBarred(r))
 	}
 
-	return append(effects, s.fromRouting(now, s.routing.Apply(now, routing.Arrived{Request: r}))...)
+	return append(effects, s.fromRouting(now, s.routing.Apply(now, routing.Arrived{Request: r, Repeated: repeated}))...)
 }
 
 // refuseBarred refuses a request that crashes servers. No delivery of this sending has run.
--- a/internal/v2/daemon/attempt.go
+++ b/internal/v2/daemon/attempt.go
@@ -34,7 +34,7 @@
 	s := current.submission
 
 	call := attempt.Call{
-		Request: e.Request, Number: e.Number, Wait: e.Wait, Slowest: e.Slowest,
+		Request: e.Request, Number: e.Number, Wait: e.Wait, Slowest: e.Slowest, Repeat: e.Repeat,
 		Timeout: e.Request.Deadline.Sub(d.now()), From: d.options.Self.ID, To: e.Target.ID,
 		Method: s.Method, Target: s.Target, Host: s.Host, Header: s.Header, Body: s.Body,
 	}
--- a/internal/v2/daemon/drain.go
+++ b/internal/v2/daemon/drain.go
@@ -63,13 +63,23 @@
 		}
 	}
 
-	d.peers.Drain()
-	d.apply(membership.Left{})
-	time.Sleep(leaveWait)
+	d.finishDrain(limit)
 
 	return nil
 }
 
+// finishDrain closes the sockets in order: what was read until then is answered.
+func (d *Daemon) finishDrain(limit time.Time) {
+	d.callers.Stop()
+	d.peers.Stop()
+	d.apply(membership.Left{})
+
+	until := time.Now().Add(leaveWait)
+	for (d.busy() || time.Now().Before(until)) && time.Now().Before(limit) {
+		time.Sleep(drainStep)
+	}
+}
+
 // drain is a shutdown in progress.
 type drain struct {
 	begun time.Time
--- a/internal/v2/routing/budget.go
+++ b/internal/v2/routing/budget.go
@@ -7,7 +7,7 @@
 
 // budgetUse is the part of the budget that a daemon uses. The rest is left for the calls that repeated requests
 // make, which other daemons send and cannot tell from new ones, and which are only estimated.
-const budgetUse = 0.6
+const budgetUse = 0.7
 
 // Repeats limits how often requests are sent once more.
 type Repeats struct {
--- a/internal/v2/routing/flight.go
+++ b/internal/v2/routing/flight.go
@@ -119,6 +119,7 @@
 	s.flights[e.Request.ID] = f
 	s.counts.Requests++
 	svc.budget.addRequest(now, s.repeats)
+	svc.budget.addRepeats(now, s.repeats, e.Repeated)
 
 	return s.send(now, f, First)
 }
@@ -149,7 +150,7 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: a.number, Target: chosen.server.member,
-		Wait: min(queueWait, left), Slowest: s.slowest(f, chosen), Why: why, Basis: s.basis(now, f, chosen),
+		Wait: min(queueWait, left), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
 
--- a/internal/v2/routing/messages.go
+++ b/internal/v2/routing/messages.go
@@ -39,7 +39,11 @@
 
 type (
 	// Arrived brings a request of a caller. Its service is already chosen.
-	Arrived struct{ Request request.Request }
+	Arrived struct {
+		Request request.Request
+		// Repeated is the probability that the request is a call of one that was sent once more.
+		Repeated float64
+	}
 	// Accepted reports that the daemon beside the server has read an attempt, and whether it runs.
 	Accepted struct {
 		ID      request.ID
@@ -81,8 +85,10 @@
 		Wait time.Duration
 		// Slowest is the slowness of the server above which it is to refuse the attempt; zero for any.
 		Slowest float64
-		Why     Reason
-		Basis   Basis
+		// Repeat is set if the request may have reached another server before.
+		Repeat bool
+		Why    Reason
+		Basis  Basis
 	}
 	// CancelAttempt withdraws an attempt.
 	CancelAttempt struct {
