routing, membership, http1: true verdicts at the end, fewer calls to the store; tests of platform and http1

Requests with an oversized body, an invalid field name or a head that stopped were answered wrongly (new tests). Change: a newer version is looked for if it has not arrived after 400 ms. Entries are read, written and read again at the start and left in place at the end. A request is given up when its last attempt has ended.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -118,6 +119,10 @@
 	c.setReadTimeout(limits.HeaderTimeout)
 
 	r, err := http.ReadRequest(c.reader)
+	if err == nil {
+		err = checkHead(r)
+	}
+
 	if err != nil {
 		c.refuseHead(err)
 
@@ -289,11 +294,24 @@
 	}
 
 	body, err := readAll(r, limits.Body)
+	if err != nil && (c.source.err == nil || isTimeout(c.source.err)) {
+		// The peer is still there and gets an answer, after which its bytes cannot be told apart.
+		c.takeNoMore()
+	}
+
 	x.deliverBody(body, err)
 
 	return err == nil
 }
 
+// takeNoMore makes the next answer the last one.
+func (c *conn) takeNoMore() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.closing = true
+}
+
 var errNotContinued = errors.New("request was answered before its body")
 
 func readAll(r *http.Request, limit int64) ([]byte, error) {
@@ -325,6 +343,30 @@
 	return body, errors.Wrap(err, "read body")
 }
 
+// errBadField is returned for a header field that another parser may read in another way.
+var errBadField = errors.New("invalid header field")
+
+// checkHead refuses what net/http's server refuses, too, but its parser does not.
+func checkHead(r *http.Request) error {
+	if !httpguts.ValidHostHeader(r.Host) || r.ProtoAtLeast(1, 1) && r.Host == "" {
+		return errors.Wrap(errBadField, "Host")
+	}
+
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(errBadField, "name %q", name)
+		}
+
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return errors.Wrapf(errBadField, "value of %q", name)
+			}
+		}
+	}
+
+	return nil
+}
+
 func expectsContinue(r *http.Request) bool {
 	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
@@ -333,6 +375,11 @@
 func (c *conn) refuseHead(err error) {
 	status := http.StatusBadRequest
 
+	// The parser may report an incomplete head as a malformed one.
+	if c.source.err != nil {
+		err = c.source.err
+	}
+
 	var broken net.Error
 
 	switch {
@@ -340,7 +387,7 @@
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case isTimeout(err):
 		status = http.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
+	case errors.Is(err, io.EOF), errors.As(err, &broken):
 		return
 	}
 
@@ -365,6 +412,8 @@
 	reader  io.Reader
 	limited bool
 	left    int
+	// err is the last error of the reader.
+	err error
 }
 
 func (r *budgetReader) limit(bytes int) {
@@ -377,16 +426,19 @@
 
 // Read implements io.Reader.
 func (r *budgetReader) Read(data []byte) (int, error) {
-	if !r.limited {
-		return r.reader.Read(data)
-	}
+	if r.limited {
+		if r.left <= 0 {
+			r.err = errHeadTooLarge
+
+			return 0, r.err
+		}
 
-	if r.left <= 0 {
-		return 0, errHeadTooLarge
+		data = data[:min(len(data), r.left)]
 	}
 
-	n, err := r.reader.Read(data[:min(len(data), r.left)])
+	n, err := r.reader.Read(data)
 	r.left -= n
+	r.err = err
 
 	return n, err
 }
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -139,6 +139,8 @@
 		ends = x.endAfter(response.Close || x.Request.Close || unread)
 	}
 
+	ends = ends || x.ending()
+
 	err := x.conn.write(x.Request.Method, response, ends)
 	if err != nil || ends {
 		x.conn.end(err != nil)
@@ -165,6 +167,15 @@
 	return true
 }
 
+// ending reports whether this is the last answer because nothing after it can be read.
+func (x *Exchange) ending() bool {
+	c := x.conn
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.closing && c.last == x
+}
+
 // Abort ends the connection without an answer, or with a part of one.
 func (x *Exchange) Abort() {
 	x.conn.end(true)
--- /dev/null
+++ b/internal/standin/store/topics.go
@@ -0,0 +1,152 @@
+package store
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+)
+
+// keyedPrefix begins the names of topics that keep the newest record of each key.
+const keyedPrefix = "keyed."
+
+// record is one record of a topic.
+type record struct {
+	content []byte
+	at      time.Time
+}
+
+// key returns the key of a record of a keyed topic and whether the record holds a value.
+func (r record) key() (string, bool) {
+	if len(r.content) == 0 || len(r.content) < 1+int(r.content[0]) {
+		return "", false
+	}
+
+	end := 1 + int(r.content[0])
+
+	return string(r.content[1:end]), end < len(r.content)
+}
+
+func (r record) value() []byte { return r.content[1+int(r.content[0]):] }
+
+// topic is one topic with a single partition.
+type topic struct {
+	keyed bool
+	// first is the offset of records[0].
+	first   int64
+	records []record
+	newest  map[string]item
+	// changed is closed and replaced with each append.
+	changed chan struct{}
+}
+
+// item is the newest record of a key.
+type item struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset int64  `json:"offset"`
+	at     time.Time
+}
+
+func newTopic(name string) *topic {
+	return &topic{
+		keyed: strings.HasPrefix(name, keyedPrefix), newest: make(map[string]item), changed: make(chan struct{}),
+	}
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+// append adds records and returns the offset of the first one.
+func (t *topic) append(now time.Time, contents [][]byte) int64 {
+	offset := t.end()
+
+	for _, content := range contents {
+		r := record{content: content, at: now}
+		t.take(r, t.end())
+		t.records = append(t.records, r)
+	}
+
+	close(t.changed)
+	t.changed = make(chan struct{})
+
+	return offset
+}
+
+func (t *topic) take(r record, offset int64) {
+	if !t.keyed {
+		return
+	}
+
+	key, filled := r.key()
+	if key == "" {
+		return
+	}
+
+	if !filled {
+		delete(t.newest, key)
+
+		return
+	}
+
+	t.newest[key] = item{Key: key, Value: r.value(), Offset: offset, at: r.at}
+}
+
+// items returns the newest record of each key after a key, in the order of keys, as of a time.
+func (t *topic) items(after string, asOf time.Time) []item {
+	var all []item
+
+	for key, newest := range t.newest {
+		if key > after && !newest.at.After(asOf) {
+			all = append(all, newest)
+		}
+	}
+
+	slices.SortFunc(all, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+
+	return all
+}
+
+// endAsOf is the end of the topic as of a time.
+func (t *topic) endAsOf(asOf time.Time) int64 {
+	end := t.end()
+
+	for end > t.first && t.records[end-1-t.first].at.After(asOf) {
+		end--
+	}
+
+	return end
+}
+
+// dropHistory forgets all records but the newest of each key.
+func (t *topic) dropHistory() {
+	t.first, t.records = t.end(), nil
+}
+
+// splitRecords reads records, each a length in 4 bytes and its content.
+func splitRecords(data []byte) ([][]byte, bool) {
+	var contents [][]byte
+
+	for len(data) > 0 {
+		if len(data) < 4 {
+			return nil, false
+		}
+
+		size := int(binary.BigEndian.Uint32(data))
+		data = data[4:]
+
+		if len(data) < size {
+			return nil, false
+		}
+
+		contents = append(contents, slices.Clone(data[:size]))
+		data = data[size:]
+	}
+
+	return contents, true
+}
+
+func joinRecord(out, content []byte) []byte {
+	out = binary.BigEndian.AppendUint32(out, uint32(len(content)))
+
+	return append(out, content...)
+}
--- a/internal/v2/core/core.go
+++ b/internal/v2/core/core.go
@@ -56,6 +56,9 @@
 
 	version  uint64
 	draining bool
+	// newer is the version that another daemon has, and when it is time to look for it.
+	newer   uint64
+	newerAt time.Time
 	// told is the load that others were told last, and counter its number.
 	told    load.Report
 	counter uint64
@@ -166,6 +169,7 @@
 	effects = append(effects, s.toAdmission(now, admission.Tick{})...)
 	effects = append(effects, s.toHealth(now, health.Tick{})...)
 	effects = append(effects, s.fromMembership(now, s.membership.Apply(now, membership.Tick{}))...)
+	effects = append(effects, s.lookForNewer(now)...)
 
 	if !now.Before(s.expiring) {
 		s.expiring = now.Add(suspectsInterval)
@@ -180,7 +184,7 @@
 	var next time.Time
 
 	for _, at := range []time.Time{
-		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(),
+		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(), s.newerAt,
 	} {
 		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
 			next = at
@@ -202,6 +206,40 @@
 	return append(effects, ManifestChanged(e))
 }
 
+const (
+	// newerWait is how long a version that another daemon has may take to arrive from the store by itself.
+	newerWait = 400 * time.Millisecond
+	// newerInterval is the time between two looks for it.
+	newerInterval = 2 * time.Second
+)
+
+func (s *State) versionHeard(now time.Time, version uint64) {
+	if version <= s.version || version <= s.newer {
+		return
+	}
+
+	s.newer = version
+	if s.newerAt.IsZero() {
+		s.newerAt = now.Add(newerWait)
+	}
+}
+
+// lookForNewer asks for the configuration once more if another daemon has had a newer one for some time.
+func (s *State) lookForNewer(now time.Time) []Effect {
+	switch {
+	case s.newer <= s.version:
+		s.newerAt = time.Time{}
+
+		return nil
+	case s.newerAt.IsZero() || now.Before(s.newerAt):
+		return nil
+	}
+
+	s.newerAt = now.Add(newerInterval)
+
+	return []Effect{RereadManifest{Version: s.newer}}
+}
+
 func (s *State) drain(now time.Time) []Effect {
 	s.draining = true
 
--- a/internal/v2/core/members.go
+++ b/internal/v2/core/members.go
@@ -24,6 +24,8 @@
 			all = append(all, e)
 		case membership.Reported:
 			all = append(all, s.fromRouting(now, s.routing.Apply(now, routing.Reported(e)))...)
+		case membership.VersionHeard:
+			s.versionHeard(now, e.Version)
 		case membership.Ready:
 			all = append(all, s.membersReady(now, e)...)
 			all = append(all, e)
@@ -39,7 +41,7 @@
 func (s *State) membersReady(now time.Time, e membership.Ready) []Effect {
 	var effects []Effect
 
-	if e.Own.Member.Incarnation >= s.options.Self.Incarnation {
+	if e.Own.Member.ID == s.options.Self.ID && e.Own.Member.Incarnation >= s.options.Self.Incarnation {
 		// The clock was set back since the earlier run; others would take this one for it.
 		s.options.Self.Incarnation = e.Own.Member.Incarnation + 1
 		entry := s.entry()
--- a/internal/v2/core/messages.go
+++ b/internal/v2/core/messages.go
@@ -82,6 +82,8 @@
 		Version  uint64
 		Manifest manifest.Manifest
 	}
+	// RereadManifest asks for the configuration, because another daemon has a newer one.
+	RereadManifest struct{ Version uint64 }
 	// ServerReplaced reports that another backend server is at the address.
 	ServerReplaced struct{ ID backend.ID }
 	// ServerChanged reports a change of what is known of the backend server.
--- a/internal/v2/daemon/loop.go
+++ b/internal/v2/daemon/loop.go
@@ -89,6 +89,11 @@
 		d.refuse(e)
 	case core.ManifestChanged:
 		d.changeManifest(e)
+	case core.RereadManifest:
+		select {
+		case d.reread <- struct{}{}:
+		default:
+		}
 	case core.ServerReplaced:
 		d.backend.Forget()
 	case core.ServerChanged:
@@ -133,11 +138,6 @@
 		d.sendBeat(e)
 	case membership.MembersChanged:
 		d.logMembers(e.Members)
-	case membership.VersionHeard:
-		select {
-		case d.reread <- struct{}{}:
-		default:
-		}
 	}
 }
 
--- a/internal/v2/daemon/members.go
+++ b/internal/v2/daemon/members.go
@@ -43,12 +43,9 @@
 	d.apply(read)
 }
 
-// writeEntry stores the own entry, or drops it. The mutex is held.
+// writeEntry stores the own entry. The mutex is held.
 func (d *Daemon) writeEntry(e membership.WriteEntry) {
-	record := store.Record{Key: string(e.Entry.Member.ID)}
-	if !e.Drop {
-		record.Value = membership.EncodeEntry(e.Entry)
-	}
+	record := store.Record{Key: string(e.Entry.Member.ID), Value: membership.EncodeEntry(e.Entry)}
 
 	d.tasks.Go("write entry", func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, entryTimeout)
--- a/internal/v2/membership/membership.go
+++ b/internal/v2/membership/membership.go
@@ -1,8 +1,8 @@
 // Package membership knows the daemons of the fleet. It does no I/O and reads no clock.
 //
-// Each daemon keeps an entry of its own in a topic of the platform's store, writes it before it reads the
-// others', and then greets every daemon that it found. Of two daemons that start at the same time, at least
-// one therefore finds the other. What changes quickly (whether a daemon lives, its load, its version of the
+// Each daemon keeps an entry of its own in a topic of the platform's store. It reads the entries, of which its
+// own tells what an earlier run knew, writes its own, reads the others' once more, and greets every daemon that
+// it found. Of two daemons that start at the same time, at least one therefore finds the other. What changes quickly (whether a daemon lives, its load, its version of the
 // configuration) goes directly from daemon to daemon in beats, and only to those that watch it.
 package membership
 
@@ -33,6 +33,9 @@
 	silence = 1300 * time.Millisecond
 	// rereadInterval is the time between two reads of all entries; a greeting that got lost is made up for.
 	rereadInterval = 30 * time.Second
+	// firstWrite is how long the first write of the own entry waits for the backend server to announce itself,
+	// so that it need not be written again.
+	firstWrite = 400 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call to the store.
 	retryMin = 150 * time.Millisecond
 	retryMax = 2 * time.Second
@@ -90,7 +93,7 @@
 	Used struct{ Service string }
 	// Resumed reports that the process stood still for some time.
 	Resumed struct{}
-	// Left ends membership: the others are told and the entry is dropped.
+	// Left ends membership: the others are told.
 	Left struct{}
 	// Tick lets time pass.
 	Tick struct{}
@@ -99,11 +102,8 @@
 type (
 	// ReadEntries asks for all entries of the store.
 	ReadEntries struct{}
-	// WriteEntry stores the daemon's own entry, or drops it.
-	WriteEntry struct {
-		Entry Entry
-		Drop  bool
-	}
+	// WriteEntry stores the daemon's own entry.
+	WriteEntry struct{ Entry Entry }
 	// SendBeat sends a datagram.
 	SendBeat struct {
 		To   netip.AddrPort
@@ -156,8 +156,9 @@
 	ready   bool
 	left    bool
 	writing bool
-	// dirty is set while the store does not hold the own entry.
+	// dirty is set while the store does not hold the own entry, stored once it has held one of this run.
 	dirty   bool
+	stored  bool
 	writeAt time.Time
 	reading bool
 	readAt  time.Time
@@ -192,9 +193,9 @@
 func (s *State) Apply(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Started:
-		s.dirty = true
+		s.writeAt = now.Add(firstWrite)
 
-		return append(s.write(now), s.members())
+		return append(s.read(now), s.members())
 	case EntriesRead:
 		return s.entriesRead(now, e)
 	case EntryWritten:
@@ -226,7 +227,7 @@
 
 	s.writing, s.dirty = true, false
 
-	return []Effect{WriteEntry{Entry: s.self, Drop: s.left}}
+	return []Effect{WriteEntry{Entry: s.self}}
 }
 
 func (s *State) read(now time.Time) []Effect {
@@ -247,18 +248,14 @@
 		s.dirty = true
 		s.writeAt = now.Add(s.pause())
 
-		// Others may still be found while the own entry cannot be stored.
-		if !s.ready {
-			return s.read(now)
-		}
-
 		return nil
 	}
 
 	s.retry = retryMin
 	effects := s.write(now)
 
-	if !s.ready {
+	if !s.stored {
+		s.stored = true
 		effects = append(effects, s.read(now)...)
 	}
 
@@ -335,7 +332,7 @@
 		return nil
 	}
 
-	s.ready = true
+	s.ready, s.dirty = true, true
 
 	return []Effect{Ready{Own: own}}
 }
@@ -415,7 +412,13 @@
 func (s *State) selfChanged(now time.Time, entry Entry) []Effect {
 	entry.Member.Counter = s.self.Member.Counter + 1
 	s.self = entry
-	s.dirty = true
+	s.dirty = s.ready
+
+	// The first write waits for nothing else than this.
+	if entry.Server != "" && !s.stored {
+		s.writeAt = now
+	}
+
 	effects := s.write(now)
 
 	effects = append(effects, s.members())
@@ -434,10 +437,13 @@
 	return append(s.read(now), s.tick(now)...)
 }
 
+// leave tells the others. The entry stays in the store: the next run of this daemon learns from it which server
+// it has, and if there is none, the others drop it after a time.
 func (s *State) leave(now time.Time) []Effect {
-	s.left, s.dirty = true, true
+	s.left, s.dirty = true, false
 	s.self.Member = s.self.Member.WithStatus(instance.Left, s.self.Member.Counter+1)
-	effects := s.write(now)
+
+	var effects []Effect
 
 	for _, p := range s.order {
 		if p.watched || now.Before(p.watcher) {
--- a/internal/v2/routing/flight.go
+++ b/internal/v2/routing/flight.go
@@ -48,6 +48,8 @@
 	// lost is set if an attempt may have run and brought no usable response.
 	lost bool
 	done bool
+	// ending is the reason for giving the request up once its attempts have ended; empty if it goes on.
+	ending Reason
 }
 
 // attempt is one sending of a request.
@@ -78,6 +80,32 @@
 	a.advanced = now
 }
 
+// pending is the number of attempts that have not ended, withdrawn ones included.
+func (f *flight) pending() int {
+	count := 0
+
+	for _, a := range f.attempts {
+		if !a.ended {
+			count++
+		}
+	}
+
+	return count
+}
+
+// mayRun is the number of servers that run the request, may have run it, or may be about to.
+func (f *flight) mayRun() int {
+	count := f.runs
+
+	for _, a := range f.attempts {
+		if !a.ended && !a.running {
+			count++
+		}
+	}
+
+	return count
+}
+
 func (f *flight) live() int {
 	count := 0
 
@@ -266,7 +294,13 @@
 		return nil
 	}
 
-	effects := s.decide(now, a, e)
+	var effects []Effect
+	if f.ending != "" {
+		effects = s.conclude(now, f)
+	} else {
+		effects = s.decide(now, a, e)
+	}
+
 	s.forget(f)
 
 	return effects
@@ -372,7 +406,7 @@
 
 // mayRepeat reports whether the request may be run by one more server.
 func (s *State) mayRepeat(now time.Time, f *flight) bool {
-	return f.request.Idempotent() && f.runs < f.limit() &&
+	return f.request.Idempotent() && f.mayRun() < f.limit() &&
 		f.service.budget.left(now, s.repeats, s.daemons) >= 1
 }
 
@@ -387,22 +421,37 @@
 
 // giveUp ends a request without a response, or with one that a server gave for its own failure.
 func (s *State) giveUp(now time.Time, f *flight, reason Reason) []Effect {
+	if f.ending != "" {
+		return nil
+	}
+
 	if f.fallback >= 0 {
 		return s.deliver(f, f.fallback)
 	}
 
+	f.ending = reason
+
+	return append(s.withdraw(f, -1, reason), s.conclude(now, f)...)
+}
+
+// conclude ends a request that is given up when the last of its attempts has ended: only then it is known
+// whether it may have run.
+func (s *State) conclude(now time.Time, f *flight) []Effect {
+	if f.pending() > 0 {
+		return nil
+	}
+
 	judged := verdict.NotRun
 	if f.runs > 0 || f.lost {
 		judged = verdict.MayHaveRun
 	}
 
-	effects := s.withdraw(f, -1, reason)
 	f.done = true
 	s.counts.GivenUp++
 
-	return append(effects, GiveUp{
-		ID: f.request.ID, Verdict: judged, Reason: reason, RetryAfter: s.retryAfter(now, f),
-	})
+	return []Effect{GiveUp{
+		ID: f.request.ID, Verdict: judged, Reason: f.ending, RetryAfter: s.retryAfter(now, f),
+	}}
 }
 
 // retryAfter is when a server of the service is expected to have room.
@@ -446,6 +495,7 @@
 		return nil
 	}
 
+	f.ending = ""
 	effects := s.withdraw(f, -1, CallerLeft)
 	f.done = true
 	s.forget(f)
--- a/internal/v2/routing/hedge.go
+++ b/internal/v2/routing/hedge.go
@@ -14,7 +14,7 @@
 	var effects []Effect
 
 	for _, a := range srv.live {
-		if a.running && !a.withdrawn && !a.flight.done {
+		if a.running && !a.withdrawn && !a.flight.done && a.flight.ending == "" {
 			effects = append(effects, s.hedgeOne(now, a)...)
 		}
 	}
--- a/internal/v2/routing/timers.go
+++ b/internal/v2/routing/timers.go
@@ -46,7 +46,7 @@
 	var next time.Time
 
 	for _, f := range s.flights {
-		if f.done {
+		if f.done || f.ending != "" {
 			continue
 		}
 
@@ -63,7 +63,7 @@
 	var pending []*flight
 
 	for _, f := range s.flights {
-		if !f.done && !now.Before(f.due()) {
+		if !f.done && f.ending == "" && !now.Before(f.due()) {
 			pending = append(pending, f)
 		}
 	}
--- a/pkg/manifest/codec.go
+++ b/pkg/manifest/codec.go
@@ -95,6 +95,10 @@
 }
 
 func decodeKeys(s *ini.Section) Keys {
+	if !ini.Optional(s, "used", true, strconv.ParseBool) {
+		return Keys{}
+	}
+
 	return Keys{
 		Window:    ini.Optional(s, "window", defaultWindow, ini.Duration),
 		Tolerance: ini.Optional(s, "tolerance", defaultTolerance, ini.Duration),
@@ -197,8 +201,11 @@
 func Format(m Manifest) []byte {
 	var out bytes.Buffer
 
-	if m.Keys != (Keys{}) {
-		fmt.Fprintf(&out, "[%s]\n", keysSection)
+	fmt.Fprintf(&out, "[%s]\n", keysSection)
+
+	if m.Keys == (Keys{}) {
+		line(&out, "used", strconv.FormatBool(false))
+	} else {
 		line(&out, "window", m.Keys.Window.String())
 		line(&out, "tolerance", m.Keys.Tolerance.String())
 		line(&out, "grant", m.Keys.Grant.String())
