--- a/internal/v2/attempt/client.go
+++ b/internal/v2/attempt/client.go
@@ -89,8 +89,12 @@
 }
 
 // Progress is told what the daemon beside the server says before its reply: that the request waits for a
-// slot, or that it runs.
-type Progress func(running bool)
+// slot, or that it has one. It returns false if the call is no longer wanted; a call that must not run twice is
+// then not committed.
+type Progress func(running bool) bool
+
+// ErrWithdrawn is returned for a call that was no longer wanted when it got a slot.
+var ErrWithdrawn = errors.New("call was withdrawn")
 
 // Response is the reply to a call together with the backend server's header and body.
 type Response struct {
@@ -163,11 +167,13 @@
 		case http.StatusProcessing:
 			e.progress(false)
 		case http.StatusContinue:
+			if !e.progress(true) {
+				return nil, ErrWithdrawn
+			}
+
 			if err := e.commit(); err != nil {
 				return nil, err
 			}
-
-			e.progress(true)
 		default:
 			return e.finish(response)
 		}
--- a/internal/v2/daemon/attempt.go
+++ b/internal/v2/daemon/attempt.go
@@ -52,7 +52,7 @@
 
 // runAttempt makes the call and reports its end. A response is kept for Deliver.
 func (d *Daemon) runAttempt(ctx context.Context, e routing.Attempt, call attempt.Call, out *outgoing) {
-	response, err := d.call(ctx, e, call)
+	response, err := d.call(ctx, e, call, out)
 
 	ended := core.AttemptEnded{
 		Ended: routing.Ended{ID: e.Request.ID, Number: e.Number}, Alone: e.Request.Alone,
@@ -89,9 +89,18 @@
 }
 
 // call reaches the daemon beside the server, which may be this one.
-func (d *Daemon) call(ctx context.Context, e routing.Attempt, call attempt.Call) (*attempt.Response, error) {
-	progress := func(running bool) {
-		d.apply(routing.Accepted{ID: e.Request.ID, Number: e.Number, Running: running})
+func (d *Daemon) call(
+	ctx context.Context, e routing.Attempt, call attempt.Call, out *outgoing,
+) (*attempt.Response, error) {
+	progress := func(running bool) bool {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+
+		if !out.aborted {
+			d.applyLocked(routing.Accepted{ID: e.Request.ID, Number: e.Number, Running: running})
+		}
+
+		return !out.aborted
 	}
 
 	if e.Target.ID == d.options.Self.ID {
--- a/internal/v2/daemon/serve.go
+++ b/internal/v2/daemon/serve.go
@@ -73,7 +73,9 @@
 }
 
 func (l local) Running() error {
-	l.progress(true)
+	if !l.progress(true) {
+		return attempt.ErrWithdrawn
+	}
 
 	return nil
 }
