--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -36,6 +36,7 @@
 	Started struct {
 		// Last is the server that announced itself last, for the daemon's own service.
 		Last backend.ID
+		Born time.Time
 		// Left is set if that server had left or was about to.
 		Left bool
 	}
@@ -214,6 +215,9 @@
 // Server is the server at the address; empty if it has no name or is not known.
 func (s *State) Server() backend.ID { return s.id }
 
+// Born is the start of the server, by its own clock; zero if unknown.
+func (s *State) Born() time.Time { return s.born }
+
 // Left is the last server that has withdrawn.
 func (s *State) Left() backend.ID { return s.left }
 
@@ -260,7 +264,7 @@
 	switch {
 	case s.known:
 	case e.Left:
-		s.left = e.Last
+		s.left, s.leftBorn = e.Last, e.Born
 	default:
 		s.last = e.Last
 	}
--- /dev/null
+++ b/internal/health/script_test.go
@@ -0,0 +1,98 @@
+package health_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/script"
+)
+
+var update = flag.Bool("update", false, "rewrite the effects in testdata")
+
+// TestScripts guards against a wrong belief about the backend server: which one it is, and whether it takes work.
+// Each file in testdata names what it guards against.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txtar", *update, func() script.Reducer {
+		return &reducer{state: health.New(health.WithProbeInterval(100 * time.Millisecond))}
+	})
+}
+
+type reducer struct{ state *health.State }
+
+func (r *reducer) Next() time.Time { return r.state.Next() }
+
+func (r *reducer) Tick(now time.Time) []string { return r.apply(now, health.Tick{}) }
+
+func (r *reducer) Apply(now time.Time, line script.Line) []string {
+	return r.apply(now, newEvent(now, line))
+}
+
+func (r *reducer) apply(now time.Time, event health.Event) []string {
+	var lines []string
+
+	for _, effect := range r.state.Apply(now, event) {
+		switch effect.(type) {
+		case health.Probe:
+			lines = append(lines, "probe")
+		case health.Changed:
+			closed := string(r.state.Closed())
+			if closed == "" {
+				closed = "open"
+			}
+
+			lines = append(lines, fmt.Sprintf("server %q: %s, %d slots", r.state.Server(), closed, r.state.Slots()))
+		}
+	}
+
+	return lines
+}
+
+// born returns a start of the server; 0 is none.
+func born(number int) time.Time {
+	if number == 0 {
+		return time.Time{}
+	}
+
+	return time.Unix(int64(1_700_000_000+number), 0).UTC()
+}
+
+func newEvent(_ time.Time, line script.Line) health.Event {
+	switch line.Command {
+	case "started":
+		return health.Started{
+			Last: backend.ID(line.Text("last", "")), Born: born(line.Int("born", 0)), Left: line.Has("left"),
+		}
+	case "announce":
+		return health.Announced{Announcement: backend.Announcement{
+			ID: backend.ID(line.Word(0)), Born: born(line.Int("born", 0)), Sequence: int64(line.Int("sequence", 1)),
+			Slots: line.Int("slots", 6), Draining: line.Has("draining"), ColdFor: line.Duration("cold", 0),
+		}}
+	case "withdraw":
+		return health.Withdrawn{ID: backend.ID(line.Word(0)), Born: born(line.Int("born", 0))}
+	case "observe":
+		return health.Observed{Load: dialect.Load{Slots: line.Int("slots", 6), Slowness: line.Float("slowness", 1)}}
+	case "ran":
+		return health.Ran{Failed: line.Has("failed")}
+	case "refused":
+		return health.Refused{}
+	case "misdirected":
+		return health.Misdirected{ID: backend.ID(line.Word(0))}
+	case "watched":
+		return health.Busy{Watched: true}
+	case "probed":
+		return health.Probed{
+			Answered: !line.Has("lost"), Healthy: !line.Has("ill") && !line.Has("lost"),
+			ID: backend.ID(line.Text("id", "")), Loaded: line.Text("slots", "") != "",
+			Load: dialect.Load{Slots: line.Int("slots", 0), Slowness: line.Float("slowness", 1)},
+		}
+	default:
+		line.Unknown()
+
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/script/script.go
@@ -0,0 +1,196 @@
+// Package script runs scripted tests of reducers. A script is a txtar archive with two files: events, one a line,
+// and the effects that they must have. Time passes only by the line "after DURATION".
+package script
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/stretchr/testify/require"
+)
+
+// begin is the time at which every script starts.
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Reducer is what a script drives.
+type Reducer interface {
+	// Apply handles a line and returns a description of each effect.
+	Apply(now time.Time, line Line) []string
+	// Tick lets time pass and returns a description of each effect.
+	Tick(now time.Time) []string
+	// Next is when Tick is due; the zero time if nothing waits.
+	Next() time.Time
+}
+
+// Line is one event: a command, positional words, and words of the form key=value.
+type Line struct {
+	t       *testing.T
+	Command string
+	Words   []string
+	values  map[string]string
+}
+
+func parse(t *testing.T, text string) Line {
+	line := Line{t: t, values: make(map[string]string)}
+
+	for index, word := range strings.Fields(text) {
+		key, value, valued := strings.Cut(word, "=")
+
+		switch {
+		case index == 0:
+			line.Command = word
+		case valued:
+			line.values[key] = value
+		default:
+			line.Words = append(line.Words, word)
+		}
+	}
+
+	return line
+}
+
+// Word returns a positional word.
+func (l Line) Word(index int) string {
+	require.Greater(l.t, len(l.Words), index, "%s: word %d is missing", l.Command, index)
+
+	return l.Words[index]
+}
+
+// Has reports whether a positional word stands in the line.
+func (l Line) Has(word string) bool {
+	for _, other := range l.Words {
+		if other == word {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Text returns the value of a key, or a default.
+func (l Line) Text(key, fallback string) string {
+	if value, found := l.values[key]; found {
+		return value
+	}
+
+	return fallback
+}
+
+// Int returns the value of a key, or a default.
+func (l Line) Int(key string, fallback int) int { return valueOf(l, key, fallback, strconv.Atoi) }
+
+// Float returns the value of a key, or a default.
+func (l Line) Float(key string, fallback float64) float64 {
+	return valueOf(l, key, fallback, func(text string) (float64, error) { return strconv.ParseFloat(text, 64) })
+}
+
+// Duration returns the value of a key, or a default.
+func (l Line) Duration(key string, fallback time.Duration) time.Duration {
+	return valueOf(l, key, fallback, time.ParseDuration)
+}
+
+func valueOf[T any](l Line, key string, fallback T, parser func(string) (T, error)) T {
+	text, found := l.values[key]
+	if !found {
+		return fallback
+	}
+
+	value, err := parser(text)
+	require.NoError(l.t, err, "%s: %s", l.Command, key)
+
+	return value
+}
+
+// Unknown fails the test for a command that the reducer does not know.
+func (l Line) Unknown() { require.Fail(l.t, "unknown command", "%q", l.Command) }
+
+// Run runs all scripts that match a pattern. With update, the effects in the files are replaced by those seen.
+func Run(t *testing.T, pattern string, update bool, newReducer func() Reducer) {
+	t.Helper()
+
+	files, err := filepath.Glob(pattern)
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			require.NoError(t, err)
+			require.Len(t, archive.Files, 2, "a script has the files events and effects")
+
+			got := play(t, string(archive.Files[0].Data), newReducer())
+			if update {
+				archive.Files[1].Data = []byte(got)
+				require.NoError(t, os.WriteFile(file, txtar.Format(archive), 0o600))
+			}
+
+			require.Equal(t, string(archive.Files[1].Data), got)
+		})
+	}
+}
+
+func play(t *testing.T, text string, reducer Reducer) string {
+	p := &player{reducer: reducer, now: begin}
+
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+
+		fmt.Fprintf(&p.out, "> %s\n", line)
+
+		parsed := parse(t, line)
+		if parsed.Command != "after" {
+			p.note(reducer.Apply(p.now, parsed))
+
+			continue
+		}
+
+		period, err := time.ParseDuration(parsed.Word(0))
+		require.NoError(t, err)
+		p.pass(period)
+	}
+
+	return p.out.String()
+}
+
+// player keeps the time of one script.
+type player struct {
+	reducer Reducer
+	now     time.Time
+	out     strings.Builder
+}
+
+// pass lets time pass, with a tick whenever one is due.
+func (p *player) pass(period time.Duration) {
+	end := p.now.Add(period)
+
+	for next := p.reducer.Next(); !next.IsZero() && !next.After(end); next = p.reducer.Next() {
+		if next.After(p.now) {
+			p.now = next
+		}
+
+		p.note(p.reducer.Tick(p.now))
+
+		// A reducer that asks for the same time again has nothing to do then.
+		if again := p.reducer.Next(); !again.After(p.now) {
+			break
+		}
+	}
+
+	p.now = end
+	p.note(p.reducer.Tick(p.now))
+}
+
+func (p *player) note(effects []string) {
+	for _, effect := range effects {
+		fmt.Fprintf(&p.out, "%6s  %s\n", p.now.Sub(begin), effect)
+	}
+}
--- /dev/null
+++ b/internal/v2/admission/script_test.go
@@ -0,0 +1,80 @@
+package admission_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/script"
+	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
+)
+
+var update = flag.Bool("update", false, "rewrite the effects in testdata")
+
+// TestScripts guards against changed decisions on the order of starts, on refusals and on a server that closes.
+// Each file in testdata names what it guards against.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txtar", *update, func() script.Reducer {
+		r := &reducer{state: admission.New()}
+		r.server(time.Time{}, "", 2, 3, 1)
+
+		return r
+	})
+}
+
+type reducer struct{ state *admission.State }
+
+func (r *reducer) server(now time.Time, closed string, slots, queue int, slowness float64) []string {
+	return describe(r.state.Apply(now, admission.ServerChanged{
+		Closed: admission.Reason(closed), Slots: slots, Queue: queue, Slowness: slowness,
+	}))
+}
+
+func (r *reducer) Next() time.Time { return r.state.Next() }
+
+func (r *reducer) Tick(now time.Time) []string { return describe(r.state.Apply(now, admission.Tick{})) }
+
+func (r *reducer) Apply(now time.Time, line script.Line) []string {
+	switch line.Command {
+	case "arrive":
+		return describe(r.state.Apply(now, admission.Arrived{
+			Attempt:  attemptOf(line.Word(0)),
+			Deadline: now.Add(line.Duration("deadline", time.Second)), Wait: line.Duration("wait", 100*time.Millisecond),
+			Nested: line.Has("nested"), Alone: line.Has("alone"), Priority: line.Int("priority", 0),
+			Slowest: line.Float("slowest", 0),
+		}))
+	case "done":
+		return describe(r.state.Apply(now, admission.Done{Attempt: attemptOf(line.Word(0))}))
+	case "cancel":
+		return describe(r.state.Apply(now, admission.Cancelled{Attempt: attemptOf(line.Word(0))}))
+	case "server":
+		return r.server(now, line.Text("closed", ""), line.Int("slots", 2), line.Int("queue", 3), line.Float("slowness", 1))
+	default:
+		line.Unknown()
+
+		return nil
+	}
+}
+
+func attemptOf(id string) admission.Attempt { return admission.Attempt{Entry: "e", ID: request.ID(id)} }
+
+func describe(effects []admission.Effect) []string {
+	lines := make([]string, 0, len(effects))
+
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case admission.Start:
+			lines = append(lines, fmt.Sprintf("start %s", e.Attempt.ID))
+		case admission.Queued:
+			lines = append(lines, fmt.Sprintf("queued %s", e.Attempt.ID))
+		case admission.Refuse:
+			lines = append(lines, fmt.Sprintf("refuse %s: %s after %s", e.Attempt.ID, e.Reason, e.Waited))
+		case admission.Abort:
+			lines = append(lines, fmt.Sprintf("abort %s", e.Attempt.ID))
+		}
+	}
+
+	return lines
+}
--- a/internal/v2/core/core.go
+++ b/internal/v2/core/core.go
@@ -249,7 +249,7 @@
 // entry describes the daemon for the store.
 func (s *State) entry() membership.Entry {
 	entry := s.membership.Self()
-	entry.Server = string(s.health.Server())
+	entry.Server, entry.Born = string(s.health.Server()), s.health.Born()
 	entry.Left = s.health.Closed() == admission.IsDraining || s.health.Server() != "" && s.health.Server() == s.health.Left()
 	entry.Member.Slots = s.health.Slots()
 	entry.Member.Status = instance.Alive
--- a/internal/v2/core/members.go
+++ b/internal/v2/core/members.go
@@ -50,7 +50,9 @@
 	}
 
 	if e.Own.Server != "" && e.Own.Member.Service == s.options.Self.Service {
-		effects = append(effects, s.toHealth(now, health.Started{Last: backend.ID(e.Own.Server), Left: e.Own.Left})...)
+		effects = append(effects, s.toHealth(now, health.Started{
+			Last: backend.ID(e.Own.Server), Born: e.Own.Born, Left: e.Own.Left,
+		})...)
 	}
 
 	return effects
--- a/internal/v2/membership/codec.go
+++ b/internal/v2/membership/codec.go
@@ -194,6 +194,8 @@
 	Peer    string `json:"peer"`
 	Slots   int    `json:"slots"`
 	Server  string `json:"server,omitempty"`
+	// Born is in Unix milliseconds.
+	Born int64 `json:"born,omitempty"`
 	Left    bool   `json:"left,omitempty"`
 }
 
@@ -205,7 +207,7 @@
 	data, _ := json.Marshal(storedEntry{
 		ID: string(m.ID), Run: uint64(m.Incarnation), Counter: m.Counter, Status: m.Status.String(),
 		Service: m.Service, Region: m.Place.Region, Domain: m.Place.Domain, Peer: m.Peer.String(), Slots: m.Slots,
-		Server: e.Server, Left: e.Left,
+		Server: e.Server, Born: millis(e.Born), Left: e.Left,
 	})
 
 	return data
@@ -234,6 +236,22 @@
 			Status: status, Service: stored.Service,
 			Place: instance.Place{Region: stored.Region, Domain: stored.Domain}, Peer: peer, Slots: stored.Slots,
 		},
-		Server: stored.Server, Left: stored.Left,
+		Server: stored.Server, Born: fromMillis(stored.Born), Left: stored.Left,
 	}, nil
 }
+
+func millis(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+
+	return at.UnixMilli()
+}
+
+func fromMillis(number int64) time.Time {
+	if number == 0 {
+		return time.Time{}
+	}
+
+	return time.UnixMilli(number).UTC()
+}
--- a/internal/v2/membership/membership.go
+++ b/internal/v2/membership/membership.go
@@ -46,6 +46,8 @@
 	Member instance.Member
 	// Server is the backend server that announced itself last; empty if none did.
 	Server string
+	// Born is the start of that server, by its own clock; zero if unknown.
+	Born time.Time
 	// Left is set if that server has left or is about to.
 	Left bool
 }
@@ -297,7 +299,7 @@
 		if s.learn(entry.Member) {
 			changed = true
 
-			effects = append(effects, SendBeat{To: entry.Member.Peer, Beat: s.beat(now, true, true)})
+			effects = append(effects, SendBeat{To: entry.Member.Peer, Beat: s.beat(now, false, true)})
 		}
 	}
 
--- /dev/null
+++ b/internal/v2/membership/script_test.go
@@ -0,0 +1,148 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/script"
+	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
+)
+
+var update = flag.Bool("update", false, "rewrite the effects in testdata")
+
+// TestScripts guards against daemons that do not find each other, calls to the store that are not needed, and
+// beats that nobody wants. Each file in testdata names what it guards against.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txtar", *update, func() script.Reducer {
+		return &reducer{state: membership.New(newMember("me", 1, 5), 1)}
+	})
+}
+
+type reducer struct{ state *membership.State }
+
+// newMember returns a member whose address is made of its name, unless another one is wanted.
+func newMember(id string, port uint16, run uint64) instance.Member {
+	return instance.Member{
+		ID: instance.ID(id), Incarnation: instance.Incarnation(run), Service: "stock",
+		Place: instance.Place{Region: "west", Domain: "d1"},
+		Peer:  netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port), Slots: 6,
+	}
+}
+
+// memberOf reads: ID port=N run=N counter=N service=S region=R status=S.
+func memberOf(line script.Line) instance.Member {
+	m := newMember(line.Word(0), uint16(line.Int("port", 0)), uint64(line.Int("run", 1)))
+	m.Counter = uint64(line.Int("counter", 0))
+	m.Service = line.Text("service", "stock")
+	m.Place.Region = line.Text("region", "west")
+
+	if line.Text("status", "") == "left" {
+		m.Status = instance.Left
+	}
+
+	return m
+}
+
+func (r *reducer) Next() time.Time { return r.state.Next() }
+
+func (r *reducer) Tick(now time.Time) []string { return describe(r.state.Apply(now, membership.Tick{})) }
+
+func (r *reducer) Apply(now time.Time, line script.Line) []string {
+	return describe(r.state.Apply(now, newEvent(line)))
+}
+
+func newEvent(line script.Line) membership.Event {
+	switch line.Command {
+	case "start":
+		return membership.Started{}
+	case "entries":
+		return newEntries(line)
+	case "written":
+		return membership.EntryWritten{Failed: line.Has("failed")}
+	case "beat":
+		return membership.BeatHeard{Beat: membership.Beat{
+			From: memberOf(line), Watch: line.Has("watch"), Greeting: line.Has("greeting"),
+			Version: uint64(line.Int("version", 0)),
+		}}
+	case "server":
+		return membership.SelfChanged{Entry: membership.Entry{Member: newMember("me", 1, 5), Server: line.Word(0)}}
+	case "load":
+		return membership.LoadChanged{
+			Report:  load.Report{Server: "me", Running: line.Int("running", 0), Counter: uint64(line.Int("running", 0))},
+			Version: uint64(line.Int("version", 0)), Urgent: true,
+		}
+	case "use":
+		return membership.Used{Service: line.Word(0)}
+	case "resume":
+		return membership.Resumed{}
+	case "leave":
+		return membership.Left{}
+	default:
+		line.Unknown()
+
+		return nil
+	}
+}
+
+// newEntries reads: entries [failed] [ID:PORT ...].
+func newEntries(line script.Line) membership.Event {
+	read := membership.EntriesRead{Failed: line.Has("failed")}
+
+	for _, word := range line.Words {
+		id, port, found := strings.Cut(word, ":")
+		if !found {
+			continue
+		}
+
+		var number uint16
+
+		_, _ = fmt.Sscan(port, &number)
+		read.Entries = append(read.Entries, membership.Entry{Member: newMember(id, number, 1), Server: "i-" + id})
+	}
+
+	return read
+}
+
+func describe(effects []membership.Effect) []string {
+	lines := make([]string, 0, len(effects))
+
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case membership.ReadEntries:
+			lines = append(lines, "read entries")
+		case membership.WriteEntry:
+			lines = append(lines, fmt.Sprintf("write entry with server %q", e.Entry.Server))
+		case membership.SendBeat:
+			lines = append(lines, fmt.Sprintf("beat to %d: watch=%t greeting=%t %s running=%d",
+				e.To.Port(), e.Beat.Watch, e.Beat.Greeting, e.Beat.From.Status, e.Beat.Report.Running))
+		case membership.MembersChanged:
+			lines = append(lines, "members"+list(e.Members))
+		case membership.VersionHeard:
+			lines = append(lines, fmt.Sprintf("version %d at %s", e.Version, e.From.ID))
+		case membership.Ready:
+			lines = append(lines, fmt.Sprintf("ready, earlier server %q", e.Own.Server))
+		}
+	}
+
+	return lines
+}
+
+func list(members []instance.Member) string {
+	var out strings.Builder
+
+	for _, m := range members {
+		fmt.Fprintf(&out, " %s", m.ID)
+
+		if m.Status != instance.Alive {
+			fmt.Fprintf(&out, "(%s)", m.Status)
+		}
+	}
+
+	return out.String()
+}
--- a/internal/v2/routing/flight.go
+++ b/internal/v2/routing/flight.go
@@ -149,7 +149,10 @@
 	svc.budget.addRequest(now, s.repeats)
 	svc.budget.addRepeats(now, s.repeats, e.Repeated)
 
-	return s.send(now, f, First)
+	effects := s.send(now, f, First)
+	s.forget(f)
+
+	return effects
 }
 
 // send starts an attempt at the best server, parks the request or gives it up.
--- /dev/null
+++ b/internal/v2/routing/script_test.go
@@ -0,0 +1,180 @@
+package routing_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/script"
+	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+var update = flag.Bool("update", false, "rewrite the effects in testdata")
+
+// TestScripts guards against changed decisions: where requests go, when they are sent once more, and with which
+// verdict they are given up. Each file in testdata names the fault that it guards against.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txtar", *update, func() script.Reducer { return newReducer() })
+}
+
+// self is the daemon under test: instance "me" in domain d1 of region west.
+var self = instance.Member{ID: "me", Service: "none", Place: instance.Place{Region: "west", Domain: "d1"}}
+
+// reducer drives a routing.State by the lines of a script.
+type reducer struct {
+	state    *routing.State
+	members  []instance.Member
+	counters map[instance.ID]uint64
+}
+
+func newReducer() *reducer {
+	r := &reducer{counters: make(map[instance.ID]uint64), members: []instance.Member{self}}
+	r.state = routing.New(routing.WithSelf(self), routing.WithSeed(1),
+		routing.WithRepeats(routing.Repeats{Share: 0.2, Slack: 100, Window: 10 * time.Second}))
+
+	return r
+}
+
+func (r *reducer) Next() time.Time { return r.state.Next() }
+
+func (r *reducer) Tick(now time.Time) []string { return describe(r.state.Apply(now, routing.Tick{})) }
+
+func (r *reducer) Apply(now time.Time, line script.Line) []string {
+	switch line.Command {
+	case "member":
+		return r.member(now, line)
+	case "budget":
+		r.state = routing.New(routing.WithSelf(self), routing.WithSeed(1), routing.WithRepeats(routing.Repeats{
+			Share: line.Float("share", 0), Slack: line.Float("slack", 0), Window: 10 * time.Second,
+		}))
+
+		return nil
+	default:
+		return describe(r.state.Apply(now, r.event(now, line)))
+	}
+}
+
+// member adds or changes a member: member ID service=S region=R domain=D status=alive.
+func (r *reducer) member(now time.Time, line script.Line) []string {
+	m := instance.Member{
+		ID: instance.ID(line.Word(0)), Incarnation: 1, Service: line.Text("service", "stock"),
+		Place: instance.Place{Region: line.Text("region", "west"), Domain: line.Text("domain", "d2")},
+		Slots: line.Int("slots", 4),
+	}
+
+	if line.Text("status", "alive") != "alive" {
+		m.Status = instance.Accused
+	}
+
+	kept := r.members[:0:0]
+
+	for _, other := range r.members {
+		if other.ID != m.ID {
+			kept = append(kept, other)
+		}
+	}
+
+	r.members = append(kept, m)
+
+	return describe(r.state.Apply(now, routing.MembersChanged{Members: r.members}))
+}
+
+func (r *reducer) event(now time.Time, line script.Line) routing.Event {
+	switch line.Command {
+	case "report":
+		return routing.Reported{Report: r.report(line)}
+	case "request":
+		return routing.Arrived{Request: newRequest(now, line)}
+	case "accepted":
+		return routing.Accepted{
+			ID: request.ID(line.Word(0)), Number: line.Int("attempt", 0), Running: line.Has("running"),
+		}
+	case "ended":
+		return newEnded(line)
+	case "cancelled":
+		return routing.Cancelled{ID: request.ID(line.Word(0))}
+	default:
+		line.Unknown()
+
+		return nil
+	}
+}
+
+func (r *reducer) report(line script.Line) load.Report {
+	id := instance.ID(line.Word(0))
+	r.counters[id]++
+
+	return load.Report{
+		Server: id, Incarnation: 1, Counter: r.counters[id], Open: !line.Has("closed"),
+		Running: line.Int("running", 0), Waiting: line.Int("waiting", 0), Slots: line.Int("slots", 4),
+		Slowness: line.Float("slowness", 1), Failing: line.Float("failing", 0), Calls: line.Float("calls", 0),
+		ColdFor: line.Duration("cold", 0),
+	}
+}
+
+func newRequest(now time.Time, line script.Line) request.Request {
+	r := request.Request{
+		ID: request.ID(line.Word(0)), Service: line.Text("service", "stock"), Route: "stock/r",
+		Kind: manifest.Idempotent, Deadline: now.Add(line.Duration("deadline", time.Second)),
+		Target: now.Add(line.Duration("target", 500*time.Millisecond)), Attempts: line.Int("attempts", 2),
+		Size: int64(line.Int("size", 0)),
+	}
+
+	if line.Has("once") {
+		r.Kind = manifest.NonIdempotent
+	}
+
+	return r
+}
+
+// newEnded reads: ended ID [attempt=N] answered|refused|unreachable|broken|aborted [failure] [ran] [bytes=N].
+func newEnded(line script.Line) routing.Ended {
+	e := routing.Ended{
+		ID: request.ID(line.Word(0)), Number: line.Int("attempt", 0), Failure: line.Has("failure"),
+		Bytes: int64(line.Int("bytes", 1000)), Verdict: verdict.NotRun,
+	}
+
+	switch {
+	case line.Has("answered"):
+		e.Outcome, e.Verdict = routing.Answered, verdict.Answered
+	case line.Has("refused"):
+		e.Outcome = routing.Refused
+	case line.Has("unreachable"):
+		e.Outcome = routing.Unreachable
+	case line.Has("broken"):
+		e.Outcome, e.Verdict = routing.Broken, verdict.MayHaveRun
+	case line.Has("aborted"):
+		e.Outcome = routing.Aborted
+	}
+
+	if line.Has("ran") {
+		e.Verdict = verdict.MayHaveRun
+	}
+
+	return e
+}
+
+func describe(effects []routing.Effect) []string {
+	lines := make([]string, 0, len(effects))
+
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case routing.Attempt:
+			lines = append(lines, fmt.Sprintf("send %s/%d to %s: %s", e.Request.ID, e.Number, e.Target.ID, e.Why))
+		case routing.CancelAttempt:
+			lines = append(lines, fmt.Sprintf("withdraw %s/%d: %s", e.ID, e.Number, e.Why))
+		case routing.Deliver:
+			lines = append(lines, fmt.Sprintf("deliver %s/%d", e.ID, e.Number))
+		case routing.GiveUp:
+			lines = append(lines, fmt.Sprintf("give up %s: %s, %s", e.ID, e.Verdict, e.Reason))
+		}
+	}
+
+	return lines
+}
