--- a/cmd/tarragonmill/main_test.go
+++ b/cmd/tarragonmill/main_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/admin"
 	"github.com/tarragonmill/tarragonmill/internal/command"
-	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
+	"github.com/tarragonmill/tarragonmill/internal/standin/store"
 )
 
 var update = flag.Bool("update", false, "write the output seen into the scripts")
@@ -39,11 +39,12 @@
 		UpdateScripts:       *update,
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			log := httptest.NewServer(logstore.New().Handler())
+			log := httptest.NewServer(store.New().Handler())
 			env.Defer(log.Close)
 			env.Setenv("LOG", log.URL)
 
-			down := logstore.New(logstore.WithFaults(logstore.Faults{Outage: logstore.Refuse}))
+			down := store.New()
+			down.Set(store.Faults{Down: store.Reset})
 			noLog := httptest.NewServer(down.Handler())
 			env.Defer(noLog.Close)
 			env.Setenv("NOLOG", noLog.URL)
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -14,7 +14,7 @@
 )
 
 // reportInterval is how often tally passes its values on; /metrics is at most this old.
-const reportInterval = time.Second
+const reportInterval = 2 * time.Second
 
 // Metrics is a tally scope whose values are served in the Prometheus text format.
 type Metrics struct {
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,70 +6,21 @@
 // attempt that waits or runs has no effect: refusing it as not run would be untrue.
 package admission
 
-import (
-	"time"
-
-	"github.com/tarragonmill/tarragonmill/internal/load"
-)
-
-const (
-	// sojournLimit bounds the time in the queue. An attempt that has waited this long is better off
-	// at another server, which it reaches within two milliseconds in its region.
-	sojournLimit = 50 * time.Millisecond
-	// latencyWeight is the weight of one sample in the moving average of the service time.
-	latencyWeight = 0.1
-	// fastestWeight is the weight of a slower sample in the lower bound of the service time.
-	fastestWeight = 0.01
-)
-
-// Option configures New.
-type Option func(*State)
-
-// WithLimits sets the number of slots and the length of the queue.
-func WithLimits(slots, queue int) Option {
-	return func(s *State) { s.slots, s.queueLimit = slots, queue }
-}
-
-// Mechanism is a part of the admission that can be turned off to measure what it brings.
-type Mechanism uint8
-
-const (
-	// Shedding refuses attempts that waited too long or would miss their deadline.
-	Shedding Mechanism = iota
-)
-
-// Without turns mechanisms off.
-func Without(mechanisms ...Mechanism) Option {
-	return func(s *State) {
-		for _, m := range mechanisms {
-			s.off |= 1 << m
-		}
-	}
-}
-
-func (s *State) uses(m Mechanism) bool { return s.off&(1<<m) == 0 }
+import "time"
 
 // State is the admission of one backend server. It is not safe for concurrent use.
 type State struct {
-	// off has a bit for each mechanism that is turned off.
-	off        uint
 	slots      int
 	queueLimit int
+	closed     Reason
+	slowness   float64
 	running    map[Attempt]*run
-	nested     fifo
-	fresh      fifo
+	queue      queue
 	// alone is the attempt that waits for the server to become idle, if any.
-	alone    *waiting
-	draining bool
-	drained  bool
-	down     bool
+	alone *waiting
 	// exclusive is set while an attempt that asked to be alone runs.
 	exclusive bool
-	latency   time.Duration
-	// fastest follows the shortest service times. Deadlines are compared with it and not with the mean,
-	// because requests of one service differ.
-	fastest time.Duration
-	counts  Counts
+	counts    Counts
 }
 
 type run struct {
@@ -77,14 +28,9 @@
 	alone   bool
 }
 
-// New returns the admission of a server that is up.
-func New(options ...Option) *State {
-	s := &State{slots: 1, running: make(map[Attempt]*run)}
-	for _, option := range options {
-		option(s)
-	}
-
-	return s
+// New returns the admission of a server of which nothing is known.
+func New() *State {
+	return &State{slots: 1, closed: ServerUnknown, running: make(map[Attempt]*run)}
 }
 
 // Apply handles one event.
@@ -98,118 +44,106 @@
 		s.done(e)
 	case Cancelled:
 		effects = s.cancelled(e)
-	case DrainStarted:
-		s.draining = true
-		effects = s.refuseAll(now, IsDraining)
-	case LimitsChanged:
-		s.slots, s.queueLimit = max(1, e.Slots), max(0, e.Queue)
 	case ServerChanged:
-		s.down = !e.Up
-		if s.down {
-			effects = s.refuseAll(now, ServerDown)
+		s.closed, s.slowness = e.Closed, e.Slowness
+		s.slots, s.queueLimit = max(1, e.Slots), max(0, e.Queue)
+
+		if s.closed != "" {
+			effects = s.refuseAll(now)
 		}
 	case Tick:
 	}
 
-	effects = append(effects, s.startWaiting(now)...)
 	effects = append(effects, s.expire(now)...)
 
-	if s.draining && !s.drained && len(s.running) == 0 {
-		s.drained = true
-		effects = append(effects, Drained{})
+	return append(effects, s.startWaiting()...)
+}
+
+// Running is the number of attempts at the server.
+func (s *State) Running() int { return len(s.running) }
+
+// Waiting is the number of attempts in the queue.
+func (s *State) Waiting() int {
+	if s.alone != nil {
+		return len(s.queue) + 1
 	}
 
-	return effects
+	return len(s.queue)
 }
 
-// Hint returns the present load.
-func (s *State) Hint(_ time.Time) load.Hint {
-	return load.Hint{
-		InFlight: len(s.running),
-		Queue:    s.waitingCount(),
-		Limit:    s.limit(),
-		Latency:  s.latency,
-		Draining: s.draining || s.down,
+// Next is when Tick is due; the zero time if nothing waits.
+func (s *State) Next() time.Time {
+	var next time.Time
+
+	for _, w := range s.queue {
+		if at := w.expires(); next.IsZero() || at.Before(next) {
+			next = at
+		}
 	}
-}
 
-func (s *State) limit() int { return s.slots }
+	if s.alone != nil {
+		if at := s.alone.expires(); next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+
+	return next
+}
 
 func (s *State) arrived(now time.Time, e Arrived) []Effect {
-	if _, runs := s.running[e.Attempt]; runs || s.find(e.Attempt) != nil {
+	if _, runs := s.running[e.Attempt]; runs || s.queue.has(e.Attempt) ||
+		s.alone != nil && s.alone.Attempt == e.Attempt {
 		return nil
 	}
 
-	w := &waiting{attempt: e.Attempt, deadline: e.Deadline, since: now, alone: e.Alone, nested: e.Nested}
+	w := &waiting{Arrived: e, since: now}
 
 	if reason, refused := s.refusal(now, e); refused {
-		return []Effect{s.refuse(now, e.Attempt, reason)}
+		return []Effect{s.refuse(now, w, reason)}
 	}
 
-	switch {
-	case e.Alone:
+	if e.Alone {
 		s.alone = w
-	case e.Nested:
-		s.nested.push(w)
-	default:
-		s.fresh.push(w)
+	} else {
+		s.queue.push(w)
 	}
 
-	return nil
+	if s.free() {
+		return s.startWaiting()
+	}
+
+	return []Effect{Queued{Attempt: e.Attempt}}
+}
+
+// free reports whether what waits is about to start.
+func (s *State) free() bool {
+	if s.alone != nil {
+		return len(s.running) == 0
+	}
+
+	return !s.exclusive && len(s.running)+len(s.queue) <= s.slots
 }
 
 // refusal decides whether an arriving attempt is turned away at once.
 func (s *State) refusal(now time.Time, e Arrived) (Reason, bool) {
+	full := s.exclusive || s.alone != nil || len(s.running)+len(s.queue) >= s.slots
+
 	switch {
-	case s.down:
-		return ServerDown, true
-	case s.draining:
-		return IsDraining, true
-	case s.uses(Shedding) && s.late(now.Add(s.expectedWait(e.Nested)), e.Deadline):
+	case s.closed != "":
+		return s.closed, true
+	case !now.Before(e.Deadline):
 		return DeadlinePassed, true
+	case e.Slowest > 0 && s.slowness > e.Slowest:
+		return TooSlow, true
 	case e.Alone:
 		return Busy, s.alone != nil || s.exclusive
-	case s.free():
+	case !full:
 		return "", false
-	case e.NoWait:
+	case e.Wait <= 0:
 		return Busy, true
 	default:
-		return QueueFull, s.waitingCount() >= s.queueLimit
-	}
-}
-
-// expectedWait is the time in the queue of an attempt that arrives now.
-func (s *State) expectedWait(nested bool) time.Duration {
-	if s.free() {
-		return 0
-	}
-
-	ahead := s.nested.len()
-	if !nested {
-		ahead += s.fresh.len()
-	}
-
-	return s.latency * time.Duration(ahead+1) / time.Duration(max(1, s.limit()))
-}
-
-// late reports whether an attempt that starts then misses its deadline. Only an attempt that has to wait
-// is judged by the service time: an idle server runs every attempt whose deadline lies ahead, because
-// otherwise one period of slowness could make it refuse short deadlines for ever.
-func (s *State) late(start, deadline time.Time) bool {
-	if s.free() {
-		return !start.Before(deadline)
+		return QueueFull, len(s.queue) >= s.queueLimit && !e.Nested
 	}
-
-	return s.hopeless(start, deadline)
-}
-
-func (s *State) hopeless(start, deadline time.Time) bool {
-	return s.uses(Shedding) && start.Add(s.fastest).After(deadline)
-}
-
-// free reports whether an attempt that arrives now would start at once.
-func (s *State) free() bool {
-	return !s.exclusive && s.alone == nil && s.waitingCount() == 0 && len(s.running) < s.limit()
 }
 
 func (s *State) done(e Done) {
@@ -223,17 +157,6 @@
 	if r.alone {
 		s.exclusive = false
 	}
-
-	if e.Failed || r.aborted {
-		return
-	}
-
-	if s.latency == 0 {
-		s.latency, s.fastest = e.Elapsed, e.Elapsed
-	}
-
-	s.fastest = min(e.Elapsed, s.fastest+time.Duration(fastestWeight*float64(e.Elapsed-s.fastest)))
-	s.latency += time.Duration(latencyWeight * float64(e.Elapsed-s.latency))
 }
 
 func (s *State) cancelled(e Cancelled) []Effect {
@@ -248,47 +171,52 @@
 		return []Effect{Abort(e)}
 	}
 
-	if w := s.find(e.Attempt); w != nil {
-		w.gone = true
-		s.drop(w)
+	if s.alone != nil && s.alone.Attempt == e.Attempt {
+		s.alone = nil
 	}
 
+	s.queue.remove(e.Attempt)
+
 	return nil
 }
 
-// expire refuses attempts that have waited too long or can no longer meet their deadline.
+// expire refuses attempts that have waited too long.
 func (s *State) expire(now time.Time) []Effect {
-	if !s.uses(Shedding) {
-		return nil
-	}
-
 	var effects []Effect
 
-	check := func(w *waiting) bool {
-		switch {
-		case s.late(now, w.deadline):
-			effects = append(effects, s.refuse(now, w.attempt, DeadlinePassed))
-		case now.Sub(w.since) > sojournLimit:
-			effects = append(effects, s.refuse(now, w.attempt, Sojourn))
-		default:
-			return false
+	kept := s.queue[:0]
+
+	for _, w := range s.queue {
+		if now.Before(w.expires()) {
+			kept = append(kept, w)
+
+			continue
 		}
 
-		return true
+		effects = append(effects, s.refuse(now, w, expiryReason(now, w)))
 	}
 
-	s.nested.popWhile(check)
-	s.fresh.popWhile(check)
+	clear(s.queue[len(kept):])
+	s.queue = kept
 
-	if s.alone != nil && check(s.alone) {
+	if w := s.alone; w != nil && !now.Before(w.expires()) {
 		s.alone = nil
+		effects = append(effects, s.refuse(now, w, expiryReason(now, w)))
 	}
 
 	return effects
 }
 
-func (s *State) startWaiting(now time.Time) []Effect {
-	if s.down || s.draining || s.exclusive {
+func expiryReason(now time.Time, w *waiting) Reason {
+	if now.Before(w.Deadline) {
+		return Waited
+	}
+
+	return DeadlinePassed
+}
+
+func (s *State) startWaiting() []Effect {
+	if s.closed != "" || s.exclusive {
 		return nil
 	}
 
@@ -308,57 +236,58 @@
 
 	var effects []Effect
 
-	for len(s.running) < s.limit() {
-		w := s.nested.pop()
-		if w == nil {
-			w = s.fresh.pop()
-		}
-
-		if w == nil {
-			break
-		}
-
-		if !now.Before(w.deadline) || w.since.Before(now) && s.hopeless(now, w.deadline) {
-			effects = append(effects, s.refuse(now, w.attempt, DeadlinePassed))
-
-			continue
-		}
-
-		effects = append(effects, s.start(w))
+	for len(s.running) < s.slots && len(s.queue) > 0 {
+		effects = append(effects, s.start(s.queue.pop()))
 	}
 
 	return effects
 }
 
 func (s *State) start(w *waiting) Effect {
-	s.running[w.attempt] = &run{alone: w.alone}
+	s.running[w.Attempt] = &run{alone: w.Alone}
 	s.counts.Started++
 
-	return Start{Attempt: w.attempt}
+	return Start{Attempt: w.Attempt}
 }
 
-func (s *State) refuse(now time.Time, attempt Attempt, reason Reason) Effect {
+func (s *State) refuse(now time.Time, w *waiting, reason Reason) Effect {
 	s.counts.Refused++
 
-	return Refuse{Attempt: attempt, Reason: reason, Hint: s.Hint(now)}
+	return Refuse{Attempt: w.Attempt, Reason: reason, Waited: now.Sub(w.since)}
 }
 
-func (s *State) refuseAll(now time.Time, reason Reason) []Effect {
+func (s *State) refuseAll(now time.Time) []Effect {
 	var effects []Effect
 
-	refuse := func(w *waiting) bool {
-		effects = append(effects, s.refuse(now, w.attempt, reason))
-
-		return true
+	for _, w := range s.queue {
+		effects = append(effects, s.refuse(now, w, s.closed))
 	}
 
-	s.nested.popWhile(refuse)
-	s.fresh.popWhile(refuse)
+	s.queue = nil
 
 	if s.alone != nil {
-		refuse(s.alone)
+		effects = append(effects, s.refuse(now, s.alone, s.closed))
 		s.alone = nil
 	}
 
 	return effects
 }
+
+// Counts are totals since the start.
+type Counts struct{ Started, Refused, Aborted uint64 }
+
+// Dump holds the state for the state dump.
+type Dump struct {
+	Running, Waiting, Slots int
+	Closed                  Reason
+	Slowness                float64
+	Counts                  Counts
+}
+
+// Dump returns plain values.
+func (s *State) Dump() Dump {
+	return Dump{
+		Running: len(s.running), Waiting: s.Waiting(), Slots: s.slots, Closed: s.closed,
+		Slowness: s.slowness, Counts: s.counts,
+	}
+}
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 )
 
@@ -13,8 +12,10 @@
 // Effect is an action that the daemon performs.
 type Effect interface{ isEffect() }
 
-// Attempt identifies one attempt of a request.
+// Attempt identifies one attempt of a request. Entry tells requests with equal IDs of different entry daemons
+// apart.
 type Attempt struct {
+	Entry  string
 	ID     request.ID
 	Number int
 }
@@ -26,25 +27,28 @@
 		Deadline time.Time
 		// Nested calls go before new ones, so that work already begun completes.
 		Nested bool
+		// Priority orders the other attempts; 0 is the highest.
+		Priority int
 		// Alone asks to run while nothing else does.
 		Alone bool
-		// NoWait asks for a refusal (Busy) instead of a place in the queue.
-		NoWait bool
+		// Wait is the longest time in the queue.
+		Wait time.Duration
+		// Slowest is the slowness of the server above which the attempt is refused; zero for any.
+		Slowest float64
 	}
 	// Done frees a slot: the backend server's answer was read whole, or the connection ended.
-	Done struct {
-		Attempt Attempt
-		Elapsed time.Duration
-		Failed  bool
-	}
+	Done struct{ Attempt Attempt }
 	// Cancelled reports that the entry daemon no longer wants the attempt.
 	Cancelled struct{ Attempt Attempt }
-	// DrainStarted stops new work.
-	DrainStarted struct{}
-	// LimitsChanged sets the number of slots and the length of the queue.
-	LimitsChanged struct{ Slots, Queue int }
-	// ServerChanged reports whether the backend server accepts connections.
-	ServerChanged struct{ Up bool }
+	// ServerChanged says what is known of the backend server.
+	ServerChanged struct {
+		// Closed is the reason for refusing all attempts, or empty.
+		Closed Reason
+		Slots  int
+		Queue  int
+		// Slowness of the server; 1 is as usual.
+		Slowness float64
+	}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -52,16 +56,16 @@
 type (
 	// Start sends an attempt to the backend server.
 	Start struct{ Attempt Attempt }
+	// Queued reports that an attempt waits for a slot.
+	Queued struct{ Attempt Attempt }
 	// Refuse turns an attempt down. It was not run.
 	Refuse struct {
 		Attempt Attempt
 		Reason  Reason
-		Hint    load.Hint
+		Waited  time.Duration
 	}
 	// Abort cancels an attempt that was started.
 	Abort struct{ Attempt Attempt }
-	// Drained follows DrainStarted once nothing is in flight.
-	Drained struct{}
 )
 
 // Reason says why an attempt was refused.
@@ -70,22 +74,22 @@
 // Reasons for Refuse.
 const (
 	QueueFull      Reason = "queue-full"
-	Sojourn        Reason = "sojourn"
+	Waited         Reason = "waited"
 	DeadlinePassed Reason = "deadline"
+	TooSlow        Reason = "too-slow"
 	IsDraining     Reason = "draining"
 	ServerDown     Reason = "server-down"
+	ServerUnknown  Reason = "server-unknown"
 	Busy           Reason = "busy"
 )
 
 func (Arrived) isEvent()       {}
 func (Done) isEvent()          {}
 func (Cancelled) isEvent()     {}
-func (DrainStarted) isEvent()  {}
-func (LimitsChanged) isEvent() {}
 func (ServerChanged) isEvent() {}
 func (Tick) isEvent()          {}
 
-func (Start) isEffect()   {}
-func (Refuse) isEffect()  {}
-func (Abort) isEffect()   {}
-func (Drained) isEffect() {}
+func (Start) isEffect()  {}
+func (Queued) isEffect() {}
+func (Refuse) isEffect() {}
+func (Abort) isEffect()  {}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,101 +1,61 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // waiting is an attempt in the queue.
 type waiting struct {
-	attempt  Attempt
-	deadline time.Time
-	since    time.Time
-	nested   bool
-	alone    bool
-	// gone is set when the attempt was cancelled; it is skipped.
-	gone bool
+	Arrived
+	since time.Time
 }
 
-// fifo is a queue from which cancelled entries are skipped. The length of the queue is bounded by the
-// admission, so linear search in it is cheap.
-type fifo struct {
-	items []*waiting
-	gone  int
-}
-
-func (q *fifo) len() int { return len(q.items) - q.gone }
-
-func (q *fifo) push(w *waiting) { q.items = append(q.items, w) }
-
-func (q *fifo) pop() *waiting {
-	for len(q.items) > 0 {
-		w := q.items[0]
-		q.items[0] = nil
-		q.items = q.items[1:]
-
-		if !w.gone {
-			return w
-		}
-
-		q.gone--
+// expires is when the attempt has waited long enough.
+func (w *waiting) expires() time.Time {
+	if at := w.since.Add(w.Wait); at.Before(w.Deadline) {
+		return at
 	}
 
-	return nil
+	return w.Deadline
 }
 
-// popWhile removes entries from the front as long as remove agrees.
-func (q *fifo) popWhile(remove func(*waiting) bool) {
-	for len(q.items) > 0 {
-		w := q.items[0]
-		if !w.gone && !remove(w) {
-			return
-		}
-
-		if w.gone {
-			q.gone--
-		}
-
-		q.items[0] = nil
-		q.items = q.items[1:]
+// before reports whether w gets a slot before other. Of equal rank, the one that came first does.
+func (w *waiting) before(other *waiting) bool {
+	if w.Nested != other.Nested {
+		return w.Nested
 	}
+
+	return w.Priority < other.Priority
 }
 
-func (q *fifo) find(attempt Attempt) *waiting {
-	for _, w := range q.items {
-		if w.attempt == attempt && !w.gone {
-			return w
-		}
+// queue holds attempts in the order in which they get slots. It is short, so linear search is cheap.
+type queue []*waiting
+
+func (q *queue) push(w *waiting) {
+	at := len(*q)
+	for at > 0 && w.before((*q)[at-1]) {
+		at--
 	}
 
-	return nil
+	*q = slices.Insert(*q, at, w)
 }
 
-func (s *State) waitingCount() int {
-	count := s.nested.len() + s.fresh.len()
-	if s.alone != nil {
-		count++
-	}
+func (q *queue) pop() *waiting {
+	w := (*q)[0]
+	*q = slices.Delete(*q, 0, 1)
 
-	return count
+	return w
 }
 
-func (s *State) find(attempt Attempt) *waiting {
-	if s.alone != nil && s.alone.attempt == attempt {
-		return s.alone
-	}
+// remove takes an attempt out and reports whether it was there.
+func (q *queue) remove(attempt Attempt) bool {
+	before := len(*q)
+	*q = slices.DeleteFunc(*q, func(w *waiting) bool { return w.Attempt == attempt })
 
-	if w := s.nested.find(attempt); w != nil {
-		return w
-	}
-
-	return s.fresh.find(attempt)
+	return len(*q) < before
 }
 
-// drop accounts for a cancelled entry.
-func (s *State) drop(w *waiting) {
-	switch {
-	case w.alone:
-		s.alone = nil
-	case w.nested:
-		s.nested.gone++
-	default:
-		s.fresh.gone++
-	}
+func (q queue) has(attempt Attempt) bool {
+	return slices.ContainsFunc(q, func(w *waiting) bool { return w.Attempt == attempt })
 }
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -3,117 +3,78 @@
 import (
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/rogpeppe/go-internal/txtar"
-	"github.com/stretchr/testify/require"
-
 	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/script"
 )
 
 var update = flag.Bool("update", false, "rewrite the effects in testdata")
 
-// TestScripts guards against changed decisions on the order of starts, on refusals and on draining.
-// Each file in testdata has events, one a line, and the effects that they must have.
+// TestScripts guards against changed decisions on the order of starts, on refusals and on a server that closes.
+// Each file in testdata names what it guards against.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			archive, err := txtar.ParseFile(file)
-			require.NoError(t, err)
-			require.Len(t, archive.Files, 2)
+	script.Run(t, "testdata/*.txtar", *update, func() script.Reducer {
+		r := &reducer{state: admission.New()}
+		r.server(time.Time{}, "", 2, 3, 1)
 
-			got := run(t, string(archive.Files[0].Data))
-			if *update {
-				archive.Files[1].Data = []byte(got)
-				require.NoError(t, os.WriteFile(file, txtar.Format(archive), 0o600))
-			}
-
-			require.Equal(t, string(archive.Files[1].Data), got)
-		})
-	}
+		return r
+	})
 }
 
-func run(t *testing.T, text string) string {
-	var out strings.Builder
-
-	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	state := admission.New(admission.WithLimits(2, 3))
-
-	for line := range strings.Lines(text) {
-		fields := strings.Fields(line)
-		if len(fields) == 0 || strings.HasPrefix(line, "#") {
-			continue
-		}
+type reducer struct{ state *admission.State }
 
-		fmt.Fprintf(&out, "> %s\n", strings.TrimSpace(line))
-
-		if fields[0] == "after" {
-			d, err := time.ParseDuration(fields[1])
-			require.NoError(t, err)
-
-			now = now.Add(d)
-		}
-
-		for _, effect := range state.Apply(now, parse(t, now, fields)) {
-			fmt.Fprintf(&out, "%T %+v\n", effect, effect)
-		}
-	}
-
-	return out.String()
+func (r *reducer) server(now time.Time, closed string, slots, queue int, slowness float64) []string {
+	return describe(r.state.Apply(now, admission.ServerChanged{
+		Closed: admission.Reason(closed), Slots: slots, Queue: queue, Slowness: slowness,
+	}))
 }
 
-func parse(t *testing.T, now time.Time, fields []string) admission.Event {
-	var attempt admission.Attempt
-	if len(fields) > 1 {
-		attempt.ID = request.ID(fields[1])
-	}
+func (r *reducer) Next() time.Time { return r.state.Next() }
 
-	has := func(word string) bool { return strings.Contains(strings.Join(fields, " "), word) }
-	last := fields[len(fields)-1]
+func (r *reducer) Tick(now time.Time) []string { return describe(r.state.Apply(now, admission.Tick{})) }
 
-	switch fields[0] {
+func (r *reducer) Apply(now time.Time, line script.Line) []string {
+	switch line.Command {
 	case "arrive":
-		e := admission.Arrived{
-			Attempt: attempt, Deadline: now.Add(time.Second), Nested: has("nested"), Alone: has("alone"), NoWait: has("nowait"),
-		}
-		if d, err := time.ParseDuration(last); err == nil {
-			e.Deadline = now.Add(d)
-		}
-
-		return e
+		return describe(r.state.Apply(now, admission.Arrived{
+			Attempt:  attemptOf(line.Word(0)),
+			Deadline: now.Add(line.Duration("deadline", time.Second)), Wait: line.Duration("wait", 100*time.Millisecond),
+			Nested: line.Has("nested"), Alone: line.Has("alone"), Priority: line.Int("priority", 0),
+			Slowest: line.Float("slowest", 0),
+		}))
 	case "done":
-		elapsed, err := time.ParseDuration(last)
-		require.NoError(t, err)
-
-		return admission.Done{Attempt: attempt, Elapsed: elapsed}
+		return describe(r.state.Apply(now, admission.Done{Attempt: attemptOf(line.Word(0))}))
 	case "cancel":
-		return admission.Cancelled{Attempt: attempt}
-	case "drain":
-		return admission.DrainStarted{}
-	case "limits":
-		slots, err := strconv.Atoi(fields[1])
-		require.NoError(t, err)
-		queue, err := strconv.Atoi(fields[2])
-		require.NoError(t, err)
-
-		return admission.LimitsChanged{Slots: slots, Queue: queue}
+		return describe(r.state.Apply(now, admission.Cancelled{Attempt: attemptOf(line.Word(0))}))
 	case "server":
-		return admission.ServerChanged{Up: has("up")}
-	case "after":
-		return admission.Tick{}
+		return r.server(now, line.Text("closed", ""), line.Int("slots", 2), line.Int("queue", 3), line.Float("slowness", 1))
 	default:
-		t.Fatalf("unknown command %q", fields[0])
+		line.Unknown()
 
 		return nil
 	}
 }
+
+func attemptOf(id string) admission.Attempt { return admission.Attempt{Entry: "e", ID: request.ID(id)} }
+
+func describe(effects []admission.Effect) []string {
+	lines := make([]string, 0, len(effects))
+
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case admission.Start:
+			lines = append(lines, fmt.Sprintf("start %s", e.Attempt.ID))
+		case admission.Queued:
+			lines = append(lines, fmt.Sprintf("queued %s", e.Attempt.ID))
+		case admission.Refuse:
+			lines = append(lines, fmt.Sprintf("refuse %s: %s after %s", e.Attempt.ID, e.Reason, e.Waited))
+		case admission.Abort:
+			lines = append(lines, fmt.Sprintf("abort %s", e.Attempt.ID))
+		}
+	}
+
+	return lines
+}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -1,10 +1,12 @@
 // Package attempt is the protocol by which an entry daemon hands a request to the daemon beside a
 // backend server, and by which the response comes back.
 //
-// A call is an HTTP/1.1 POST whose body is the caller's body. A reply always has HTTP status 200;
-// the backend server's status is part of the reply header, so that responses without a body, and the
-// trailer with length and digest, need no special case. Trailers and protocol upgrades of the
-// backend server are not passed on.
+// A call is an HTTP/1.1 POST whose body is the caller's body and one more byte, the commit byte. The daemon
+// beside the server says 102 Processing when the request waits for a slot and 100 Continue when it has one.
+// The body of a request that must not run twice is sent only after that, and runs only when the commit byte
+// has arrived: until then, the entry daemon can withdraw the request and knows that it has not run.
+//
+// A reply always has HTTP status 200; the backend server's status is part of the reply header.
 package attempt
 
 import (
@@ -23,21 +25,21 @@
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
-// Header and trailer fields of the protocol.
+// Header fields of the protocol.
 const (
-	CallHeader    = httpheader.Prefix + "Call"
-	ReplyHeader   = httpheader.Prefix + "Reply"
-	FleetHeader   = httpheader.Prefix + "Fleet"
-	LengthTrailer = httpheader.Prefix + "Length"
-	DigestTrailer = httpheader.Prefix + "Digest"
+	CallHeader  = httpheader.Prefix + "Call"
+	ReplyHeader = httpheader.Prefix + "Reply"
+	FleetHeader = httpheader.Prefix + "Fleet"
 )
 
-// Paths on the peer address.
+// Paths of what daemons send each other.
 const (
 	// Path takes a request for the backend server beside the daemon.
 	Path = "/attempt"
 	// OwnedPath takes a request with an idempotency key that the daemon owns.
 	OwnedPath = "/owned"
+	// HandoverPath takes a part of the key table of a leaving owner.
+	HandoverPath = "/handover"
 )
 
 // ErrMalformed is returned for a call or reply header that cannot be decoded.
@@ -47,14 +49,18 @@
 type Call struct {
 	Request request.Request
 	Number  int
-	// NoWait asks for a refusal instead of a place in the queue.
-	NoWait bool
-	// Hint asks for a load hint in the reply; its bytes are paid for.
-	Hint bool
+	// Wait is the longest time that the attempt may wait for a slot.
+	Wait time.Duration
+	// Slowest is the slowness of the server above which the attempt is refused; zero for any.
+	Slowest float64
+	// Repeat is set if the request may have reached another server before.
+	Repeat bool
 	// Timeout is the time left until the deadline when the call is sent.
 	Timeout time.Duration
 	From    instance.ID
-	Method  string
+	// To is the daemon that the call is meant for. Another one may have its address by now.
+	To     instance.ID
+	Method string
 	// Target is the request target, path and query.
 	Target string
 	Host   string
@@ -71,41 +77,60 @@
 	Delivery verdict.Verdict
 	// Status is the backend server's HTTP status, or zero.
 	Status int
-	// Size is the Content-Length that the backend server stated, or -1.
-	Size   int64
 	Reason string
+	// Unusable is set if the server takes no other attempt either until it says so.
+	Unusable bool
 	// Crash identifies the crash of the backend server that ended the attempt, or is empty.
 	Crash string
 	// RetryAfter says when a refused request may be sent again.
 	RetryAfter time.Duration
-	// Hint is valid if Hinted is set.
-	Hint   load.Hint
-	Hinted bool
-	// Server is the instance whose backend server answered.
-	Server instance.ID
+	// Report is the load of the server when the reply was made.
+	Report load.Report
 }
 
 func (c Call) encode() string {
-	return url.Values{
-		"request": {string(c.Request.ID)},
+	r := c.Request
+	values := url.Values{
+		"request": {string(r.ID)},
 		"attempt": {strconv.Itoa(c.Number)},
-		"service": {c.Request.Service},
-		"kind":    {c.Request.Kind.String()},
-		"key":     {c.Request.Key},
-		"print":   {strconv.FormatUint(uint64(c.Request.Fingerprint), 16)},
-		"depth":   {strconv.Itoa(c.Request.Depth)},
-		"alone":   {strconv.FormatBool(c.Request.Alone)},
-		"nowait":  {strconv.FormatBool(c.NoWait)},
-		"hint":    {strconv.FormatBool(c.Hint)},
-		"timeout": {c.Timeout.String()},
+		"service": {r.Service},
+		"route":   {r.Route},
+		"print":   {strconv.FormatUint(uint64(r.Fingerprint), 16)},
+		"wait":    {formatDuration(c.Wait)},
+		"timeout": {formatDuration(c.Timeout)},
 		"from":    {string(c.From)},
+		"to":      {string(c.To)},
 		"method":  {c.Method},
 		"target":  {c.Target},
 		"host":    {c.Host},
-	}.Encode()
+	}
+
+	setText(values, "origin", r.Origin)
+	setText(values, "key", r.Key)
+	setNumber(values, "depth", r.Depth)
+	setNumber(values, "rank", r.Priority)
+
+	if r.Idempotent() {
+		values.Set("kind", r.Kind.String())
+	}
+
+	if r.Alone {
+		values.Set("alone", "1")
+	}
+
+	if c.Repeat {
+		values.Set("repeat", "1")
+	}
+
+	if c.Slowest > 0 {
+		values.Set("slowest", formatRatio(c.Slowest))
+	}
+
+	return values.Encode()
 }
 
-func decodeCall(text string, now time.Time) (Call, error) {
+// decodeCall leaves the deadline to the receiver, whose clock is not that of the sender.
+func decodeCall(text string) (Call, error) {
 	fields, err := parseFields(text)
 	if err != nil {
 		return Call{}, err
@@ -118,24 +143,28 @@
 
 	call := Call{
 		Number:  int(fields.integer("attempt")),
-		NoWait:  fields.text("nowait") == strconv.FormatBool(true),
-		Hint:    fields.text("hint") == strconv.FormatBool(true),
+		Wait:    fields.duration("wait"),
+		Slowest: fields.ratio("slowest"),
+		Repeat:  fields.text("repeat") != "",
 		Timeout: fields.duration("timeout"),
 		From:    instance.ID(fields.text("from")),
+		To:      instance.ID(fields.text("to")),
 		Method:  fields.text("method"),
 		Target:  fields.text("target"),
 		Host:    fields.text("host"),
 		Request: request.Request{
 			ID:          request.ID(fields.text("request")),
 			Service:     fields.text("service"),
+			Route:       fields.text("route"),
 			Kind:        kind,
 			Key:         fields.text("key"),
 			Fingerprint: request.Fingerprint(fields.hexadecimal("print")),
 			Depth:       int(fields.integer("depth")),
-			Alone:       fields.text("alone") == strconv.FormatBool(true),
+			Priority:    int(fields.integer("rank")),
+			Origin:      fields.text("origin"),
+			Alone:       fields.text("alone") != "",
 		},
 	}
-	call.Request.Deadline = now.Add(call.Timeout)
 
 	if call.Request.ID == "" || call.Method == "" || call.Target == "" {
 		return Call{}, errors.Wrap(ErrMalformed, "request, method or target is missing")
@@ -146,42 +175,51 @@
 
 func (r Reply) encode() string {
 	values := url.Values{
-		"request": {string(r.ID)},
-		"attempt": {strconv.Itoa(r.Number)},
-		"verdict": {r.Verdict.String()},
-		"server":  {string(r.Server)},
+		"request":  {string(r.ID)},
+		"attempt":  {strconv.Itoa(r.Number)},
+		"verdict":  {r.Verdict.String()},
+		"server":   {string(r.Report.Server)},
+		"run":      {strconv.FormatUint(uint64(r.Report.Incarnation), 10)},
+		"counter":  {strconv.FormatUint(r.Report.Counter, 10)},
+		"running":  {strconv.Itoa(r.Report.Running)},
+		"slots":    {strconv.Itoa(r.Report.Slots)},
+		"slowness": {formatRatio(r.Report.Slowness)},
 	}
-	if r.Hinted {
-		r.encodeHint(values)
+
+	setNumber(values, "waiting", r.Report.Waiting)
+	setNumber(values, "status", r.Status)
+	setText(values, "reason", r.Reason)
+	setText(values, "crash", r.Crash)
+
+	if r.Delivery != r.Verdict {
+		values.Set("delivery", r.Delivery.String())
 	}
 
-	if r.Status != 0 {
-		values.Set("status", strconv.Itoa(r.Status))
-		values.Set("size", strconv.FormatInt(r.Size, 10))
+	if r.RetryAfter > 0 {
+		values.Set("after", formatDuration(r.RetryAfter))
 	}
 
-	if r.Reason != "" {
-		values.Set("reason", r.Reason)
-		values.Set("delivery", r.Delivery.String())
+	if r.Report.Open {
+		values.Set("open", "1")
 	}
 
-	if r.Crash != "" {
-		values.Set("crash", r.Crash)
+	if r.Unusable {
+		values.Set("unusable", "1")
 	}
 
-	if r.RetryAfter > 0 {
-		values.Set("after", r.RetryAfter.String())
+	if r.Report.Failing > 0 {
+		values.Set("failing", formatRatio(r.Report.Failing))
 	}
 
-	return values.Encode()
-}
+	if r.Report.Calls > 0 {
+		values.Set("calls", formatRatio(r.Report.Calls))
+	}
+
+	if r.Report.ColdFor > 0 {
+		values.Set("cold", formatDuration(r.Report.ColdFor))
+	}
 
-func (r Reply) encodeHint(values url.Values) {
-	values.Set("inflight", strconv.Itoa(r.Hint.InFlight))
-	values.Set("queue", strconv.Itoa(r.Hint.Queue))
-	values.Set("limit", strconv.Itoa(r.Hint.Limit))
-	values.Set("latency", r.Hint.Latency.String())
-	values.Set("draining", strconv.FormatBool(r.Hint.Draining))
+	return values.Encode()
 }
 
 func decodeReply(text string) (Reply, error) {
@@ -195,37 +233,58 @@
 		return Reply{}, errors.Mark(err, ErrMalformed)
 	}
 
-	// A reply without the field is not a refusal, and its delivery ran.
-	delivery, _ := verdict.Parse(fields.text("delivery"))
+	delivery := parsed
+	if text := fields.text("delivery"); text != "" {
+		if delivery, err = verdict.Parse(text); err != nil {
+			return Reply{}, errors.Mark(err, ErrMalformed)
+		}
+	}
 
 	reply := Reply{
 		Delivery:   delivery,
-		Crash:      fields.text("crash"),
+		RetryAfter: fields.duration("after"),
 		ID:         request.ID(fields.text("request")),
 		Number:     int(fields.integer("attempt")),
 		Verdict:    parsed,
 		Status:     int(fields.integer("status")),
-		Size:       -1,
 		Reason:     fields.text("reason"),
-		RetryAfter: fields.duration("after"),
-		Server:     instance.ID(fields.text("server")),
-		Hint: load.Hint{
-			InFlight: int(fields.integer("inflight")),
-			Queue:    int(fields.integer("queue")),
-			Limit:    int(fields.integer("limit")),
-			Latency:  fields.duration("latency"),
-			Draining: fields.text("draining") == "true",
+		Unusable:   fields.text("unusable") != "",
+		Crash:      fields.text("crash"),
+		Report: load.Report{
+			Server:      instance.ID(fields.text("server")),
+			Incarnation: instance.Incarnation(fields.integer("run")),
+			Counter:     uint64(fields.integer("counter")),
+			Open:        fields.text("open") != "",
+			Running:     int(fields.integer("running")),
+			Waiting:     int(fields.integer("waiting")),
+			Slots:       int(fields.integer("slots")),
+			Slowness:    fields.ratio("slowness"),
+			Failing:     fields.ratio("failing"),
+			Calls:       fields.ratio("calls"),
+			ColdFor:     fields.duration("cold"),
 		},
 	}
-	reply.Hinted = fields.values.Has("inflight")
 
-	if fields.values.Has("size") {
-		reply.Size = fields.integer("size")
+	return reply, fields.err
+}
+
+func setText(values url.Values, name, text string) {
+	if text != "" {
+		values.Set(name, text)
 	}
+}
 
-	return reply, fields.err
+func setNumber(values url.Values, name string, number int) {
+	if number != 0 {
+		values.Set(name, strconv.Itoa(number))
+	}
 }
 
+func formatRatio(ratio float64) string { return strconv.FormatFloat(ratio, 'f', 3, 64) }
+
+// formatDuration writes microseconds.
+func formatDuration(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
+
 // fieldSet reads typed fields and keeps the first error.
 type fieldSet struct {
 	values url.Values
@@ -243,44 +302,35 @@
 
 func (f *fieldSet) text(name string) string { return f.values.Get(name) }
 
-func (f *fieldSet) keep(name string, err error) {
-	if err != nil && f.err == nil {
-		f.err = errors.Mark(errors.Wrapf(err, "field %s", name), ErrMalformed)
-	}
-}
+// parse reads a field with a parser; a missing field is the zero value.
+func parse[T any](f *fieldSet, name string, parser func(string) (T, error)) T {
+	var zero T
 
-func (f *fieldSet) integer(name string) int64 {
 	text := f.text(name)
 	if text == "" {
-		return 0
+		return zero
 	}
 
-	value, err := strconv.ParseInt(text, 10, 64)
-	f.keep(name, err)
+	value, err := parser(text)
+	if err != nil && f.err == nil {
+		f.err = errors.Mark(errors.Wrapf(err, "field %s", name), ErrMalformed)
+	}
 
 	return value
 }
 
-func (f *fieldSet) hexadecimal(name string) uint64 {
-	text := f.text(name)
-	if text == "" {
-		return 0
-	}
+func (f *fieldSet) integer(name string) int64 {
+	return parse(f, name, func(text string) (int64, error) { return strconv.ParseInt(text, 10, 64) })
+}
 
-	value, err := strconv.ParseUint(text, 16, 64)
-	f.keep(name, err)
+func (f *fieldSet) hexadecimal(name string) uint64 {
+	return parse(f, name, func(text string) (uint64, error) { return strconv.ParseUint(text, 16, 64) })
+}
 
-	return value
+func (f *fieldSet) ratio(name string) float64 {
+	return parse(f, name, func(text string) (float64, error) { return strconv.ParseFloat(text, 64) })
 }
 
 func (f *fieldSet) duration(name string) time.Duration {
-	text := f.text(name)
-	if text == "" {
-		return 0
-	}
-
-	value, err := time.ParseDuration(text)
-	f.keep(name, err)
-
-	return value
+	return time.Duration(f.integer(name)) * time.Microsecond
 }
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -1,32 +1,28 @@
 package attempt
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tarragonmill/tarragonmill/internal/httpdial"
+	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/httpheader"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
 const (
-	// maxConnections bounds the connections to one daemon; a server has about 200 in all.
-	maxConnections = 64
-	dialTimeout    = time.Second
-	idleTimeout    = 90 * time.Second
-	// expectSize is the body size from which the receiving daemon is asked before the body is sent.
-	expectSize = 16 << 10
-	// expectTimeout has to exceed any time in a queue: the body must not be sent before the receiving
-	// daemon has admitted the call.
-	expectTimeout = time.Hour
+	dialTimeout = time.Second
+	// idleTimeout is below the time for which the daemon at the other end keeps an unused connection.
+	idleTimeout = 30 * time.Second
+	// maxIdle bounds the unused connections to one daemon.
+	maxIdle = 16
+	// commitByte ends the body of a call. A request runs only after it has arrived.
+	commitByte = '\n'
 )
 
 // ErrForeign is returned for a reply that belongs to another request or attempt.
@@ -34,158 +30,295 @@
 
 // Client sends calls to other daemons.
 type Client struct {
-	key       string
-	transport *httpdial.Transport
-	foreign   atomic.Int64
+	key string
+
+	mutex sync.Mutex
+	pools map[netip.AddrPort]*http1.Pool
 }
 
 // NewClient returns a client that presents the fleet's key.
 func NewClient(key string) *Client {
-	client := &Client{key: key, transport: httpdial.New(maxConnections, idleTimeout)}
-	client.transport.ExpectContinueTimeout = expectTimeout
-
-	return client
+	return &Client{key: key, pools: make(map[netip.AddrPort]*http1.Pool)}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+// Close closes unused connections.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 
-// Foreign returns the number of replies that belonged to another attempt.
-func (c *Client) Foreign() int64 { return c.foreign.Load() }
+	for _, pool := range c.pools {
+		pool.Close()
+	}
+}
 
 // Dials returns the number of connections opened.
-func (c *Client) Dials() int64 { return c.transport.Dials() }
+func (c *Client) Dials() int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	total := int64(0)
+	for _, pool := range c.pools {
+		total += pool.Dials()
+	}
+
+	return total
+}
+
+// Forget closes the unused connections to a daemon and drops it from the books.
+func (c *Client) Forget(peer netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if pool := c.pools[peer]; pool != nil {
+		pool.Close()
+		delete(c.pools, peer)
+	}
+}
+
+func (c *Client) pool(peer netip.AddrPort) *http1.Pool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	pool := c.pools[peer]
+	if pool == nil {
+		pool = http1.NewPool(peer, http1.WithDialTimeout(dialTimeout), http1.WithIdle(maxIdle, idleTimeout))
+		c.pools[peer] = pool
+	}
+
+	return pool
+}
+
+// Progress is told what the daemon beside the server says before its reply: that the request waits for a
+// slot, or that it has one. It returns false if the call is no longer wanted; a call that must not run twice is
+// then not committed.
+type Progress func(running bool) bool
+
+// ErrWithdrawn is returned for a call that was no longer wanted when it got a slot.
+var ErrWithdrawn = errors.New("call was withdrawn")
 
 // Response is the reply to a call together with the backend server's header and body.
 type Response struct {
 	Reply  Reply
 	Header http.Header
-	// Body returns ErrIncomplete instead of io.EOF if the transfer is not whole.
+	// Body ends with an error other than io.EOF if the transfer is not whole.
 	Body io.ReadCloser
+	// Length of the body, or http1.UnknownLength.
+	Length int64
 }
 
-// Do sends a call to path at a daemon's peer address. The returned error carries a verdict: the call
-// is NotRun if no connection was made or the end of the body was never handed to a connection: the
-// receiving daemon runs nothing before it has read the whole body.
-func (c *Client) Do(ctx context.Context, peer netip.AddrPort, path string, call Call) (*Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
-	body := newSendBody(call)
-
-	var connected atomic.Bool
+// Do sends a call to a daemon. The returned error carries a verdict: the request has not run if no
+// connection was made, or if it must not run twice and its body was not sent. When ctx ends, the call is
+// withdrawn.
+func (c *Client) Do(ctx context.Context, peer netip.AddrPort, call Call, progress Progress) (*Response, error) {
+	return c.do(ctx, peer, Path, call, progress)
+}
 
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+// Ask passes a request to the daemon that owns its key.
+func (c *Client) Ask(ctx context.Context, peer netip.AddrPort, call Call) (*Response, error) {
+	return c.do(ctx, peer, OwnedPath, call, func(bool) bool { return true })
+}
 
-	outgoing, err := c.newRequest(traced, peer, path, call, body)
+// HandOver sends a part of a key table to another daemon.
+func (c *Client) HandOver(ctx context.Context, peer netip.AddrPort, data []byte) error {
+	connection, err := c.pool(peer).Get(ctx, 0)
 	if err != nil {
-		cancel()
+		return errors.Wrapf(err, "daemon %s", peer)
+	}
+
+	defer connection.Close()
+	defer connection.CloseOn(ctx)()
 
-		return nil, verdict.WithError(verdict.NotRun, err)
+	head := http1.Request{
+		Method: http.MethodPost, Target: HandoverPath, Host: "daemon", Header: http.Header{FleetHeader: {c.key}}, Body: data,
+	}
+	if err := connection.Write(head); err != nil {
+		return err
 	}
 
-	incoming, err := c.transport.RoundTrip(outgoing)
+	response, err := connection.ReadFinal(http.MethodPost)
 	if err != nil {
-		cancel()
+		return err
+	}
 
-		return nil, verdict.WithError(sentVerdict(connected.Load() && body.sent()), errors.Wrap(err, "call "+string(call.Request.ID)))
+	defer func() { _ = response.Body.Close() }()
+
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("daemon answered with status %d", response.StatusCode)
 	}
 
-	reply, err := c.readReply(incoming, call)
+	return nil
+}
+
+func (c *Client) do(
+	ctx context.Context, peer netip.AddrPort, path string, call Call, progress Progress,
+) (*Response, error) {
+	connection, err := c.pool(peer).Get(ctx, idleTimeout)
 	if err != nil {
-		_ = incoming.Body.Close()
+		return nil, verdict.WithError(verdict.NotRun, errors.Wrapf(err, "daemon %s", peer))
+	}
+
+	stop := connection.CloseOn(ctx)
+
+	e := &exchange{connection: connection, call: call, progress: progress, guarded: !call.Request.Idempotent()}
 
-		cancel()
+	response, err := e.run(c.key, path)
+	if err != nil {
+		stop()
+		connection.Close()
 
-		return nil, verdict.WithError(sentVerdict(body.sent()), err)
+		return nil, verdict.WithError(e.verdict(), errors.Wrapf(err, "daemon %s", peer))
 	}
 
-	return &Response{
-		Reply:  reply,
-		Header: httpheader.Forwardable(incoming.Header),
-		Body:   newVerifiedBody(incoming, cancel),
-	}, nil
+	response.Body = &replyBody{reader: response.Body, connection: connection, stop: stop, close: e.close}
+
+	return response, nil
 }
 
-func sentVerdict(sent bool) verdict.Verdict {
-	if sent {
+// exchange is a call in progress on a connection.
+type exchange struct {
+	connection *http1.ClientConn
+	call       Call
+	progress   Progress
+	// guarded calls send their body only when the request has a slot.
+	guarded bool
+	// committed is set before the commit byte is handed to the connection.
+	committed bool
+	close     bool
+}
+
+func (e *exchange) verdict() verdict.Verdict {
+	if e.committed {
 		return verdict.MayHaveRun
 	}
 
 	return verdict.NotRun
 }
 
-func (c *Client) newRequest(
-	ctx context.Context, peer netip.AddrPort, path string, call Call, body *sendBody,
-) (*http.Request, error) {
-	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.String()+path, body)
-	if err != nil {
-		return nil, errors.Wrap(err, "build call")
+func (e *exchange) run(key, path string) (*Response, error) {
+	if err := e.send(key, path); err != nil {
+		return nil, err
 	}
 
-	httpheader.Copy(outgoing.Header, call.Header)
-	outgoing.ContentLength = body.size
-	outgoing.Header.Set(FleetHeader, c.key)
-	outgoing.Header.Set(CallHeader, call.encode())
-
-	if !call.Request.Idempotent() || len(call.Body) >= expectSize {
-		outgoing.Header.Set("Expect", "100-continue")
+	for {
+		response, err := e.connection.Read(http.MethodPost) //nolint:bodyclose // replyBody closes it
+		if err != nil {
+			return nil, err
+		}
+
+		switch response.StatusCode {
+		case http.StatusProcessing:
+			e.progress(false)
+		case http.StatusContinue:
+			if !e.progress(true) {
+				return nil, ErrWithdrawn
+			}
+
+			if err := e.commit(); err != nil {
+				return nil, err
+			}
+		default:
+			return e.finish(response)
+		}
 	}
-
-	return outgoing, nil
 }
 
-func (c *Client) readReply(incoming *http.Response, call Call) (Reply, error) {
-	if incoming.StatusCode != http.StatusOK {
-		return Reply{}, errors.Newf("daemon answered with status %d", incoming.StatusCode)
+func (e *exchange) send(key, path string) error {
+	head := http1.Request{
+		Method: http.MethodPost, Target: path, Host: "daemon",
+		Header: make(http.Header, len(e.call.Header)+3),
 	}
 
-	reply, err := decodeReply(incoming.Header.Get(ReplyHeader))
-	if err != nil {
-		return Reply{}, err
-	}
+	httpheader.Copy(head.Header, e.call.Header)
+	head.Header[FleetHeader] = []string{key}
+	head.Header[CallHeader] = []string{e.call.encode()}
 
-	if reply.ID != call.Request.ID || reply.Number != call.Number {
-		c.foreign.Add(1)
+	if e.guarded {
+		head.Header["Expect"] = []string{"100-continue"}
 
-		return Reply{}, errors.Wrapf(ErrForeign, "sent %s/%d, received %s/%d",
-			call.Request.ID, call.Number, reply.ID, reply.Number)
+		return e.connection.WriteHead(head, int64(len(e.call.Body))+1)
 	}
 
-	return reply, nil
+	head.Body = e.body()
+	e.committed = true
+
+	return e.connection.Write(head)
 }
 
-// commitByte ends the body of a call. Its presence makes every body non-empty, so that a call whose
-// body was never taken by the transport is known not to have run.
-const commitByte = '\n'
+func (e *exchange) body() []byte {
+	body := make([]byte, 0, len(e.call.Body)+1)
+
+	return append(append(body, e.call.Body...), commitByte)
+}
+
+// commit sends the body of a guarded call.
+func (e *exchange) commit() error {
+	if e.committed {
+		return nil
+	}
+
+	e.committed = true
 
-// sendBody is read once: without GetBody and with a body, net/http never repeats a call by itself,
-// not even one whose Idempotency-Key header it would take as permission to do so.
-type sendBody struct {
-	reader io.Reader
-	size   int64
-	left   atomic.Int64
+	return e.connection.WriteBody(e.body())
 }
 
-func newSendBody(call Call) *sendBody {
-	size := int64(len(call.Body)) + 1
-	body := &sendBody{
-		reader: io.MultiReader(bytes.NewReader(call.Body), bytes.NewReader([]byte{commitByte})),
-		size:   size,
+func (e *exchange) finish(response *http.Response) (*Response, error) {
+	e.close = response.Close
+
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("daemon answered with status %d", response.StatusCode)
+	}
+
+	reply, err := decodeReply(response.Header.Get(ReplyHeader))
+	if err != nil {
+		return nil, err
+	}
+
+	if reply.ID != e.call.Request.ID || reply.Number != e.call.Number {
+		return nil, errors.Wrapf(ErrForeign, "sent %s/%d, received %s/%d",
+			e.call.Request.ID, e.call.Number, reply.ID, reply.Number)
 	}
-	body.left.Store(size)
 
-	return body
+	return &Response{
+		Reply: reply, Header: httpheader.Forwardable(response.Header), Body: response.Body, Length: response.ContentLength,
+	}, nil
+}
+
+// replyBody gives the connection back at the end of the body.
+type replyBody struct {
+	reader     io.ReadCloser
+	connection *http1.ClientConn
+	stop       func() bool
+	close      bool
+	ended      bool
 }
 
-// Read counts a byte as sent before the transport can write it.
-func (b *sendBody) Read(data []byte) (int, error) {
+// Read implements io.Reader.
+func (b *replyBody) Read(data []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+
 	n, err := b.reader.Read(data)
-	b.left.Add(-int64(n))
+	if errors.Is(err, io.EOF) {
+		b.ended = true
+
+		if b.stop() && !b.close {
+			b.connection.Release()
+		} else {
+			b.connection.Close()
+		}
+	}
 
 	return n, err
 }
 
-func (b *sendBody) Close() error { return nil }
+// Close ends the connection unless the body was read to its end.
+func (b *replyBody) Close() error {
+	if !b.ended {
+		b.ended = true
+		b.stop()
+		b.connection.Close()
+	}
 
-func (b *sendBody) sent() bool { return b.left.Load() <= 0 }
+	return nil
+}
--- a/internal/attempt/server.go
+++ b/internal/attempt/server.go
@@ -5,130 +5,130 @@
 	"crypto/subtle"
 	"io"
 	"net/http"
-	"strconv"
-	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/httpheader"
 )
 
-// MaxBody is the largest request body that a call may carry, in bytes. Manifests set smaller limits.
-const MaxBody = 16 << 20
-
-// bufferSize is the size of one read of a response, in bytes.
-const bufferSize = 32 << 10
+// ErrNotCommitted is returned if a call broke off before the end of its body.
+var ErrNotCommitted = errors.New("call was not committed")
+
+// Incoming is a call at the daemon beside a server.
+type Incoming interface {
+	// Queued tells the entry daemon that the request waits for a slot.
+	Queued() error
+	// Running tells the entry daemon that the request has a slot.
+	Running() error
+	// Body waits for the whole body. Nothing may run before it has returned without an error.
+	Body() ([]byte, error)
+}
 
-// Incoming is a call as the receiving daemon sees it.
-type Incoming struct {
-	// Call has no body before ReadBody.
-	Call     Call
-	writer   http.ResponseWriter
-	incoming *http.Request
+// Answer is a reply with the header and body of a response.
+type Answer struct {
+	Reply  Reply
+	Header http.Header
+	Body   io.ReadCloser
+	// Length of the body, or http1.UnknownLength.
+	Length int64
 }
 
-// Handler receives calls and passes them to serve, which has to call Respond once.
-func Handler(key string, serve func(*Incoming)) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if subtle.ConstantTimeCompare([]byte(r.Header.Get(FleetHeader)), []byte(key)) != 1 {
-			http.Error(w, "fleet key is missing or wrong", http.StatusForbidden)
+// Serve runs a call or refuses it. The context ends when the entry daemon withdraws the call.
+type Serve func(ctx context.Context, call Call, in Incoming) Answer
 
-			return
-		}
+// HandOver takes a part of the key table of a leaving owner.
+type HandOver func(data []byte) error
 
-		if r.Method != http.MethodPost || r.ContentLength < 1 || r.ContentLength > MaxBody+1 {
-			http.Error(w, "a call is a POST with a body of stated length", http.StatusBadRequest)
+// NewHandler returns the handler of what other daemons send. What comes without the fleet's key is refused.
+func NewHandler(key string, serve, owned Serve, handOver HandOver) http1.Handler {
+	return http1.HandlerFunc(func(ctx context.Context, x *http1.Exchange) {
+		presented := x.Request.Header.Get(FleetHeader)
+		if subtle.ConstantTimeCompare([]byte(presented), []byte(key)) != 1 {
+			respondStatus(x, http.StatusForbidden)
 
 			return
 		}
 
-		call, err := decodeCall(r.Header.Get(CallHeader), time.Now())
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-
-			return
+		switch x.Request.URL.Path {
+		case Path:
+			serveCall(ctx, x, serve)
+		case OwnedPath:
+			serveCall(ctx, x, owned)
+		case HandoverPath:
+			takeHandover(x, handOver)
+		default:
+			respondStatus(x, http.StatusNotFound)
 		}
-
-		call.Header = httpheader.Forwardable(r.Header)
-		serve(&Incoming{Call: call, writer: w, incoming: r})
 	})
 }
 
-// Context ends when the sender has gone away or cancelled the call, or after the handler has returned.
-func (in *Incoming) Context() context.Context { return in.incoming.Context() }
-
-// ReadBody reads the body to its end and sets Call.Body. After an error the call must not be run.
-func (in *Incoming) ReadBody() error {
-	data := make([]byte, in.incoming.ContentLength)
-	if _, err := io.ReadFull(in.incoming.Body, data); err != nil {
-		return errors.Wrap(err, "read call body")
+func takeHandover(x *http1.Exchange, handOver HandOver) {
+	body, err := x.Body()
+	if err == nil {
+		err = handOver(body)
 	}
 
-	if data[len(data)-1] != commitByte {
-		return errors.Wrap(ErrMalformed, "body does not end with the commit byte")
-	}
+	if err != nil {
+		respondStatus(x, http.StatusBadRequest)
 
-	in.Call.Body = data[:len(data)-1]
+		return
+	}
 
-	return nil
+	_ = x.Respond(http1.Response{Status: http.StatusOK, Header: http.Header{}, Body: http1.Body{Reader: http.NoBody}})
 }
 
-// Respond sends the reply, with a nil body for a refusal. If the body breaks, the connection is
-// aborted, so that the receiver sees an incomplete transfer.
-func (in *Incoming) Respond(reply Reply, header http.Header, body io.Reader) {
-	reply.ID, reply.Number = in.Call.Request.ID, in.Call.Number
-	// A hint that was not asked for was not paid for.
-	reply.Hinted = in.Call.Hint
-
-	out := in.writer.Header()
-	httpheader.Copy(out, httpheader.Forwardable(header))
-	out.Set(ReplyHeader, reply.encode())
-	out.Set("Trailer", LengthTrailer+", "+DigestTrailer)
-	in.writer.WriteHeader(http.StatusOK)
-
-	digest, length := xxhash.New(), int64(0)
-
-	if body != nil {
-		written, err := in.copyBody(io.TeeReader(body, digest))
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
+func serveCall(ctx context.Context, x *http1.Exchange, serve Serve) {
+	call, err := decodeCall(x.Request.Header.Get(CallHeader))
+	if err != nil {
+		respondStatus(x, http.StatusBadRequest)
 
-		length = written
+		return
 	}
 
-	out.Set(LengthTrailer, strconv.FormatInt(length, 10))
-	out.Set(DigestTrailer, formatDigest(digest))
+	call.Header = httpheader.Forwardable(x.Request.Header)
+	respond(x, serve(ctx, call, incoming{x}))
+}
+
+func respondStatus(x *http1.Exchange, status int) {
+	// The connection ends; there is nobody to tell if that fails.
+	_ = x.Respond(http1.Response{
+		Status: status, Header: http.Header{}, Body: http1.Body{Reader: http.NoBody}, Close: true,
+	})
 }
 
-// copyBody flushes after each read, so that a slow backend server's bytes are not held back.
-func (in *Incoming) copyBody(body io.Reader) (int64, error) {
-	var written int64
+func respond(x *http1.Exchange, answer Answer) {
+	header := make(http.Header, len(answer.Header)+1)
+	httpheader.Copy(header, answer.Header)
+	header[ReplyHeader] = []string{answer.Reply.encode()}
 
-	flusher, _ := in.writer.(http.Flusher)
-	buffer := make([]byte, bufferSize)
+	response := http1.Response{Status: http.StatusOK, Header: header, Body: http1.Body{Reader: http.NoBody}}
+	if answer.Body != nil {
+		response.Body = http1.Body{Reader: answer.Body, Length: answer.Length}
 
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, writeErr := in.writer.Write(buffer[:n]); writeErr != nil {
-				return written, errors.Wrap(writeErr, "write reply")
-			}
+		defer func() { _ = answer.Body.Close() }()
+	}
 
-			written += int64(n)
-		}
+	// After an error, the connection has ended, which is what the entry daemon is to see.
+	_ = x.Respond(response)
+}
 
-		if errors.Is(err, io.EOF) {
-			return written, nil
-		}
+type incoming struct{ exchange *http1.Exchange }
 
-		if err != nil {
-			return written, errors.Wrap(err, "read response of backend server")
-		}
+func (i incoming) Queued() error { return i.exchange.Processing() }
 
-		if flusher != nil && n > 0 {
-			flusher.Flush()
-		}
+func (i incoming) Running() error { return i.exchange.Accept() }
+
+func (i incoming) Body() ([]byte, error) {
+	body, err := i.exchange.Body()
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotCommitted)
 	}
+
+	last := len(body) - 1
+	if last < 0 || body[last] != commitByte {
+		return nil, ErrNotCommitted
+	}
+
+	return body[:last], nil
 }
--- a/internal/backend/announcement.go
+++ b/internal/backend/announcement.go
@@ -1,3 +1,5 @@
+// Package backend speaks to the backend server that the daemon stands beside. It keeps its connections and reads
+// what the server tells of itself.
 package backend
 
 import (
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -1,6 +1,8 @@
 package backend_test
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -8,63 +10,81 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/http1"
+	standin "github.com/tarragonmill/tarragonmill/internal/standin/backend"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+	"github.com/tarragonmill/tarragonmill/platform"
 )
 
-func newClient(t *testing.T, address string) *backend.Client {
+func newServer(t *testing.T, address string, d dialect.Dialect) *backend.Server {
 	t.Helper()
 
-	client := backend.New(netip.MustParseAddrPort(address), 4)
-	t.Cleanup(client.Close)
+	server := backend.NewServer(netip.MustParseAddrPort(address), 4, d)
+	t.Cleanup(server.Close)
 
-	return client
+	return server
 }
 
-func order() backend.Exchange {
-	return backend.Exchange{
-		Call: "r.0", Method: http.MethodPost, Target: "/orders?x=1", Host: "stockdesk",
-		Header: http.Header{"Idempotency-Key": {"k"}, "Tarragonmill-Fleet": {"secret"}, "X-Kept": {"1"}},
-		Body:   []byte("12 dumplings"),
+func order(attempt string, once bool) backend.Call {
+	return backend.Call{
+		Request: http1.Request{
+			Method: http.MethodPost, Target: "/orders?x=1", Host: "stockdesk",
+			Header: http.Header{"Idempotency-Key": {"k"}, "X-Kept": {"1"}, "Attempt-Id": {attempt}}, Body: []byte("12 dumplings"),
+		},
+		Attempt: attempt, Once: once,
 	}
 }
 
-// Guards against net/http sending an order again by itself when the server breaks a reused connection, which
-// it does for requests with an Idempotency-Key that it can rewind, and for GET requests without a body.
+// read requires a whole response and returns its body.
+func read(t *testing.T, response *backend.Response) string {
+	t.Helper()
+
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+
+	return string(body)
+}
+
+// Guards against an order that is sent again when the server breaks a reused connection, and against one request
+// that is lost because the server has dropped an unused connection without a sign.
 func TestNoHiddenRepeat(t *testing.T) {
-	for _, method := range []string{http.MethodPost, http.MethodGet} {
-		t.Run(method, func(t *testing.T) {
+	for _, once := range []bool{true, false} {
+		t.Run(fmt.Sprintf("once %t", once), func(t *testing.T) {
 			var calls atomic.Int64
 
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 				if calls.Add(1) == 2 {
 					panic(http.ErrAbortHandler)
 				}
 			}))
 			t.Cleanup(server.Close)
 
-			client := newClient(t, server.Listener.Addr().String())
-			exchange := order()
-			exchange.Method = method
-
-			if method == http.MethodGet {
-				exchange.Body = nil
-			}
+			s := newServer(t, server.Listener.Addr().String(), dialect.Default())
 
-			response, err := client.Do(t.Context(), exchange)
+			response, err := s.Do(t.Context(), order("", once))
 			require.NoError(t, err)
+			read(t, response)
 
-			_, err = io.Copy(io.Discard, response.Body)
-			require.NoError(t, err)
-			require.NoError(t, response.Body.Close())
+			response, err = s.Do(t.Context(), order("", once))
 
-			_, err = client.Do(t.Context(), exchange)
-			require.Error(t, err)
-			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
-			require.Equal(t, int64(2), calls.Load())
+			if once {
+				require.Error(t, err)
+				require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+				require.EqualValues(t, 2, calls.Load())
+
+				return
+			}
+
+			require.NoError(t, err)
+			read(t, response)
+			require.EqualValues(t, 3, calls.Load())
 		})
 	}
 }
@@ -75,39 +95,152 @@
 	require.NoError(t, err)
 	require.NoError(t, listener.Close())
 
-	client := newClient(t, listener.Addr().String())
-	_, err = client.Do(t.Context(), order())
-	require.Error(t, err)
+	s := newServer(t, listener.Addr().String(), dialect.Default())
+
+	_, err = s.Do(t.Context(), order("", true))
+	require.True(t, errors.Is(err, backend.ErrUnreachable))
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
-	require.False(t, client.Reachable(t.Context()))
+	require.False(t, s.Reachable(t.Context()))
 }
 
-// Guards against headers of the protocol between daemons that reach a server, and against a refusal of the
-// server that is taken for a response.
+// Guards against a request that reaches a server changed, and against a refusal of the server that is taken for a
+// response.
 func TestContractWithServers(t *testing.T) {
+	names := dialect.Default()
+
 	var received http.Header
 
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received = r.Header.Clone()
 		received.Set("Target", r.RequestURI)
-		w.Header().Set(backend.VerdictHeader, verdict.NotRun.String())
-		w.Header().Set(backend.StateHeader, backend.StateDraining)
+		w.Header().Set(names.NotRun, verdict.NotRun.String())
+		w.Header().Set(names.State, dialect.Draining)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	t.Cleanup(server.Close)
 
-	client := newClient(t, server.Listener.Addr().String())
-	response, err := client.Do(t.Context(), order())
-	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
-	require.True(t, backend.Refused(response))
+	s := newServer(t, server.Listener.Addr().String(), names)
 
+	response, err := s.Do(t.Context(), order("", true))
+	require.NoError(t, err)
+	read(t, response)
+	require.True(t, response.NotRun)
 	require.Equal(t, "/orders?x=1", received.Get("Target"))
-	require.Equal(t, "r.0", received.Get(backend.CallHeader))
 	require.Equal(t, "1", received.Get("X-Kept"))
-	require.Empty(t, received.Get("Tarragonmill-Fleet"))
 
-	up, draining := client.Health(t.Context(), "/health")
-	require.True(t, up)
-	require.True(t, draining)
+	health, err := s.Probe(t.Context(), "/health")
+	require.NoError(t, err)
+	require.True(t, health.Draining)
+}
+
+// startStandin starts a stand-in that speaks the platform's header fields.
+func startStandin(t *testing.T, behaviour standin.Behaviour) (*standin.Server, *backend.Server) {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	server := standin.New("i-1", 4, behaviour, standin.WithDialect(platform.Dialect()))
+	ended := make(chan error, 1)
+
+	go func() { ended <- server.Serve(t.Context(), listener) }()
+
+	t.Cleanup(func() {
+		server.Crash()
+		require.NoError(t, <-ended)
+	})
+
+	return server, newServer(t, listener.Addr().String(), platform.Dialect())
+}
+
+// Guards against a second copy of an earlier response that is taken for the response to the next request.
+func TestForeignResponse(t *testing.T) {
+	_, s := startStandin(t, standin.Behaviour{Fault: standin.Extra, Every: 2})
+
+	for n := range 6 {
+		attempt := fmt.Sprintf("a%d", n)
+		response, err := s.Do(t.Context(), order(attempt, true))
+		require.NoError(t, err)
+		read(t, response)
+		require.Equal(t, attempt, response.Header.Get("Attempt-Id"))
+
+		// The second copy arrives after the response was read.
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against a wrong answer that is passed on as a success: one that is cut short, that does not prove to be the
+// server's, or that is none at all.
+func TestWrongAnswers(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"cut short": standin.CutShort, "unsealed": standin.Unsealed, "garbage": standin.Garbage, "lost": standin.LoseAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, s := startStandin(t, standin.Behaviour{Fault: fault, Every: 1})
+
+			response, err := s.Do(t.Context(), order("a", true))
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+
+			require.Error(t, err)
+			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+			require.Equal(t, 1, server.Runs()["a"].Count)
+		})
+	}
+}
+
+// Guards against a whole answer without a length that is taken for a broken one.
+func TestUnframedAnswer(t *testing.T) {
+	_, s := startStandin(t, standin.Behaviour{Fault: standin.Unframed, Every: 1})
+
+	response, err := s.Do(t.Context(), order("a", true))
+	require.NoError(t, err)
+	require.Contains(t, read(t, response), "order k taken by i-1")
+}
+
+// Guards against a server that keeps working for a caller that has left.
+func TestCancelled(t *testing.T) {
+	released := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(released)
+	}))
+	t.Cleanup(server.Close)
+
+	s := newServer(t, server.Listener.Addr().String(), dialect.Default())
+	call := backend.Call{Request: http1.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Bare: true}}
+
+	ctx, cancel := contextWithTimeout(t, 50*time.Millisecond)
+	defer cancel()
+
+	_, err := s.Do(ctx, call)
+	require.Error(t, err)
+	<-released
+}
+
+// Guards against the wrong server at a reused address, and against a load that is not read.
+func TestProbe(t *testing.T) {
+	_, s := startStandin(t, standin.Behaviour{Slowness: 7})
+
+	health, err := s.Probe(t.Context(), "/health")
+	require.NoError(t, err)
+	require.Equal(t, backend.Health{
+		Healthy: true, Instance: "i-1", Loaded: true, Load: dialect.Load{Slots: 4, Slowness: 7},
+	}, health)
+
+	call := order("a", true)
+	call.Request.Header.Set("Expect-Instance", "i-0")
+
+	response, err := s.Do(t.Context(), call)
+	require.NoError(t, err)
+	read(t, response)
+	require.True(t, response.NotRun)
+	require.EqualValues(t, "i-1", response.Instance)
+}
+
+func contextWithTimeout(t *testing.T, timeout time.Duration) (context.Context, context.CancelFunc) {
+	t.Helper()
+
+	return context.WithTimeout(t.Context(), timeout)
 }
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -68,6 +69,8 @@
 	Loaded bool
 	// NotRun is set if the server states that it did not run the request.
 	NotRun bool
+	// Draining is set if the server says that it is about to leave.
+	Draining bool
 	// Instance is the server that answered, if it says so.
 	Instance ID
 }
@@ -187,7 +190,7 @@
 	for range maxForeign {
 		response, err := c.ReadFinal(call.Request.Method)
 		if err != nil {
-			if errors.Is(err, io.ErrUnexpectedEOF) && c.Pending() {
+			if c.Answered() {
 				return nil, err
 			}
 
@@ -240,7 +243,7 @@
 
 	converted := &Response{
 		Status: response.StatusCode, Header: httpheader.Forwardable(response.Header), Body: body,
-		Length: response.ContentLength, NotRun: s.isNotRun(response),
+		Length: response.ContentLength, NotRun: s.isNotRun(response), Draining: s.dialect.IsDraining(response.Header),
 		Instance: ID(s.dialect.InstanceOf(response.Header)),
 	}
 	converted.Load, converted.Loaded = s.dialect.ParseLoad(response.Header)
@@ -273,9 +276,24 @@
 	}
 }
 
+// Reachable reports whether the server accepts connections.
+func (s *Server) Reachable(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: connectTimeout}
+
+	connection, err := dialer.DialContext(ctx, "tcp", s.pool.Address().String())
+	if err != nil {
+		return false
+	}
+
+	_ = connection.Close()
+
+	return true
+}
+
 // Health is the answer of a server to a probe.
 type Health struct {
 	Healthy  bool
+	Draining bool
 	Instance ID
 	Load     dialect.Load
 	Loaded   bool
@@ -297,7 +315,7 @@
 	_ = response.Body.Close()
 
 	return Health{
-		Healthy: response.Status == http.StatusOK, Instance: response.Instance,
+		Healthy: response.Status == http.StatusOK, Draining: response.Draining, Instance: response.Instance,
 		Load: response.Load, Loaded: response.Loaded,
 	}, errors.Wrap(err, "read health answer")
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -1,23 +1,22 @@
 // Package caller is the HTTP interface of a daemon towards callers.
 //
 // It reads a request whole, finds its service and rule, and writes either the whole response of a
-// backend server or a refusal as Problem Details (RFC 9457) that carries the verdict. Protocol
-// upgrades, CONNECT and trailers are not supported.
+// backend server or a refusal as Problem Details (RFC 9457) that carries the verdict.
 package caller
 
 import (
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tarragonmill/tarragonmill/internal/attempt"
-	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/httpheader"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
@@ -26,13 +25,11 @@
 
 const (
 	// maxDepth stops call loops. The target has calls up to 9 deep.
-	maxDepth = 16
-	// progressTimeout is the longest time that a caller may take for one write of a response.
-	progressTimeout = 30 * time.Second
-	copyBuffer      = 32 << 10
-
-	keyHeader     = "Idempotency-Key"
+	maxDepth  = 16
+	keyHeader = "Idempotency-Key"
+	// verdictHeader tells a caller whether its request may have run.
 	verdictHeader = httpheader.Prefix + "Verdict"
+	// requestHeader repeats the identifier under which the request stands in the logs.
 	requestHeader = "X-Request-Id"
 )
 
@@ -49,17 +46,29 @@
 // Submission is a request with everything that is sent to the backend server.
 type Submission struct {
 	Request request.Request
-	Method  string
-	Target  string
-	Host    string
-	Header  http.Header
-	Body    []byte
+	// Parts are the services that share the requests of the route; empty if there is one.
+	Parts  []manifest.Part
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Response is that of a backend server.
+type Response struct {
+	Status int
+	Header http.Header
+	// Body ends with an error other than io.EOF if it is not whole.
+	Body io.ReadCloser
+	// Length of the body, or http1.UnknownLength.
+	Length int64
 }
 
 // Result is the response of a backend server or a refusal.
 type Result struct {
-	// Response is nil for a refusal. Its body was verified, or reports a broken transfer as an error.
-	Response *attempt.Response
+	// Response is nil for a refusal.
+	Response *Response
 	Refusal  Refusal
 }
 
@@ -68,156 +77,257 @@
 	Submit(ctx context.Context, submission Submission) Result
 }
 
+// Outcome is the end of a request as its caller sees it.
+type Outcome struct {
+	ID request.ID
+	// Service is empty if no rule matched.
+	Service string
+	Kind    manifest.Kind
+	Status  int
+	// Refusal is the zero value for a response of a backend server.
+	Refusal Refusal
+	Elapsed time.Duration
+}
+
+// Observer is told the end of each request.
+type Observer func(o Outcome)
+
 // Handler serves callers.
 type Handler struct {
 	matcher   func() Matcher
-	parents   Parents
 	submitter Submitter
+	parents   Parents
 	now       func() time.Time
+	dialect   dialect.Dialect
+	// origin is the service on whose instance the daemon runs.
+	origin string
+	// nested is the address from which the backend server makes calls; invalid if it cannot be told apart.
+	nested   netip.Addr
+	observer Observer
 }
 
+// Option configures a Handler.
+type Option func(*Handler)
+
+// WithDialect sets the names of header fields.
+func WithDialect(d dialect.Dialect) Option { return func(h *Handler) { h.dialect = d } }
+
+// WithOrigin sets the service on whose instance the daemon runs.
+func WithOrigin(service string) Option { return func(h *Handler) { h.origin = service } }
+
+// WithNestedFrom treats requests from an address as calls of the local backend server. An address that
+// callers share with it cannot be used.
+func WithNestedFrom(address netip.Addr) Option { return func(h *Handler) { h.nested = address } }
+
+// WithObserver sets a function that is told the end of each request.
+func WithObserver(observer Observer) Option { return func(h *Handler) { h.observer = observer } }
+
 // NewHandler returns a handler. The matcher is asked anew for each request; it may return nil while
 // no manifest is in force.
-func NewHandler(matcher func() Matcher, parents Parents, submitter Submitter, now func() time.Time) *Handler {
-	return &Handler{matcher: matcher, parents: parents, submitter: submitter, now: now}
+func NewHandler(
+	matcher func() Matcher, parents Parents, submitter Submitter, now func() time.Time, options ...Option,
+) *Handler {
+	h := &Handler{
+		matcher: matcher, parents: parents, submitter: submitter, now: now, dialect: dialect.Default(),
+		observer: func(Outcome) {},
+	}
+	for _, option := range options {
+		option(h)
+	}
+
+	return h
 }
 
-// ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// Serve implements http1.Handler.
+func (h *Handler) Serve(ctx context.Context, x *http1.Exchange) {
 	started := time.Now()
-	id := request.NewID()
-	w.Header().Set(requestHeader, string(id))
+	id := h.identify(x.Request.Header)
+
+	outcome := Outcome{ID: id}
+
+	submission, refusal, ok := h.accept(x, id)
+	outcome.Service, outcome.Kind = submission.Request.Service, submission.Request.Kind
 
-	submission, refusal, ok := h.accept(w, r, id)
 	if !ok {
-		writeRefusal(w, refusal)
+		outcome.Refusal = refusal
+		h.refuse(x, outcome, started)
 
 		return
 	}
 
-	result := h.submitter.Submit(r.Context(), submission)
-	w.Header().Set("Server-Timing", "total;dur="+strconv.FormatFloat(float64(time.Since(started).Microseconds())/1000, 'f', 3, 64))
-
+	result := h.submitter.Submit(ctx, submission)
 	if result.Response == nil {
-		writeRefusal(w, result.Refusal)
+		outcome.Refusal = result.Refusal
+		h.refuse(x, outcome, started)
 
 		return
 	}
 
-	writeResponse(w, r.Method, result.Response)
+	h.respond(x, result.Response)
+
+	outcome.Status, outcome.Elapsed = result.Response.Status, time.Since(started)
+	h.observer(outcome)
+}
+
+// identify returns the identifier under which the request stands in the logs.
+func (h *Handler) identify(header http.Header) request.ID {
+	if attempt := h.dialect.AttemptOf(header); attempt != "" && len(attempt) <= maxID {
+		return request.ID(attempt)
+	}
+
+	return request.NewID()
+}
+
+// maxID bounds the length of an identifier that a caller has chosen.
+const maxID = 128
+
+func (h *Handler) refuse(x *http1.Exchange, outcome Outcome, started time.Time) {
+	outcome.Status, outcome.Elapsed = outcome.Refusal.Status(), time.Since(started)
+	h.observer(outcome)
+
+	response := outcome.Refusal.response()
+	response.Header.Set(requestHeader, string(outcome.ID))
+	dialect.Set(response.Header, h.dialect.Attempt, string(outcome.ID))
+	outcome.Refusal.setRetryAfter(response.Header, h.dialect.FractionalRetry)
+
+	// After an error, the caller has left.
+	_ = x.Respond(response)
 }
 
 // accept reads the request and finds its rule. Nothing was run when it refuses.
-func (h *Handler) accept(w http.ResponseWriter, r *http.Request, id request.ID) (Submission, Refusal, bool) {
-	none := Submission{}
+func (h *Handler) accept(x *http1.Exchange, id request.ID) (Submission, Refusal, bool) {
+	r := x.Request
 
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" || !strings.HasPrefix(r.URL.Path, "/") {
-		return none, Refusal{Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: Unsupported}, false
+		return Submission{}, notRun(Unsupported), false
 	}
 
 	matcher := h.matcher()
 	if matcher == nil {
-		return none, Refusal{Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: NoManifest, RetryAfter: time.Second}, false
+		refusal := notRun(NoManifest)
+		refusal.RetryAfter = manifestRetry
+
+		return Submission{}, refusal, false
 	}
 
 	match, err := matcher.Match(r.Host, r.Method, r.URL)
 	if err != nil {
-		return none, Refusal{Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: NoRule}, false
+		return Submission{}, notRun(NoRule), false
 	}
 
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, match.Rule.Body))
-	if err != nil {
-		reason := BodyBroken
-		if errors.HasType(err, (*http.MaxBytesError)(nil)) {
-			reason = BodyTooLarge
-		}
+	if r.ContentLength > match.Rule.Body {
+		return Submission{}, notRun(BodyTooLarge), false
+	}
 
-		return none, Refusal{Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: reason}, false
+	body, err := x.Body()
+	if err != nil || int64(len(body)) > match.Rule.Body {
+		return Submission{}, notRun(bodyReason(err)), false
 	}
 
-	described, ok := h.describe(r, id, match, body)
+	described, ok := h.describe(x, id, match, body)
 	if !ok {
-		return none, Refusal{Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: TooDeep}, false
+		return Submission{}, notRun(TooDeep), false
 	}
 
-	return Submission{
+	submission := Submission{
 		Request: described,
 		Method:  r.Method,
-		Target:  r.URL.RequestURI(),
+		Target:  r.RequestURI,
 		Host:    r.Host,
-		Header:  httpheader.Forwardable(r.Header),
+		Header:  h.forwardable(r.Header),
 		Body:    body,
-	}, Refusal{}, true
+	}
+
+	if match.Route != nil && len(match.Route.Parts) > 1 {
+		submission.Parts = match.Route.Parts
+	}
+
+	return submission, Refusal{}, true
+}
+
+// manifestRetry is when a caller may come back to a daemon that has just started.
+const manifestRetry = 300 * time.Millisecond
+
+func bodyReason(err error) Reason {
+	if err == nil || errors.Is(err, http1.ErrBodyTooLarge) {
+		return BodyTooLarge
+	}
+
+	return BodyBroken
+}
+
+// forwardable returns the fields that are passed on.
+func (h *Handler) forwardable(header http.Header) http.Header {
+	kept := httpheader.Forwardable(header)
+	for _, name := range h.dialect.Own() {
+		if name != "" {
+			kept.Del(name)
+		}
+	}
+
+	return kept
 }
 
 // describe derives deadline and depth; those of a nested call come from the request that makes it.
 func (h *Handler) describe(
-	r *http.Request, id request.ID, match manifest.Match, body []byte,
+	x *http1.Exchange, id request.ID, match manifest.Match, body []byte,
 ) (request.Request, bool) {
+	r, now := x.Request, h.now()
 	described := request.Request{
 		ID:          id,
 		Service:     match.Service,
+		Route:       match.Service + "/" + match.Rule.Name,
 		Kind:        match.Rule.Kind,
 		Key:         r.Header.Get(keyHeader),
-		Fingerprint: request.NewFingerprint(r.Method, r.URL.RequestURI(), body),
-		Deadline:    h.now().Add(match.Rule.Deadline),
+		Fingerprint: request.NewFingerprint(r.Method, r.RequestURI, body),
+		Deadline:    now.Add(match.Rule.Deadline),
+		Attempts:    match.Rule.Attempts,
+		Priority:    match.Rule.Priority,
+		Origin:      h.origin,
 		Size:        int64(len(body)),
 	}
 
-	parent, nested := h.parents.Parent(r.Header.Get(backend.CallHeader))
-	if nested {
-		described.Depth = parent.Depth + 1
-		if parent.Deadline.Before(described.Deadline) {
-			described.Deadline = parent.Deadline
-		}
+	if left, stated := h.dialect.ParseTimeout(r.Header); stated && left < match.Rule.Deadline {
+		described.Deadline = now.Add(left)
+	}
+
+	if match.Rule.Target > 0 {
+		described.Target = now.Add(match.Rule.Target)
 	}
 
+	h.nest(x, &described)
+
 	return described, described.Depth <= maxDepth
 }
 
-func writeResponse(w http.ResponseWriter, method string, response *attempt.Response) {
-	defer func() { _ = response.Body.Close() }()
-
-	httpheader.Copy(w.Header(), response.Header)
-	w.Header().Set(verdictHeader, verdict.Answered.String())
+// nest marks the calls of the local backend server.
+func (h *Handler) nest(x *http1.Exchange, described *request.Request) {
+	if h.dialect.Call != "" {
+		if parent, nested := h.parents.Parent(x.Request.Header.Get(h.dialect.Call)); nested {
+			described.Depth = parent.Depth + 1
+			if parent.Deadline.Before(described.Deadline) {
+				described.Deadline = parent.Deadline
+			}
+		}
 
-	if response.Reply.Size >= 0 && hasLength(method, response.Reply.Status) {
-		w.Header().Set("Content-Length", strconv.FormatInt(response.Reply.Size, 10))
+		return
 	}
 
-	w.WriteHeader(response.Reply.Status)
-
-	if err := copyResponse(w, response.Body); err != nil {
-		// The status is out; closing the connection is the only way left to say that the response is
-		// not whole.
-		panic(http.ErrAbortHandler)
+	if remote, err := netip.ParseAddrPort(x.Remote()); err == nil && remote.Addr() == h.nested {
+		described.Depth = 1
 	}
 }
 
-func hasLength(method string, status int) bool {
-	return method == http.MethodHead || (status != http.StatusNoContent && status != http.StatusNotModified)
-}
-
-func copyResponse(w http.ResponseWriter, body io.Reader) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBuffer)
-
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			_ = controller.SetWriteDeadline(time.Now().Add(progressTimeout))
-
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return errors.Wrap(writeErr, "write response")
-			}
-		}
+// respond writes the response of a backend server.
+func (h *Handler) respond(x *http1.Exchange, response *Response) {
+	defer func() { _ = response.Body.Close() }()
 
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
+	response.Header[verdictHeader] = []string{verdict.Answered.String()}
 
-		if err != nil {
-			return errors.Wrap(err, "read response")
-		}
-	}
+	// The status may be out when it fails. The connection has then ended, which is the only way left to say
+	// that the response is not whole.
+	_ = x.Respond(http1.Response{
+		Status: response.Status, Header: response.Header,
+		Body: http1.Body{Reader: response.Body, Length: response.Length},
+	})
 }
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -1,12 +1,14 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
@@ -20,6 +22,10 @@
 	RetryAfter time.Duration
 }
 
+func notRun(reason Reason) Refusal {
+	return Refusal{Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: reason}
+}
+
 // Reason is the machine-readable cause of a refusal. Reasons of the reducers are passed on as they are.
 type Reason string
 
@@ -32,6 +38,7 @@
 	BodyBroken   Reason = "body-broken"
 	TooDeep      Reason = "too-deep"
 	Deadline     Reason = "deadline"
+	ShuttingDown Reason = "shutting-down"
 	KeyReused    Reason = "key-reused"
 	KeyInvalid   Reason = "invalid-key"
 	KeyTooOld    Reason = "key-too-old"
@@ -39,7 +46,6 @@
 	Superseded   Reason = "key-superseded"
 	KeyInDoubt   Reason = "key-in-doubt"
 	NotStored    Reason = "response-not-stored"
-	ShuttingDown Reason = "shutting-down"
 )
 
 // statuses gives the HTTP status of reasons that have one of their own.
@@ -49,7 +55,6 @@
 	BodyTooLarge: http.StatusRequestEntityTooLarge,
 	BodyBroken:   http.StatusBadRequest,
 	TooDeep:      http.StatusLoopDetected,
-	Deadline:     http.StatusGatewayTimeout,
 	KeyReused:    http.StatusUnprocessableEntity,
 	KeyInvalid:   http.StatusBadRequest,
 	KeyTooOld:    http.StatusConflict,
@@ -65,11 +70,14 @@
 		return status
 	}
 
-	if r.Verdict == verdict.NotRun {
+	switch {
+	case r.Verdict == verdict.NotRun:
 		return http.StatusServiceUnavailable
+	case r.Reason == Deadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
 	}
-
-	return http.StatusBadGateway
 }
 
 // titles explains the verdicts to a person.
@@ -88,24 +96,37 @@
 	Reason   string `json:"reason"`
 }
 
-func writeRefusal(w http.ResponseWriter, refusal Refusal) {
-	status := refusal.Status()
+func (r Refusal) response() http1.Response {
+	status := r.Status()
+
+	var body bytes.Buffer
+
+	// A struct of texts and numbers can always be encoded.
+	_ = json.NewEncoder(&body).Encode(problem{
+		Title: titles[r.Verdict], Status: status, Verdict: r.Verdict.String(), Delivery: r.Delivery.String(),
+		Reason: string(r.Reason),
+	})
 
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.Header().Set(verdictHeader, refusal.Verdict.String())
+	header := make(http.Header)
+	header.Set("Content-Type", "application/problem+json")
+	header.Set(verdictHeader, r.Verdict.String())
 
-	if refusal.RetryAfter > 0 {
-		seconds := int64(math.Ceil(refusal.RetryAfter.Seconds()))
-		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	return http1.Response{
+		Status: status, Header: header, Body: http1.Body{Reader: &body, Length: int64(body.Len())},
 	}
+}
 
-	w.WriteHeader(status)
+func (r Refusal) setRetryAfter(header http.Header, fractional bool) {
+	if r.RetryAfter <= 0 {
+		return
+	}
 
-	_ = json.NewEncoder(w).Encode(problem{
-		Title:    titles[refusal.Verdict],
-		Status:   status,
-		Verdict:  refusal.Verdict.String(),
-		Delivery: refusal.Delivery.String(),
-		Reason:   string(refusal.Reason),
-	})
+	seconds := r.RetryAfter.Seconds()
+	if fractional {
+		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
+
+		return
+	}
+
+	header.Set("Retry-After", strconv.FormatInt(int64(math.Ceil(seconds)), 10))
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -57,8 +57,7 @@
 		option(root)
 	}
 
-	root.Commands = append(root.Commands, manifestCommand(), dumpCommand(), demoCommand(), benchCommand(),
-		capacityCommand(), logCommand("logservice"))
+	root.Commands = append(root.Commands, dumpCommand(), demoCommand())
 
 	return run(ctx, args, streams, root)
 }
@@ -71,7 +70,7 @@
 	return run(ctx, args, streams, &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins for systems outside tarragonmill, for tests and trials",
-		Commands: []*cli.Command{logCommand("log"), backendCommand()},
+		Commands: []*cli.Command{logCommand(), backendCommand()},
 	})
 }
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -31,12 +31,18 @@
 	const good = "../settings/testdata/corpus/full.ini"
 
 	starts := 0
-	option := command.WithDaemon(func(ctx context.Context, s settings.Settings, logger zerolog.Logger) error {
+	option := command.WithDaemon(func(
+		_ context.Context, s settings.Settings, reload func() (settings.Settings, error), logger zerolog.Logger,
+	) error {
 		starts++
 
 		logger.Debug().Msg("level of the settings")
 		require.Equal(t, "stockdesk", s.Service)
 
+		again, err := reload()
+		require.NoError(t, err)
+		require.True(t, again.Equal(s))
+
 		return errors.New("address in use")
 	})
 	bad := filepath.Join(t.TempDir(), "bad.ini")
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -8,23 +8,34 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
 )
 
 const settingsFlag, checkFlag = "settings", "check"
 
-// DaemonFunc runs a daemon until the context ends and its requests in flight have finished.
-type DaemonFunc func(ctx context.Context, s settings.Settings, logger zerolog.Logger) error
+// settingsVariable is the environment variable that may hold the path of the settings file.
+const settingsVariable = "TARRAGONMILL_SETTINGS"
+
+// DaemonFunc runs a daemon until the context ends and its requests in flight have finished. Reload reads the
+// settings again.
+type DaemonFunc func(
+	ctx context.Context, s settings.Settings, reload func() (settings.Settings, error), logger zerolog.Logger,
+) error
 
 // WithDaemon adds the subcommand daemon.
 func WithDaemon(run DaemonFunc) Option {
 	return func(root *cli.Command) {
 		root.Commands = append(root.Commands, &cli.Command{
-			Name:        "daemon",
-			Usage:       "run the daemon beside a backend server",
-			Description: "SIGTERM or SIGINT drains and ends the daemon; a second signal ends it at once.",
+			Name:  "daemon",
+			Usage: "run the daemon beside a backend server",
+			Description: "SIGTERM or SIGINT drains and ends the daemon; a second signal ends it at once. " +
+				"SIGHUP reads the settings again. The log goes to standard output as JSON lines.",
 			Flags: []cli.Flag{
-				&cli.StringFlag{Name: settingsFlag, Usage: "read settings from `FILE`", Required: true},
+				&cli.StringFlag{
+					Name: settingsFlag, Usage: "read settings from `FILE`", Required: true,
+					Sources: cli.EnvVars(settingsVariable),
+				},
 				&cli.BoolFlag{Name: checkFlag, Usage: "check the settings and exit"},
 			},
 			Action: func(ctx context.Context, c *cli.Command) error { return daemon(ctx, c, run) },
@@ -39,7 +50,9 @@
 
 	path := c.String(settingsFlag)
 
-	s, err := settings.Load(path)
+	reload := func() (settings.Settings, error) { return settings.Load(path) }
+
+	s, err := reload()
 	if err != nil {
 		return usage(err)
 	}
@@ -55,5 +68,16 @@
 		return usage(errors.Wrap(err, "log level"))
 	}
 
-	return run(ctx, s, zerolog.Ctx(ctx).Level(level))
+	// Lines are written until the daemon has stopped.
+	queue := eventlog.NewQueue(c.Root().Writer)
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+
+	go queue.Run(writing)
+
+	err = run(ctx, s, reload, zerolog.New(queue).Level(level).With().Timestamp().Logger())
+
+	stop()
+	<-queue.Done()
+
+	return err
 }
--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"time"
 
@@ -11,7 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonmill/tarragonmill/internal/config"
-	"github.com/tarragonmill/tarragonmill/internal/logservice"
+	"github.com/tarragonmill/tarragonmill/internal/settings"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
@@ -20,7 +21,19 @@
 
 const logFlag, waitFlag, baseFlag = "log", "wait", "base"
 
-func manifestCommand() *cli.Command {
+// OpenLog returns the topic of manifests in the store at an address, and a function that closes it.
+type OpenLog func(address netip.AddrPort) (config.Log, func())
+
+// WithManifests adds the subcommand manifest.
+func WithManifests(open OpenLog) Option {
+	return func(root *cli.Command) { root.Commands = append(root.Commands, manifestCommand(open)) }
+}
+
+func manifestCommand(open OpenLog) *cli.Command {
+	publish := func(ctx context.Context, c *cli.Command) error { return publishManifest(ctx, c, open) }
+	resolve := func(ctx context.Context, c *cli.Command) error { return resolvePublish(ctx, c, open) }
+	show := func(ctx context.Context, c *cli.Command) error { return showManifest(ctx, c, open) }
+
 	return &cli.Command{
 		Name:   "manifest",
 		Usage:  "check, publish and show manifests",
@@ -32,7 +45,7 @@
 			},
 			{
 				Name: "publish", Usage: "replace the manifest in force",
-				ArgsUsage: "FILE", Action: publishManifest,
+				ArgsUsage: "FILE", Action: publish,
 				Description: "Exit code 3 means that the outcome is unknown: \"manifest resolve\" finds it later.",
 				Flags: append(logFlags(), &cli.Uint64Flag{
 					Name: baseFlag, Usage: "publish only if this version is current",
@@ -40,11 +53,11 @@
 			},
 			{
 				Name: "resolve", Usage: "find the outcome of an earlier publish by its identifier",
-				ArgsUsage: "ID", Action: resolvePublish, Flags: logFlags(),
+				ArgsUsage: "ID", Action: resolve, Flags: logFlags(),
 			},
 			{
 				Name: "show", Usage: "write the current manifest as the log service has it",
-				Action: showManifest, Flags: logFlags(),
+				Action: show, Flags: logFlags(),
 			},
 		},
 	}
@@ -92,37 +105,43 @@
 	return path, m, nil
 }
 
-func publishManifest(ctx context.Context, c *cli.Command) error {
+func publishManifest(ctx context.Context, c *cli.Command, open OpenLog) error {
 	_, m, err := loadManifest(c)
 	if err != nil {
 		return err
 	}
 
-	return withPublisher(c, func(p *config.Publisher) error {
+	return withPublisher(c, open, func(p *config.Publisher) error {
 		// The canonical form is published, so that daemons read what was checked here.
 		text := string(manifest.Format(m))
 
-		var result config.Result
+		var base *uint64
+
 		if c.IsSet(baseFlag) {
-			result, err = p.PublishOver(ctx, c.Uint64(baseFlag), text)
-		} else {
-			result, err = p.Publish(ctx, text)
+			wanted := c.Uint64(baseFlag)
+			base = &wanted
 		}
+
+		result, err := p.Publish(ctx, text, base)
 		if err != nil {
 			return errors.Wrap(err, "nothing was published")
 		}
 
+		if base != nil && result.Outcome == config.Rejected {
+			return errors.Newf("nothing was published: base %d, current version %d", *base, result.Current.Version)
+		}
+
 		return report(c, result)
 	})
 }
 
-func resolvePublish(ctx context.Context, c *cli.Command) error {
+func resolvePublish(ctx context.Context, c *cli.Command, open OpenLog) error {
 	id, err := oneArgument(c, "ID")
 	if err != nil {
 		return err
 	}
 
-	return withPublisher(c, func(p *config.Publisher) error {
+	return withPublisher(c, open, func(p *config.Publisher) error {
 		result, err := p.Resolve(ctx, id)
 		if err != nil {
 			return errors.Wrap(err, "resolve publish")
@@ -134,48 +153,45 @@
 
 func report(c *cli.Command, result config.Result) error {
 	switch result.Outcome {
-	case config.OutcomeAccepted:
-		_, err := fmt.Fprintf(c.Root().Writer, "version %d accepted, publish %s\n", result.Version, result.ID)
+	case config.Accepted:
+		_, err := fmt.Fprintf(c.Root().Writer, "version %d accepted, publish %s\n", result.Publish.Version, result.Publish.ID)
 
 		return errors.Wrap(err, "write result")
-	case config.OutcomeRejected:
-		return errors.Newf("publish %s was rejected: %s; current version %d, publish %s",
-			result.ID, result.Reason, result.Version, result.Winner)
+	case config.Rejected:
+		return errors.Newf("publish %s was rejected; current version %d, publish %s",
+			result.Publish.ID, result.Current.Version, result.Current.ID)
 	default:
-		return unknown(errors.Newf("outcome of publish %s is unknown; it may still take effect", result.ID))
+		return unknown(errors.Newf("outcome of publish %s is unknown; it may still take effect", result.Publish.ID))
 	}
 }
 
-func showManifest(ctx context.Context, c *cli.Command) error {
+func showManifest(ctx context.Context, c *cli.Command, open OpenLog) error {
 	if err := noArguments(c); err != nil {
 		return err
 	}
 
-	return withPublisher(c, func(p *config.Publisher) error {
-		base, err := p.Show(ctx)
-		if err != nil {
+	return withPublisher(c, open, func(p *config.Publisher) error {
+		current, err := p.Show(ctx)
+		if err != nil && !errors.Is(err, config.ErrNone) {
 			return errors.Wrap(err, "show manifest")
 		}
 
-		zerolog.Ctx(ctx).Info().Uint64("version", base.Version).Str("publish", base.ID).Msg("current manifest")
-		_, err = fmt.Fprint(c.Root().Writer, base.Manifest)
+		zerolog.Ctx(ctx).Info().Uint64("version", current.Version).Str("publish", current.ID).Msg("current manifest")
+
+		_, err = fmt.Fprint(c.Root().Writer, current.Manifest)
 
 		return errors.Wrap(err, "write manifest")
 	})
 }
 
-func withPublisher(c *cli.Command, use func(*config.Publisher) error) error {
-	client, err := logservice.New(c.String(logFlag))
+func withPublisher(c *cli.Command, open OpenLog, use func(*config.Publisher) error) error {
+	address, err := settings.StoreAddress(c.String(logFlag))
 	if err != nil {
-		return usage(err)
+		return usage(errors.Wrap(err, "log service"))
 	}
-	defer client.Close()
 
-	return use(config.NewPublisher(client,
-		config.WithWait(c.Duration(waitFlag)),
-		config.WithCheck(func(text string) error {
-			_, err := manifest.Parse("manifest", []byte(text))
+	log, end := open(address)
+	defer end()
 
-			return err
-		})))
+	return use(config.NewPublisher(log, c.Duration(waitFlag)))
 }
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -10,13 +10,11 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
-	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
+	"github.com/tarragonmill/tarragonmill/internal/standin/store"
 )
 
 const (
 	listenFlag  = "listen"
-	ageFlag     = "age"
-	recordsFlag = "records"
 	seedFlag    = "seed"
 	nameFlag    = "name"
 	slotsFlag   = "slots"
@@ -31,23 +29,13 @@
 	defaultService       = 5 * time.Millisecond
 )
 
-func logCommand(name string) *cli.Command {
+func logCommand() *cli.Command {
 	return &cli.Command{
-		Name:  name,
-		Usage: "run a log service in memory, for trials and tests; records are lost when it ends",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: listenFlag, Usage: "listen `ADDRESS`", Value: defaultLogListen},
-			&cli.DurationFlag{Name: ageFlag, Usage: "drop records older than this; 0 keeps them"},
-			&cli.IntFlag{Name: recordsFlag, Usage: "keep this many records per stream; 0 keeps all"},
-			&cli.Uint64Flag{Name: seedFlag, Usage: "seed of injected faults", Value: 1},
-		},
+		Name:  "log",
+		Usage: "run the platform's log service in memory, for trials and tests; records are lost when it ends",
+		Flags: []cli.Flag{&cli.StringFlag{Name: listenFlag, Usage: "listen `ADDRESS`", Value: defaultLogListen}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			store := logstore.New(
-				logstore.WithSeed(c.Uint64(seedFlag)),
-				logstore.WithRetention(logstore.Retention{Age: c.Duration(ageFlag), Records: c.Int(recordsFlag)}),
-			)
-
-			return serve(ctx, c, store)
+			return serve(ctx, c, store.New())
 		},
 	}
 }
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -2,374 +2,190 @@
 
 import (
 	"context"
-	"fmt"
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"github.com/tarragonmill/tarragonmill/internal/logservice"
-	"github.com/tarragonmill/tarragonmill/internal/logservice/record"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 )
 
-// Log is the part of the log service that publishing needs.
+// Log is the topic in which manifests are published.
 type Log interface {
-	Append(ctx context.Context, stream string, data []byte) (uint64, error)
-	Read(ctx context.Context, stream string, from uint64, limit int) (logservice.Page, error)
+	Newest(ctx context.Context) (store.Page, error)
+	// AppendAt adds records if the topic ends at an offset, else it returns store.ErrConflict.
+	AppendAt(ctx context.Context, end int64, records ...store.Record) error
 }
 
-// Errors of publishing. Nothing was published in these cases.
-var (
-	// ErrInvalid is returned for a manifest that fails validation.
-	ErrInvalid = errors.New("manifest is invalid")
-	// ErrUnavailable is returned if the log service refused, or could not be read.
-	ErrUnavailable = errors.New("log service is unavailable")
-	// ErrNoBase is returned if the log holds neither all its records nor a usable snapshot. A
-	// running daemon writes one; if none runs that knows the current version, Restart helps.
-	ErrNoBase = errors.New("log holds no usable snapshot")
-	// ErrHasBase is returned by Restart if the log tells the current version.
-	ErrHasBase = errors.New("log tells the current version")
-	// ErrOutdated is returned if the version to be replaced is not the current one.
-	ErrOutdated = errors.New("base is not the current version")
-)
-
-// Outcome says what became of a publish.
+// Outcome is what became of a publish.
 type Outcome uint8
 
 const (
-	// OutcomeUnknown means that the record may still appear in the log, or may have expired.
-	OutcomeUnknown Outcome = iota
-	// OutcomeAccepted means that the manifest became a version.
-	OutcomeAccepted
-	// OutcomeRejected means that another publish won, or that the record is invalid.
-	OutcomeRejected
+	// Unknown publishes may still take effect.
+	Unknown Outcome = iota
+	// Accepted publishes made a version.
+	Accepted
+	// Rejected publishes made none and never will.
+	Rejected
 )
 
-// String returns a lower-case name.
-func (o Outcome) String() string {
-	names := [...]string{"unknown", "accepted", "rejected"}
-	if int(o) < len(names) {
-		return names[o]
-	}
-
-	return "unknown"
-}
-
-// Result is what is known of a publish.
+// Result is the outcome of a publish.
 type Result struct {
 	Outcome Outcome
-	// ID is the publish identifier, by which Resolve finds the outcome later.
-	ID string
-	// Version is the accepted version, or the version that won. It is zero if unknown.
-	Version uint64
-	// Winner is the publish identifier of Version.
-	Winner string
-	Reason Reason
+	Publish Publish
+	// Current is the newest publish.
+	Current Publish
 }
 
+// ErrNone is returned if nothing was published yet.
+var ErrNone = errors.New("no manifest is published")
+
 const (
-	// readLimit is the number of records in one read.
-	readLimit = 256
-	// rereadInterval is the time between reads while an outcome is open.
-	rereadInterval = 200 * time.Millisecond
-	// defaultWait bounds how long an outcome is waited for.
-	defaultWait = 10 * time.Second
+	// retryPause is the time between two tries.
+	retryPause = 200 * time.Millisecond
+	// lateTime is how long after a call without an answer the store may still perform it.
+	lateTime = 8 * time.Second
 )
 
-// Publisher publishes manifests for operators. It is safe for concurrent use.
+// Publisher publishes manifests.
 type Publisher struct {
-	log      Log
-	validate func(string) error
-	wait     time.Duration
-	newID    func() string
+	log  Log
+	wait time.Duration
 }
 
-// PublisherOption configures a Publisher.
-type PublisherOption func(*Publisher)
-
-// WithCheck sets the check that a manifest must pass. It must be the one that daemons use.
-func WithCheck(validate func(manifest string) error) PublisherOption {
-	return func(p *Publisher) { p.validate = validate }
+// NewPublisher returns a publisher that tries for the given time.
+func NewPublisher(log Log, wait time.Duration) *Publisher {
+	return &Publisher{log: log, wait: wait}
 }
 
-// WithWait bounds how long Publish and Resolve wait for an outcome.
-func WithWait(wait time.Duration) PublisherOption {
-	return func(p *Publisher) { p.wait = wait }
-}
+// Show returns the newest manifest.
+func (p *Publisher) Show(ctx context.Context) (Published, error) {
+	current, _, err := p.read(ctx)
 
-// WithIDs replaces the source of publish identifiers. They must be unique.
-func WithIDs(newID func() string) PublisherOption {
-	return func(p *Publisher) { p.newID = newID }
+	return current, err
 }
 
-// NewPublisher returns a publisher over a log.
-func NewPublisher(log Log, options ...PublisherOption) *Publisher {
-	p := &Publisher{
-		log: log, validate: func(string) error { return nil }, wait: defaultWait, newID: uuid.NewString,
-	}
-	for _, option := range options {
-		option(p)
-	}
-
-	return p
-}
-
-// Publish replaces the current version by a manifest. The record is appended at most once. An error
-// means that nothing was published.
-func (p *Publisher) Publish(ctx context.Context, manifest string) (Result, error) {
-	return p.publish(ctx, manifest, nil)
-}
-
-// PublishOver is Publish for a manifest that was derived from a certain version. It returns
-// ErrOutdated if another version is current already.
-func (p *Publisher) PublishOver(ctx context.Context, base uint64, manifest string) (Result, error) {
-	return p.publish(ctx, manifest, &base)
-}
-
-func (p *Publisher) publish(ctx context.Context, manifest string, base *uint64) (Result, error) {
-	if err := p.validate(manifest); err != nil {
-		return Result{}, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, p.wait)
-	defer cancel()
-
-	reader, err := p.latest(ctx)
+func (p *Publisher) read(ctx context.Context) (Published, int64, error) {
+	page, err := p.log.Newest(ctx)
 	if err != nil {
-		return Result{}, err
+		return Published{}, 0, errors.Wrap(err, "log service is unavailable: read current manifest")
 	}
 
-	current, based := reader.state.Base()
+	for _, record := range page.Records {
+		if record.Key == Key {
+			current, err := DecodeRecord(record.Value)
 
-	switch {
-	case !based:
-		return Result{}, ErrNoBase
-	case base != nil && *base != current.Version:
-		return Result{}, errors.Wrapf(ErrOutdated, "base %d, current version %d (publish %s)",
-			*base, current.Version, current.ID)
-	}
-
-	id := p.newID()
-	// The longest part of the wait is left for reading back.
-	offset, err := p.log.Append(ctx, record.ConfigStream, record.EncodeConfig(record.Publish{
-		ID: id, Base: current.Version, Manifest: manifest,
-	}))
-
-	switch {
-	case err == nil:
-		return reader.resolve(ctx, id, &offset), nil
-	case logservice.EffectOf(err) == logservice.NotAppended:
-		return Result{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	default:
-		return reader.resolve(ctx, id, nil), nil
-	}
-}
-
-// Restart publishes a manifest over a log that no longer tells the current version, for example after
-// all daemons were down for longer than the log keeps records. It returns ErrHasBase if the log does
-// tell it. The new version is higher than any before, because each took a record of its own.
-func (p *Publisher) Restart(ctx context.Context, manifest string) (Result, error) {
-	if err := p.validate(manifest); err != nil {
-		return Result{}, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, p.wait)
-	defer cancel()
-
-	reader, err := p.latest(ctx)
-	if err != nil {
-		return Result{}, err
-	}
-
-	if _, based := reader.state.Base(); based {
-		return Result{}, ErrHasBase
+			return current, page.End, err
+		}
 	}
 
-	id, next := p.newID(), reader.from
-	// Of two snapshots with one version, readers keep the first.
-	offset, err := p.log.Append(ctx, record.ConfigStream, record.EncodeConfig(record.Snapshot{
-		Version: next + 1, Through: next, Manifest: manifest, ID: id,
-	}))
-
-	switch {
-	case err == nil:
-		return reader.resolve(ctx, id, &offset), nil
-	case logservice.EffectOf(err) == logservice.NotAppended:
-		return Result{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	default:
-		return reader.resolve(ctx, id, nil), nil
-	}
+	return Published{}, page.End, ErrNone
 }
 
-// Resolve looks for the outcome of an earlier publish. It waits for the record to appear. An
-// outcome that stays unknown is no proof that the record was not appended: it may have expired.
-func (p *Publisher) Resolve(ctx context.Context, id string) (Result, error) {
+// Publish makes the next version of a manifest. If base is not nil, the version that it names has to be current.
+// An error means that nothing was published.
+func (p *Publisher) Publish(ctx context.Context, text string, base *uint64) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.wait)
 	defer cancel()
 
-	reader := p.newReader()
-	if err := reader.toEnd(ctx); err != nil {
-		return Result{}, err
-	}
+	id := uuid.NewString()
 
-	return reader.resolve(ctx, id, nil), nil
-}
-
-// Show returns the current version as the log has it. Its version is 0 before the first publish.
-func (p *Publisher) Show(ctx context.Context) (Base, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.wait)
-	defer cancel()
-
-	reader, err := p.latest(ctx)
-	if err != nil {
-		return Base{}, err
-	}
-
-	base, based := reader.state.Base()
-	if !based {
-		return Base{}, ErrNoBase
-	}
-
-	return base, nil
-}
-
-// reader follows the log as a daemon does that starts from the log alone.
-type reader struct {
-	log     Log
-	state   *State
-	from    uint64
-	decided map[string]Decided
-	// accepted are the versions that were current, by which a publish is recognized whose record has
-	// expired.
-	accepted map[string]uint64
-}
-
-func (p *Publisher) newReader() *reader {
-	return &reader{
-		log: p.log, state: New(WithValidation(p.validate)),
-		decided: map[string]Decided{}, accepted: map[string]uint64{},
-	}
-}
-
-// latest returns a reader at the end of the log. It starts near the end and goes back only as far as
-// it has to, because the log may hold the manifests of a whole day.
-func (p *Publisher) latest(ctx context.Context) (*reader, error) {
-	probe, err := p.log.Read(ctx, record.ConfigStream, math.MaxInt64, 1)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
-
-	for back := uint64(maxReplay); ; back *= 4 {
-		reader := p.newReader()
-		reader.from = max(probe.First, probe.Next-min(probe.Next, back))
+	for {
+		current, end, err := p.read(ctx)
+		if err != nil && !errors.Is(err, ErrNone) {
+			if pause(ctx) {
+				continue
+			}
 
-		if err := reader.toEnd(ctx); err != nil {
-			return nil, err
+			return Result{}, err
 		}
 
-		if _, based := reader.state.Base(); based || probe.Next-probe.First <= back {
-			return reader, nil
+		if base != nil && *base != current.Version {
+			return Result{Outcome: Rejected, Publish: Publish{ID: id}, Current: current.Publish}, nil
 		}
-	}
-}
 
-// toEnd reads until the end of the log. A log that answers with old data ends too early; a publish on
-// the version found there is rejected by the rule over the log's order.
-func (r *reader) toEnd(ctx context.Context) error {
-	for {
-		page, err := r.log.Read(ctx, record.ConfigStream, r.from, readLimit)
-		if err != nil {
-			return fmt.Errorf("%w: %w", ErrUnavailable, err)
-		}
+		next := current.next(id, text)
 
-		r.take(page)
+		err = p.log.AppendAt(ctx, end, encode(next))
 
-		if r.from >= page.Next || len(page.Records) == 0 {
-			return nil
-		}
-	}
-}
-
-func (r *reader) take(page logservice.Page) {
-	if len(page.Records) == 0 {
-		r.apply(page)
-	}
+		switch {
+		case err == nil:
+			return Result{Outcome: Accepted, Publish: next.Publish, Current: next.Publish}, nil
+		case errors.Is(err, store.ErrConflict):
+			// Another publisher was first.
+			continue
+		case errors.Is(err, store.ErrRejected):
+			if pause(ctx) {
+				continue
+			}
 
-	// Record by record, so that no version is missed that the next record replaces.
-	for i := range page.Records {
-		r.apply(logservice.Page{First: page.First, Records: page.Records[i : i+1], Next: page.Next})
+			return Result{}, errors.Wrap(err, "publish")
+		default:
+			return p.Resolve(context.WithoutCancel(ctx), id)
+		}
 	}
 }
 
-func (r *reader) apply(page logservice.Page) {
-	// The reducer uses the time only for snapshots, which a reader does not write.
-	for _, effect := range r.state.Apply(time.Time{}, RecordsRead(page)) {
-		if decided, ok := effect.(Decided); ok {
-			if _, found := r.decided[decided.ID]; !found {
-				r.decided[decided.ID] = decided
-			}
-		}
-	}
+func (p Published) next(id, text string) Published {
+	next := Published{Publish: Publish{ID: id, Version: p.Version + 1}, Manifest: text}
 
-	if base, based := r.state.Base(); based && base.ID != "" {
-		r.accepted[base.ID] = base.Version
+	if p.ID != "" {
+		next.Earlier = append([]Publish{p.Publish}, p.Earlier...)
+		next.Earlier = next.Earlier[:min(len(next.Earlier), maxEarlier)]
 	}
 
-	r.from = max(r.from, r.state.log.through)
+	return next
 }
 
-// resolve reads on until the outcome of a publish is known or the context ends. The offset, if not
-// nil, is that of the record.
-func (r *reader) resolve(ctx context.Context, id string, offset *uint64) Result {
-	for {
-		if decided, found := r.decided[id]; found {
-			outcome := OutcomeRejected
-			if decided.Accepted {
-				outcome = OutcomeAccepted
-			}
+// Resolve finds the outcome of a publish whose answer was lost. It is Unknown if the store cannot be read, or if
+// the publish is not there and may still come.
+func (p *Publisher) Resolve(ctx context.Context, id string) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(p.wait, lateTime))
+	defer cancel()
 
-			return Result{
-				Outcome: outcome, ID: id, Version: decided.Version, Winner: decided.Winner, Reason: decided.Reason,
-			}
-		}
+	result := Result{Publish: Publish{ID: id}}
 
-		if version, found := r.accepted[id]; found {
-			return Result{Outcome: OutcomeAccepted, ID: id, Version: version, Winner: id}
-		}
+	for {
+		current, _, err := p.read(ctx)
+		if err == nil {
+			result.Current = current.Publish
 
-		if offset != nil && *offset < r.from {
-			return r.passed(id)
-		}
+			if found, ok := current.find(id); ok {
+				result.Outcome, result.Publish = Accepted, found
 
-		if err := r.toEnd(ctx); err == nil && r.known(id, offset) {
-			continue
+				return result, nil
+			}
 		}
 
-		select {
-		case <-ctx.Done():
-			return Result{ID: id}
-		case <-time.After(rereadInterval):
+		if !pause(ctx) {
+			return result, nil
 		}
 	}
 }
 
-// passed is the result of a record that was read and has not become a version. Another record has won
-// then, unless records before it expired meanwhile that may have decided.
-func (r *reader) passed(id string) Result {
-	if r.state.counts.Gaps > 0 {
-		return Result{ID: id}
+func (p Published) find(id string) (Publish, bool) {
+	if p.ID == id {
+		return p.Publish, true
 	}
 
-	base, _ := r.state.Base()
+	for _, earlier := range p.Earlier {
+		if earlier.ID == id {
+			return earlier, true
+		}
+	}
 
-	return Result{Outcome: OutcomeRejected, ID: id, Version: base.Version, Winner: base.ID, Reason: Outdated}
+	return Publish{}, false
 }
 
-// known reports whether reading on can tell nothing more about a publish.
-func (r *reader) known(id string, offset *uint64) bool {
-	_, decided := r.decided[id]
-	_, accepted := r.accepted[id]
+// pause returns false if ctx ended.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
 
-	return decided || accepted || (offset != nil && *offset < r.from)
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -2,178 +2,134 @@
 
 import (
 	"context"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
-	"go.uber.org/goleak"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/tarragonmill/tarragonmill/internal/config"
-	"github.com/tarragonmill/tarragonmill/internal/logservice"
-	"github.com/tarragonmill/tarragonmill/internal/logservice/record"
-	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
+	standin "github.com/tarragonmill/tarragonmill/internal/standin/store"
+	"github.com/tarragonmill/tarragonmill/platform"
 )
 
-// newLog serves a stand-in of the log service on loopback and returns a client for it.
-func newLog(t *testing.T, options ...logstore.Option) (*logstore.Store, *logservice.Client) {
+func start(t *testing.T) (*standin.Store, *config.Publisher) {
 	t.Helper()
 
-	store := logstore.New(options...)
-	url, stop, err := store.Start(context.Background())
-	require.NoError(t, err)
+	s := standin.New()
+	server := httptest.NewServer(s.Handler())
+	client := platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()))
 
-	client, err := logservice.New(url, logservice.WithTimeout(time.Second))
-	require.NoError(t, err)
 	t.Cleanup(func() {
 		client.Close()
-		require.NoError(t, stop())
-		goleak.VerifyNone(t)
+		server.CloseClientConnections()
+		server.Close()
 	})
 
-	return store, client
+	return s, config.NewPublisher(client.Topic(platform.ManifestTopic), 2*time.Second)
 }
 
-// Guards against two operators both being told that their change on one base was accepted, or
-// neither.
+// Guards against a version that two operators make at the same moment, and against one that is skipped.
 func TestTwoOperatorsAtOnce(t *testing.T) {
-	store, client := newLog(t)
-	store.SetFaults(logstore.Faults{Latency: 5 * time.Millisecond})
-
-	for round := uint64(0); round < 10; round++ {
-		var (
-			group   errgroup.Group
-			results [2]config.Result
-		)
-
-		for i := range results {
-			group.Go(func() (err error) {
-				results[i], err = config.NewPublisher(client).PublishOver(t.Context(), round, "manifest")
-
-				return err
-			})
-		}
-
-		require.NoError(t, group.Wait())
-
-		winner, loser := results[0], results[1]
-		if winner.Outcome != config.OutcomeAccepted {
-			winner, loser = loser, winner
-		}
-
-		require.Equal(t, config.Result{
-			Outcome: config.OutcomeAccepted, ID: winner.ID, Version: round + 1, Winner: winner.ID,
-		}, winner)
-		require.Equal(t, config.Result{
-			Outcome: config.OutcomeRejected, ID: loser.ID, Version: round + 1, Winner: winner.ID, Reason: config.Outdated,
-		}, loser)
-	}
-}
+	_, p := start(t)
 
-// Guards against a publish whose append answer was lost being repeated, or reported as failed.
-func TestLostAppendAnswer(t *testing.T) {
-	store, client := newLog(t, logstore.WithFaults(logstore.Faults{Lose: 1}))
+	const publishers = 8
 
-	result, err := config.NewPublisher(client).Publish(t.Context(), "manifest")
-	require.NoError(t, err)
-	require.Equal(t, config.OutcomeAccepted, result.Outcome)
-	require.Equal(t, uint64(1), result.Version)
-	require.Equal(t, uint64(1), store.Counts().Appends)
-}
+	var (
+		group    sync.WaitGroup
+		mutex    sync.Mutex
+		versions = make(map[uint64]string)
+	)
 
-// Guards against an open outcome being reported as a failure: the operator would publish twice.
-func TestUnknownOutcomeIsResolvedLater(t *testing.T) {
-	store, client := newLog(t, logstore.WithFaults(logstore.Faults{Lose: 1, Stale: time.Hour}))
-	publisher := config.NewPublisher(client, config.WithWait(500*time.Millisecond))
+	for range publishers {
+		group.Go(func() {
+			result, err := p.Publish(context.Background(), "text", nil)
+			if err != nil || result.Outcome != config.Accepted {
+				return
+			}
 
-	result, err := publisher.Publish(t.Context(), "manifest")
-	require.NoError(t, err)
-	require.Equal(t, config.Result{ID: result.ID}, result)
+			mutex.Lock()
+			defer mutex.Unlock()
 
-	store.SetFaults(logstore.Faults{})
+			versions[result.Publish.Version] = result.Publish.ID
+		})
+	}
 
-	result, err = publisher.Resolve(t.Context(), result.ID)
+	group.Wait()
+	require.Len(t, versions, publishers)
+
+	current, err := p.Show(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, config.OutcomeAccepted, result.Outcome)
+	require.EqualValues(t, publishers, current.Version)
+	require.Equal(t, versions[publishers], current.ID)
 }
 
-// Guards against an outage being reported as an unknown outcome, and against publishing over a log
-// that lacks decisive records.
-func TestPublishIsRefused(t *testing.T) {
-	store, client := newLog(t)
-	publisher := config.NewPublisher(client)
-
-	store.SetFaults(logstore.Faults{Outage: logstore.Refuse})
-
-	_, err := publisher.Publish(t.Context(), "manifest")
-	require.ErrorIs(t, err, config.ErrUnavailable)
-
-	store.SetFaults(logstore.Faults{})
-
-	for range 3 {
-		_, err = publisher.Publish(t.Context(), "manifest")
-		require.NoError(t, err)
-	}
+// Guards against a publish over a version that the operator has not seen.
+func TestBase(t *testing.T) {
+	_, p := start(t)
 
-	store.Expire(record.ConfigStream, 2)
+	_, err := p.Show(t.Context())
+	require.ErrorIs(t, err, config.ErrNone)
 
-	_, err = publisher.Publish(t.Context(), "manifest")
-	require.ErrorIs(t, err, config.ErrNoBase)
+	none, first := uint64(0), uint64(1)
 
-	snapshot := record.Snapshot{Version: 3, Through: 3, Manifest: "manifest", ID: "third"}
-	store.Append(record.ConfigStream, record.EncodeConfig(snapshot))
-
-	result, err := publisher.Publish(t.Context(), "manifest")
+	result, err := p.Publish(t.Context(), "one", &none)
 	require.NoError(t, err)
-	require.Equal(t, uint64(4), result.Version)
+	require.Equal(t, config.Accepted, result.Outcome)
 
-	_, err = publisher.PublishOver(t.Context(), 3, "manifest")
-	require.ErrorIs(t, err, config.ErrOutdated)
+	result, err = p.Publish(t.Context(), "other", &none)
+	require.NoError(t, err)
+	require.Equal(t, config.Rejected, result.Outcome)
+	require.EqualValues(t, 1, result.Current.Version)
 
-	invalid := config.WithCheck(func(string) error { return errors.New("no service") })
-	_, err = config.NewPublisher(client, invalid).Publish(context.Background(), "manifest")
-	require.ErrorIs(t, err, config.ErrInvalid)
-	require.Equal(t, uint64(5), store.Counts().Appends)
+	result, err = p.Publish(t.Context(), "two", &first)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, result.Publish.Version)
 }
 
-// Guards against a log that lost the current version staying without one for ever, and against two
-// operators both being told that they restarted it.
-func TestRestartAfterExpiry(t *testing.T) {
-	store, client := newLog(t)
-	publisher := config.NewPublisher(client)
+// Guards against a publish that took effect and is reported as failed, or is made twice, because its answer was
+// lost.
+func TestLostAnswer(t *testing.T) {
+	s, p := start(t)
+	s.Set(standin.Faults{LoseAnswers: true})
 
-	for range 3 {
-		_, err := publisher.Publish(t.Context(), "manifest")
-		require.NoError(t, err)
-	}
+	result, err := p.Publish(t.Context(), "one", nil)
+	require.NoError(t, err)
+	require.Equal(t, config.Accepted, result.Outcome)
+	require.EqualValues(t, 1, result.Publish.Version)
 
-	_, err := publisher.Restart(t.Context(), "manifest")
-	require.ErrorIs(t, err, config.ErrHasBase)
+	s.Set(standin.Faults{})
 
-	store.Expire(record.ConfigStream, 3)
-	store.SetFaults(logstore.Faults{Latency: 5 * time.Millisecond})
+	_, err = p.Publish(t.Context(), "two", nil)
+	require.NoError(t, err)
 
-	var (
-		group   errgroup.Group
-		results [2]config.Result
-	)
+	again, err := p.Resolve(t.Context(), result.Publish.ID)
+	require.NoError(t, err)
+	require.Equal(t, result.Publish, again.Publish)
+}
 
-	for i := range results {
-		group.Go(func() (err error) {
-			results[i], err = publisher.Restart(t.Context(), "manifest")
+// Guards against a publish that is performed late and is reported as one that never will be.
+func TestLatePublish(t *testing.T) {
+	s, p := start(t)
+	s.Set(standin.Faults{Late: 300 * time.Millisecond})
 
-			return err
-		})
-	}
+	result, err := p.Publish(t.Context(), "one", nil)
+	require.NoError(t, err)
+	require.Equal(t, config.Accepted, result.Outcome)
+}
 
-	require.NoError(t, group.Wait())
+// Guards against a failure that is reported as an unknown outcome although the store says that nothing was done.
+func TestStoreDown(t *testing.T) {
+	s, p := start(t)
+	s.Set(standin.Faults{Down: standin.Busy})
 
-	outcomes := []config.Outcome{results[0].Outcome, results[1].Outcome}
-	require.ElementsMatch(t, []config.Outcome{config.OutcomeAccepted, config.OutcomeRejected}, outcomes)
-	require.Equal(t, results[0].Winner, results[1].Winner)
+	_, err := p.Publish(t.Context(), "one", nil)
+	require.Error(t, err)
 
-	result, err := publisher.Publish(t.Context(), "next")
-	require.NoError(t, err)
-	require.Equal(t, uint64(5), result.Version)
+	s.Set(standin.Faults{})
+
+	_, err = p.Show(t.Context())
+	require.ErrorIs(t, err, config.ErrNone)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,4 +1,4 @@
-// Package core composes the reducers of routing, admission, idempotency keys, suspects, membership and
+// Package core composes the reducers of routing, admission, health, suspects, membership and
 // configuration into the one reducer of a daemon.
 //
 // It does no I/O and reads no clock: the daemon feeds events in and performs the effects that come
@@ -9,11 +9,14 @@
 	"net/netip"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/tarragonmill/tarragonmill/internal/admission"
-	"github.com/tarragonmill/tarragonmill/internal/config"
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
-	"github.com/tarragonmill/tarragonmill/internal/logrelay"
+	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
@@ -24,98 +27,132 @@
 // CrashesServers is the reason for refusing a request that crashed servers before.
 const CrashesServers = "crashes-servers"
 
-// ownerRetry is the Retry-After while the owner of a key cannot be reached.
-const ownerRetry = time.Second
+// Options are what a daemon starts with.
+type Options struct {
+	Self instance.Member
+	// FixedSlots is the number of slots of a server that does not announce itself; zero for one that does.
+	FixedSlots int
+	// Queue is the number of requests that may wait for such a server.
+	Queue int
+	// QueuePerSlot is the number of requests that may wait for each slot of a server that announces its slots.
+	QueuePerSlot int
+	// Seeds are daemons to start from besides those that the store names.
+	Seeds []netip.AddrPort
+	// ProbeInterval is the age of the load at which a watched server is probed; zero for never.
+	ProbeInterval time.Duration
+	Repeats       routing.Repeats
+	Seed          uint64
+}
 
 // State is the whole state of a daemon's decisions. It is not safe for concurrent use.
 type State struct {
-	self       instance.Member
-	seeds      []netip.AddrPort
+	options    Options
 	routing    *routing.State
 	admission  *admission.State
-	keys       *keys.State
+	health     *health.State
 	suspects   *suspects.State
 	membership *membership.State
-	config     *config.State
-	relay      *logrelay.State
+	// keyed is nil until a manifest uses idempotency keys.
+	keyed *keyed
+	// ready is set once the entries of other daemons were read, or could not be.
+	ready bool
 
-	requests map[request.ID]*tracked
+	requests map[request.ID]request.Request
 	serving  map[admission.Attempt]*served
-	// order lists the attempts in service in order of arrival, so that effects do not depend on map
-	// order.
+	// order lists the attempts in service in order of arrival, so that effects do not depend on map order.
 	order []admission.Attempt
 	// crashes counts the crashes of the local backend server.
 	crashes int
+	splits  map[string]*split
+	calls   callRate
 
-	// ready is set once the member table was pulled, or no peer answered.
-	ready      bool
-	isRelay    bool
-	neighbours []instance.ID
-	// token numbers the appends of this daemon.
-	token    uint64
-	combined combined
-	// parsed is the last valid manifest, whose text is parsedText.
-	parsed     manifest.Manifest
-	parsedText string
-	// slowTick is when the packages with a longer tick interval were last told the time.
-	slowTick time.Time
-	// contacted is when contacts were last written to the log.
-	contacted time.Time
-}
-
-// tracked is a request in progress at this daemon as entry or owner.
-type tracked struct {
-	request request.Request
-	// admitted requests hold their idempotency key, which has to be told the outcome.
-	admitted bool
-	// attempted is set once an attempt was sent.
-	attempted bool
+	version  uint64
+	services []manifest.Service
+	// replies limits the load reports in replies, replyCross those that leave the region, in bytes.
+	replies, replyCross *rate.Limiter
+
+	draining bool
+	// newer is the version that another daemon has, and when it is time to look for it.
+	newer   uint64
+	newerAt time.Time
+	// told is the load that others were told last.
+	told load.Report
+	// server is the backend server that connections lead to.
+	server   backend.ID
+	expiring time.Time
 }
 
 // served is an attempt at the local backend server.
 type served struct {
 	request request.Request
 	started bool
+	// repeat is set if the request may have reached another server before.
+	repeat bool
 	// crash identifies the crash that the attempt met, or is empty.
 	crash string
 }
 
+// New returns the state of a daemon that has not started.
+func New(options Options) *State {
+	healthOptions := []health.Option{health.WithProbeInterval(options.ProbeInterval)}
+	if options.FixedSlots > 0 {
+		healthOptions = append(healthOptions, health.WithFixedServer(options.FixedSlots))
+	}
+
+	return &State{
+		options: options,
+		routing: routing.New(routing.WithSelf(options.Self), routing.WithSeed(options.Seed),
+			routing.WithRepeats(options.Repeats)),
+		admission:  admission.New(),
+		health:     health.New(healthOptions...),
+		suspects:   suspects.New(),
+		membership: membership.New(options.Self, options.Seed),
+		requests:   make(map[request.ID]request.Request),
+		serving:    make(map[admission.Attempt]*served),
+		splits:     make(map[string]*split),
+		replies:    rate.NewLimiter(0, 0),
+		replyCross: rate.NewLimiter(0, 0),
+	}
+}
+
 // Apply handles one event.
 func (s *State) Apply(now time.Time, event Event) []Effect {
+	effects := s.apply(now, event)
+
+	return append(effects, s.settle(now)...)
+}
+
+func (s *State) apply(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Started:
-		return s.start(now)
+		return s.fromMembership(now, s.membership.Apply(now, membership.Started{Seeds: s.options.Seeds}))
 	case RequestArrived:
-		return s.requestArrived(now, e.Request)
+		return s.requestArrived(now, e)
 	case OwnedArrived:
 		return s.ownedArrived(now, e.Request)
-	case RequestCancelled:
-		return s.requestCancelled(now, e.ID)
-	case RequestEnded:
-		delete(s.requests, e.ID)
 	case Answered:
 		return s.answered(now, e)
+	case RequestCancelled:
+		return s.requestCancelled(now, e.ID)
 	case AttemptEnded:
 		return s.attemptEnded(now, e)
 	case AttemptArrived:
 		return s.attemptArrived(now, e)
+	case AttemptServed:
+		return s.attemptServed(now, e)
 	case ServerCrashed:
-		return s.serverCrashed(now, e.Only)
-	case ExchangeArrived:
-		return s.exchangeArrived(now, e)
-	case ExchangeEnded:
-		return s.exchangeEnded(now, e)
-	case GrantsArrived:
-		return s.grantsArrived(now, e.Record)
+		return s.serverCrashed(now)
+	case ManifestRead:
+		return s.manifestRead(now, e)
 	case DrainStarted:
 		return s.drain(now)
+	case Resumed:
+		return s.fromMembership(now, s.membership.Apply(now, membership.Resumed{}))
 	case Tick:
 		return s.tick(now)
 	default:
 		return s.delegate(now, event)
 	}
-
-	return nil
 }
 
 // delegate passes an event to the package that it belongs to.
@@ -125,16 +162,18 @@
 		return s.fromRouting(now, s.routing.Apply(now, e))
 	case admission.Event:
 		return s.toAdmission(now, e)
+	case health.Event:
+		return s.toHealth(now, e)
 	case keys.Event:
-		return s.fromKeys(now, s.keys.Apply(now, e))
+		if s.keyed == nil {
+			return nil
+		}
+
+		return s.toKeys(now, e)
 	case suspects.Event:
 		return list(s.suspects.Apply(now, e))
 	case membership.Event:
 		return s.fromMembership(now, s.membership.Apply(now, e))
-	case config.Event:
-		return s.fromConfig(now, s.config.Apply(now, e))
-	case logrelay.Event:
-		return s.fromRelay(now, s.relay.Apply(now, e))
 	default:
 		return nil
 	}
@@ -148,3 +187,152 @@
 
 	return all
 }
+
+// suspectsInterval is the time between two looks for suspicions that have expired.
+const suspectsInterval = time.Minute
+
+func (s *State) tick(now time.Time) []Effect {
+	effects := s.fromRouting(now, s.routing.Apply(now, routing.Tick{}))
+	effects = append(effects, s.toAdmission(now, admission.Tick{})...)
+	effects = append(effects, s.toHealth(now, health.Tick{})...)
+	effects = append(effects, s.fromMembership(now, s.membership.Apply(now, membership.Tick{}))...)
+	effects = append(effects, s.lookForNewer(now)...)
+	effects = append(effects, s.tickKeys(now)...)
+
+	if !now.Before(s.expiring) {
+		s.expiring = now.Add(suspectsInterval)
+		effects = append(effects, list(s.suspects.Apply(now, suspects.Tick{}))...)
+	}
+
+	return effects
+}
+
+// Next is when Tick is due; the zero time if nothing waits.
+func (s *State) Next() time.Time {
+	var next time.Time
+
+	for _, at := range []time.Time{
+		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(), s.newerAt, s.nextKeys(),
+	} {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+
+	return next
+}
+
+// manifestRead puts a configuration in force unless it is older than the one that is.
+func (s *State) manifestRead(now time.Time, e ManifestRead) []Effect {
+	if e.Version <= s.version {
+		return nil
+	}
+
+	s.version, s.services = e.Version, e.Manifest.Services
+	effects := s.applyBudget(now)
+	effects = append(effects, s.fromRouting(now, s.routing.Apply(now, routing.PolicyChanged{Services: e.Manifest.Services}))...)
+	effects = append(effects, s.useKeys(now, e.Manifest.Keys)...)
+
+	return append(effects, ManifestChanged(e))
+}
+
+const (
+	// newerWait is how long a version that another daemon has may take to arrive from the store by itself.
+	newerWait = 400 * time.Millisecond
+	// newerInterval is the time between two looks for it.
+	newerInterval = 2 * time.Second
+)
+
+func (s *State) versionHeard(now time.Time, version uint64) {
+	if version <= s.version || version <= s.newer {
+		return
+	}
+
+	s.newer = version
+	if s.newerAt.IsZero() {
+		s.newerAt = now.Add(newerWait)
+	}
+}
+
+// lookForNewer asks for the configuration once more if another daemon has had a newer one for some time.
+func (s *State) lookForNewer(now time.Time) []Effect {
+	switch {
+	case s.newer <= s.version:
+		s.newerAt = time.Time{}
+
+		return nil
+	case s.newerAt.IsZero() || now.Before(s.newerAt):
+		return nil
+	}
+
+	s.newerAt = now.Add(newerInterval)
+
+	return []Effect{RereadManifest{Version: s.newer}}
+}
+
+func (s *State) drain(now time.Time) []Effect {
+	s.draining = true
+	effects := s.drainKeys(now)
+
+	return append(effects, s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))...)
+}
+
+// entry describes the daemon for the store.
+func (s *State) entry() membership.Entry {
+	entry := s.membership.Self()
+	entry.Server, entry.Born = string(s.health.Server()), s.health.Born()
+	entry.Left = s.health.Closed() == admission.IsDraining || s.health.Server() != "" && s.health.Server() == s.health.Left()
+	entry.Member.Slots = s.health.Slots()
+	entry.Member.Status = instance.Alive
+
+	if s.draining {
+		entry.Member.Status = instance.Draining
+	}
+
+	return entry
+}
+
+// split spreads the requests of one route over its parts by weight.
+type split struct {
+	parts   []manifest.Part
+	current []int
+}
+
+// choosePart returns the service for the next request of a route. Each part gets its share of any run of
+// requests, whatever its servers can take: what does not fit is refused and not moved.
+func (s *State) choosePart(route string, parts []manifest.Part) string {
+	sp := s.splits[route]
+	if sp == nil || !equalParts(sp.parts, parts) {
+		sp = &split{parts: parts, current: make([]int, len(parts))}
+		s.splits[route] = sp
+	}
+
+	best, total := 0, 0
+
+	for i, part := range parts {
+		sp.current[i] += part.Weight
+		total += part.Weight
+
+		if sp.current[i] > sp.current[best] {
+			best = i
+		}
+	}
+
+	sp.current[best] -= total
+
+	return parts[best].Service
+}
+
+func equalParts(a, b []manifest.Part) bool {
+	if len(a) != len(b) {
+		return false
+	}
+
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+
+	return true
+}
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -7,9 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonmill/tarragonmill/internal/admission"
-	"github.com/tarragonmill/tarragonmill/internal/config"
+	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
-	"github.com/tarragonmill/tarragonmill/internal/logrelay"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
@@ -19,15 +18,16 @@
 // EventKinds returns the kinds of all events, for recordings.
 func EventKinds() (*trace.Kinds[Event], error) {
 	return trace.NewKinds[Event](
-		Started{}, RequestArrived{}, OwnedArrived{}, RequestCancelled{}, RequestEnded{}, Answered{},
-		AttemptEnded{}, AttemptArrived{}, ServerCrashed{}, ExchangeArrived{}, ExchangeEnded{},
-		GrantsArrived{}, DrainStarted{}, Tick{},
+		Started{}, RequestArrived{}, OwnedArrived{}, Answered{}, RequestCancelled{}, AttemptEnded{}, AttemptArrived{}, AttemptServed{},
+		ServerCrashed{}, ManifestRead{}, DrainStarted{}, Resumed{}, Tick{},
 
-		routing.Arrived{}, routing.AttemptEnded{}, routing.Cancelled{}, routing.TimerFired{},
-		routing.MembersChanged{}, routing.PolicyChanged{}, routing.ProbeEnded{}, routing.Tick{},
+		routing.Arrived{}, routing.Accepted{}, routing.Ended{}, routing.Cancelled{}, routing.Reported{},
+		routing.MembersChanged{}, routing.PolicyChanged{}, routing.Tick{},
 
-		admission.Arrived{}, admission.Done{}, admission.Cancelled{}, admission.DrainStarted{},
-		admission.LimitsChanged{}, admission.ServerChanged{}, admission.Tick{},
+		admission.Arrived{}, admission.Done{}, admission.Cancelled{}, admission.ServerChanged{}, admission.Tick{},
+
+		health.Started{}, health.Announced{}, health.Withdrawn{}, health.Observed{}, health.Ran{},
+		health.Refused{}, health.Misdirected{}, health.Probed{}, health.Busy{}, health.PaceChanged{}, health.Tick{},
 
 		keys.Arrived{}, keys.Finished{}, keys.Cancelled{}, keys.RecordsRead{}, keys.BaseOffered{},
 		keys.MembersChanged{}, keys.PolicyChanged{}, keys.DrainStarted{}, keys.HandoverReceived{},
@@ -36,40 +36,30 @@
 		suspects.Crashed{}, suspects.Implicated{}, suspects.ReportsHeard{}, suspects.Completed{},
 		suspects.Tick{},
 
-		membership.Started{}, membership.ContactsRead{}, membership.ExchangeReceived{},
-		membership.ExchangeEnded{}, membership.ExchangeFailed{}, membership.PageRequested{},
-		membership.PageReceived{}, membership.PullFailed{}, membership.DrainStarted{},
-		membership.LeaveStarted{}, membership.PeerObserved{}, membership.Tick{},
-
-		config.RecordsRead{}, config.BaseOffered{}, config.RoleChanged{}, config.Tick{},
-
-		logrelay.RoleChanged{}, logrelay.NeighboursChanged{}, logrelay.ThroughsHeard{},
-		logrelay.ReadEnded{}, logrelay.PullRequested{}, logrelay.PullEnded{}, logrelay.BaseSaved{},
-		logrelay.BaseMissing{}, logrelay.AppendRequested{}, logrelay.AppendEnded{}, logrelay.Tick{},
+		membership.Started{}, membership.EntriesRead{}, membership.EntryWritten{}, membership.BeatHeard{},
+		membership.SelfChanged{}, membership.LoadChanged{}, membership.BudgetChanged{}, membership.Used{},
+		membership.Spread{},
+		membership.Resumed{}, membership.Left{}, membership.Tick{},
 	)
 }
 
 // EffectKinds returns the kinds of all effects, for recordings.
 func EffectKinds() (*trace.Kinds[Effect], error) {
 	return trace.NewKinds[Effect](
-		Forward{}, Refuse{}, Abandon{}, Exchange{}, ExchangeReply{}, ManifestChanged{}, SendGrants{},
+		Refuse{}, Forward{}, FollowGrants{}, ManifestChanged{}, RereadManifest{}, ServerReplaced{}, ServerChanged{},
 
 		routing.Attempt{}, routing.CancelAttempt{}, routing.Deliver{}, routing.GiveUp{},
-		routing.StartTimer{}, routing.Probe{},
 
-		admission.Start{}, admission.Refuse{}, admission.Abort{}, admission.Drained{},
+		admission.Start{}, admission.Queued{}, admission.Refuse{}, admission.Abort{},
+
+		health.Probe{}, health.Changed{},
 
 		keys.Admit{}, keys.Replay{}, keys.Wait{}, keys.Refuse{}, keys.AppendGrants{}, keys.SendHandover{},
 
 		suspects.Announce{},
 
-		membership.Exchange{}, membership.Reply{}, membership.Pull{}, membership.ReplyPage{},
-		membership.MembersChanged{}, membership.Ready{}, membership.Superseded{},
-
-		config.InForce{}, config.Append{}, config.NeedBase{}, config.Decided{},
-
-		logrelay.Read{}, logrelay.Pull{}, logrelay.Answer{}, logrelay.Announce{}, logrelay.Deliver{},
-		logrelay.Offer{}, logrelay.SaveBase{}, logrelay.Append{}, logrelay.AppendDone{},
+		membership.ReadEntries{}, membership.WriteEntry{}, membership.SendBeat{}, membership.MembersChanged{},
+		membership.Reported{}, membership.MessageHeard{}, membership.VersionHeard{}, membership.Ready{},
 	)
 }
 
--- a/internal/v2/core/members.go
+++ b/internal/core/members.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
-	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
-	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
-	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
 )
 
 // fromMembership passes what is learned of other daemons to the packages that need it.
@@ -21,13 +21,19 @@
 		switch e := effect.(type) {
 		case membership.MembersChanged:
 			all = append(all, s.fromRouting(now, s.routing.Apply(now, routing.MembersChanged(e)))...)
-			all = append(all, e)
+			all = append(all, s.membersChanged(now, e)...)
+			all = append(all, s.applyBudget(now)...)
 		case membership.Reported:
 			all = append(all, s.fromRouting(now, s.routing.Apply(now, routing.Reported(e)))...)
+		case membership.MessageHeard:
+			s.suspectsHeard(now, e.Message)
 		case membership.VersionHeard:
 			s.versionHeard(now, e.Version)
 		case membership.Ready:
+			s.ready = true
 			all = append(all, s.membersReady(now, e)...)
+			all = append(all, s.membersOfKeys(now)...)
+			all = append(all, s.applyBudget(now)...)
 			all = append(all, e)
 		default:
 			all = append(all, effect)
@@ -64,6 +70,9 @@
 // Members returns the members that may take work.
 func (s *State) Members() int { return s.membership.Members() }
 
+// Member returns a member by its ID.
+func (s *State) Member(id instance.ID) (instance.Member, bool) { return s.membership.Member(id) }
+
 // Version returns the version of the configuration in force, or zero.
 func (s *State) Version() uint64 { return s.version }
 
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -4,118 +4,113 @@
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/admission"
+	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
-	"github.com/tarragonmill/tarragonmill/internal/logrelay"
-	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
-	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
-// Event is an event of this package or of one of the composed packages.
+// Event is an event of this package or of one of the packages that it is composed of.
 type Event any
 
-// Effect is an effect of this package or of one of the composed packages.
+// Effect is an effect of this package or of one of the packages that it is composed of.
 type Effect any
 
 type (
-	// Started is the first event.
+	// Started begins the life of the daemon.
 	Started struct{}
-	// RequestArrived starts a request of a caller at the entry daemon.
-	RequestArrived struct{ Request request.Request }
-	// OwnedArrived starts a request whose idempotency key this daemon owns.
+	// RequestArrived brings a request of a caller. If Parts is not empty, the service is chosen by weight.
+	RequestArrived struct {
+		Request request.Request
+		Parts   []manifest.Part
+	}
+	// OwnedArrived brings a request with a key that another daemon forwards because this one owns the key.
 	OwnedArrived struct{ Request request.Request }
-	// RequestCancelled reports that the caller has gone away.
-	RequestCancelled struct{ ID request.ID }
-	// RequestEnded drops what is kept of a request; its result has been handed over.
-	RequestEnded struct{ ID request.ID }
-	// Answered reports that the response to a request is at hand. Response is nil if it is too large
-	// to be stored.
+	// Answered reports that the response of a request is at hand; Response is nil if it is too large to keep.
 	Answered struct {
 		ID       request.ID
 		Response *keys.Response
 	}
-	// AttemptEnded reports the end of an attempt. Crash identifies the crash of the backend server
-	// that ended it, or is empty. Alone is set if the attempt asked for a server of its own.
+	// RequestCancelled reports that the caller has left.
+	RequestCancelled struct{ ID request.ID }
+	// AttemptEnded reports the end of an attempt of this daemon as entry.
 	AttemptEnded struct {
-		Ended routing.AttemptEnded
+		Ended routing.Ended
+		// Report is the load that the reply carried; without a server if it carried none.
+		Report load.Report
+		// Crash identifies the crash of the backend server that ended the attempt, or is empty.
 		Crash string
+		// Alone is set if the attempt asked for a server of its own.
 		Alone bool
 	}
-	// AttemptArrived asks the local backend server to run an attempt.
+	// AttemptArrived brings an attempt for the backend server beside this daemon.
 	AttemptArrived struct {
+		Attempt admission.Attempt
 		Request request.Request
-		Number  int
-		// NoWait asks for a refusal instead of a place in the queue.
-		NoWait bool
+		// Repeat is set if the request may have reached another server before.
+		Repeat  bool
+		Wait    time.Duration
+		Slowest float64
 	}
-	// ServerCrashed reports that the backend server died, or, with Only set, that it broke the
-	// connection of this attempt alone.
-	ServerCrashed struct{ Only admission.Attempt }
-	// ExchangeArrived is an exchange that a neighbour started; ExchangeReply answers it.
-	ExchangeArrived struct {
-		Call     uint64
-		Message  membership.Message
-		Throughs []logrelay.Through
-		Reports  []suspects.Report
+	// AttemptServed reports the end of an attempt at the backend server.
+	AttemptServed struct {
+		Attempt admission.Attempt
+		// Ran is set if it has reached the server, Failed if the server could not or would not do its work.
+		Ran, Failed bool
 	}
-	// ExchangeEnded is the response to an Exchange.
-	ExchangeEnded struct {
-		To       instance.ID
-		Message  membership.Message
-		Throughs []logrelay.Through
-		Reports  []suspects.Report
+	// ServerCrashed reports that the backend server has died.
+	ServerCrashed struct{}
+	// ManifestRead brings a configuration that was read.
+	ManifestRead struct {
+		Version  uint64
+		Manifest manifest.Manifest
 	}
-	// GrantsArrived brings changes of grants that another daemon of the failure domain wants appended.
-	GrantsArrived struct{ Record keys.Record }
-	// DrainStarted makes this daemon leave.
+	// DrainStarted makes the daemon take no further work from others.
 	DrainStarted struct{}
-	// Tick lets time pass; sent every routing.TickInterval.
+	// Resumed reports that the process stood still for some time.
+	Resumed struct{}
+	// Tick lets time pass.
 	Tick struct{}
 )
 
 type (
-	// Forward sends a request to the owner of its key.
-	Forward struct {
-		ID    request.ID
-		Owner instance.Member
-	}
-	// Refuse is the final result of a request without a response.
+	// Refuse ends a request of a caller without a response.
 	Refuse struct {
 		ID request.ID
 		// Verdict covers every delivery of the request's key, Delivery this one alone.
-		Verdict    verdict.Verdict
-		Delivery   verdict.Verdict
-		Reason     string
+		Verdict  verdict.Verdict
+		Delivery verdict.Verdict
+		Reason   string
+		// RetryAfter is when another try makes sense; zero if it makes none.
 		RetryAfter time.Duration
 	}
-	// Abandon ends a request that nobody waits for.
-	Abandon struct{ ID request.ID }
-	// Exchange sends a message to a neighbour; ExchangeEnded or membership.ExchangeFailed follows.
-	Exchange struct {
-		To       instance.Member
-		Message  membership.Message
-		Throughs []logrelay.Through
-		Reports  []suspects.Report
-	}
-	// ExchangeReply answers an ExchangeArrived.
-	ExchangeReply struct {
-		Call     uint64
-		Message  membership.Message
-		Throughs []logrelay.Through
-		Reports  []suspects.Report
+	// Forward passes a request to the daemon that owns its key.
+	Forward struct {
+		ID    request.ID
+		Owner instance.Member
 	}
-	// ManifestChanged puts a manifest in force at the caller interface.
+	// FollowGrants begins to read the grants of key partitions.
+	FollowGrants struct{}
+	// ManifestChanged puts a configuration in force.
 	ManifestChanged struct {
 		Version  uint64
 		Manifest manifest.Manifest
 	}
-	// SendGrants passes changes of grants to the combiner of the failure domain.
-	SendGrants struct {
-		To     instance.Member
-		Record keys.Record
+	// RereadManifest asks for the configuration, because another daemon has a newer one.
+	RereadManifest struct{ Version uint64 }
+	// ServerReplaced reports that another backend server is at the address.
+	ServerReplaced struct{ ID backend.ID }
+	// ServerChanged reports a change of what is known of the backend server.
+	ServerChanged struct {
+		ID backend.ID
+		// Closed is the reason for refusing all attempts, or empty.
+		Closed admission.Reason
+		Slots  int
+		// Why names the event that led to the change.
+		Why string
 	}
 )
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -3,87 +3,74 @@
 import (
 	"time"
 
-	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
-// requestArrived routes a request, unless its key belongs to another daemon.
-func (s *State) requestArrived(now time.Time, r request.Request) []Effect {
-	if r.Idempotent() || r.Key == "" {
-		s.requests[r.ID] = &tracked{request: r}
-
-		return s.route(now, r)
+// requestArrived routes a request after the check for suspects.
+func (s *State) requestArrived(now time.Time, e RequestArrived) []Effect {
+	r := e.Request
+	if len(e.Parts) > 0 {
+		r.Service = s.choosePart(r.Route, e.Parts)
 	}
 
-	owner, incarnation, known := s.keys.Owner(r.Service, r.Key)
-	if !known || (owner == s.self.ID && incarnation == s.self.Incarnation) {
-		return s.ownedArrived(now, r)
+	repeated := 0.0
+
+	if r.Nested() {
+		s.calls.add(1)
+		repeated = s.repeatShare()
 	}
 
-	s.requests[r.ID] = &tracked{request: r}
+	s.requests[r.ID] = r
+	effects := s.fromMembership(now, s.membership.Apply(now, membership.Used{Service: r.Service}))
 
-	member, found := s.membership.Member(owner)
-	if found && member.Incarnation == incarnation && member.Status != instance.Dead && member.Status != instance.Left {
-		return []Effect{Forward{ID: r.ID, Owner: member}}
+	if s.needsKey(r) {
+		return append(effects, s.keyArrived(now, r)...)
 	}
 
-	return []Effect{Refuse{
-		ID: r.ID, Verdict: verdict.MayHaveRun, Delivery: verdict.NotRun,
-		Reason: string(keys.OwnerLost), RetryAfter: ownerRetry,
-	}}
+	return append(effects, s.route(now, r, repeated)...)
 }
 
 // ownedArrived asks the key table about a request whose key this daemon owns, or has to refuse.
 func (s *State) ownedArrived(now time.Time, r request.Request) []Effect {
-	s.requests[r.ID] = &tracked{request: r}
+	if s.keyed == nil {
+		return []Effect{Refuse{
+			ID: r.ID, Verdict: verdict.MayHaveRun, Delivery: verdict.NotRun, Reason: string(keys.NoPolicy), RetryAfter: ownerRetry,
+		}}
+	}
 
-	return s.fromKeys(now, s.keys.Apply(now, keys.Arrived{Request: r}))
+	s.requests[r.ID] = r
+
+	return s.toKeys(now, keys.Arrived{Request: r})
 }
 
 // route hands a request to routing after the check for suspects.
-func (s *State) route(now time.Time, r request.Request) []Effect {
+func (s *State) route(now time.Time, r request.Request, repeated float64) []Effect {
 	if s.suspects.Check(now, r) == suspects.Barred {
-		return s.refuseBarred(now, r)
-	}
+		delete(s.requests, r.ID)
 
-	return s.fromRouting(now, s.routing.Apply(now, routing.Arrived{Request: r}))
-}
-
-// refuseBarred refuses a request that crashes servers. It was not run only if no earlier delivery of
-// its key can have run, which the key table has shown by admitting it; without a key it may have been
-// sent before.
-func (s *State) refuseBarred(now time.Time, r request.Request) []Effect {
-	refusal := Refuse{
-		ID: r.ID, Verdict: verdict.MayHaveRun, Delivery: verdict.NotRun,
-		Reason: CrashesServers, RetryAfter: suspects.Expiry,
+		// No delivery of this sending has run.
+		return s.concludeKey(now, Refuse{
+			ID: r.ID, Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: CrashesServers, RetryAfter: suspects.Expiry,
+		})
 	}
 
-	if t := s.requests[r.ID]; t != nil && t.admitted && !t.attempted {
-		refusal.Verdict = verdict.NotRun
-	} else if t != nil && t.attempted {
-		refusal.Delivery = verdict.MayHaveRun
-	}
-
-	return s.conclude(now, refusal)
+	return s.fromRouting(now, s.routing.Apply(now, routing.Arrived{Request: r, Repeated: repeated}))
 }
 
-// conclude ends a request without a response and tells the key table, which answers the resends that
-// wait for the same outcome.
-func (s *State) conclude(now time.Time, refusal Refuse) []Effect {
-	effects := []Effect{refusal}
-
-	if t := s.requests[refusal.ID]; t != nil && t.admitted {
-		t.admitted = false
-		effects = append(effects, s.fromKeys(now, s.keys.Apply(now, keys.Finished{
-			ID: refusal.ID, Verdict: refusal.Verdict, RetryAfter: refusal.RetryAfter,
-		}))...)
+func (s *State) requestCancelled(now time.Time, id request.ID) []Effect {
+	effects, goesOn := s.cancelKey(now, id)
+	if goesOn {
+		return effects
 	}
 
-	return effects
+	delete(s.requests, id)
+
+	return append(effects, s.fromRouting(now, s.routing.Apply(now, routing.Cancelled{ID: id}))...)
 }
 
 // fromRouting passes on routing's effects. An attempt of a suspect asks for a server of its own.
@@ -97,15 +84,16 @@
 				e.Request = e.Request.WithAlone()
 			}
 
-			if t := s.requests[e.Request.ID]; t != nil {
-				t.attempted = true
-			}
+			all = append(all, e)
+		case routing.Deliver:
+			delete(s.requests, e.ID)
 
 			all = append(all, e)
 		case routing.GiveUp:
-			all = append(all, s.conclude(now, Refuse{
-				ID: e.ID, Verdict: e.Verdict, Delivery: e.Verdict,
-				Reason: string(e.Reason), RetryAfter: e.RetryAfter,
+			delete(s.requests, e.ID)
+
+			all = append(all, s.concludeKey(now, Refuse{
+				ID: e.ID, Verdict: e.Verdict, Delivery: e.Verdict, Reason: string(e.Reason), RetryAfter: e.RetryAfter,
 			})...)
 		default:
 			all = append(all, effect)
@@ -118,85 +106,40 @@
 // attemptEnded passes the end of an attempt to routing. If the attempt ended with the crash of a
 // server, the request is suspect before routing decides on a retry.
 func (s *State) attemptEnded(now time.Time, e AttemptEnded) []Effect {
-	t := s.requests[e.Ended.ID]
-
-	if e.Crash != "" && t != nil {
-		r := t.request
-		r.Alone = e.Alone
-		s.suspects.Apply(now, suspects.Implicated{Source: e.Crash, Request: r})
-
-		if s.suspects.Check(now, r) == suspects.Barred {
-			// The request ends here; routing still needs the event for its count of requests in flight.
-			effects := s.refuseBarred(now, r)
-			s.routing.Apply(now, routing.Cancelled{ID: r.ID})
-			s.routing.Apply(now, e.Ended)
+	var effects []Effect
 
-			return effects
-		}
-	}
-
-	effects := s.fromRouting(now, s.routing.Apply(now, e.Ended))
-	if e.Ended.Outcome == routing.Succeeded && t != nil {
-		r := t.request
-		r.Alone = e.Alone
-		effects = append(effects, list(s.suspects.Apply(now, suspects.Completed{Request: r}))...)
+	if e.Report.Server != "" && e.Report.Server != s.options.Self.ID {
+		effects = s.fromRouting(now, s.routing.Apply(now, routing.Reported{Report: e.Report}))
 	}
 
-	return effects
-}
-
-// fromKeys passes on the effects of the key table; an admitted request is routed.
-func (s *State) fromKeys(now time.Time, effects []keys.Effect) []Effect {
-	var all []Effect
+	r, known := s.requests[e.Ended.ID]
+	r.Alone = e.Alone
 
-	for _, effect := range effects {
-		switch e := effect.(type) {
-		case keys.Admit:
-			if t := s.requests[e.Request.ID]; t != nil {
-				t.admitted = true
-			}
+	if e.Crash != "" && known {
+		s.suspects.Apply(now, suspects.Implicated{Source: e.Crash, Request: r})
 
-			all = append(all, s.route(now, e.Request)...)
-		case keys.Refuse:
-			all = append(all, Refuse{
-				ID: e.ID, Verdict: e.Verdict, Delivery: e.Delivery,
-				Reason: string(e.Reason), RetryAfter: e.RetryAfter,
-			})
-		case keys.Wait:
-			// The request stays pending until Replay or Refuse.
-		case keys.AppendGrants:
-			all = append(all, s.appendGrants(now, e.Record)...)
-		default:
-			all = append(all, effect)
+		if s.suspects.Check(now, r) == suspects.Barred {
+			return append(effects, s.endBarred(now, r, e.Ended)...)
 		}
 	}
 
-	return all
-}
+	effects = append(effects, s.fromRouting(now, s.routing.Apply(now, e.Ended))...)
 
-// answered reports the outcome of an admitted request whose response is at hand.
-func (s *State) answered(now time.Time, e Answered) []Effect {
-	t := s.requests[e.ID]
-	if t == nil || !t.admitted {
-		return nil
+	if e.Ended.Outcome == routing.Answered && known {
+		effects = append(effects, s.fromSuspects(now, s.suspects.Apply(now, suspects.Completed{Request: r}))...)
 	}
 
-	t.admitted = false
-
-	return s.fromKeys(now, s.keys.Apply(now, keys.Finished{ID: e.ID, Verdict: verdict.Answered, Response: e.Response}))
+	return effects
 }
 
-// requestCancelled stops a request whose caller has gone away. An admitted request runs on, because
-// the caller may resend its key and ask for the outcome.
-func (s *State) requestCancelled(now time.Time, id request.ID) []Effect {
-	t := s.requests[id]
-	if t == nil || t.admitted {
-		return nil
-	}
-
-	effects := s.fromKeys(now, s.keys.Apply(now, keys.Cancelled{ID: id}))
+// endBarred ends a request that has crashed a server while it ran alone.
+func (s *State) endBarred(now time.Time, r request.Request, ended routing.Ended) []Effect {
+	delete(s.requests, r.ID)
 
-	effects = append(effects, s.fromRouting(now, s.routing.Apply(now, routing.Cancelled{ID: id}))...)
+	effects := s.concludeKey(now, Refuse{
+		ID: r.ID, Verdict: verdict.MayHaveRun, Delivery: verdict.MayHaveRun, Reason: CrashesServers,
+	})
+	effects = append(effects, list(s.routing.Apply(now, routing.Cancelled{ID: r.ID}))...)
 
-	return append(effects, Abandon{ID: id})
+	return append(effects, list(s.routing.Apply(now, ended))...)
 }
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -6,32 +6,36 @@
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/admission"
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 )
 
 // attemptArrived asks admission for a slot. The check for suspects stands here too, because the entry
 // may not have heard of a crash yet.
 func (s *State) attemptArrived(now time.Time, e AttemptArrived) []Effect {
-	attempt := admission.Attempt{ID: e.Request.ID, Number: e.Number}
-
 	switch s.suspects.Check(now, e.Request) {
 	case suspects.Barred:
-		return []Effect{admission.Refuse{Attempt: attempt, Reason: CrashesServers, Hint: s.admission.Hint(now)}}
+		return []Effect{admission.Refuse{Attempt: e.Attempt, Reason: CrashesServers}}
 	case suspects.Alone:
 		e.Request = e.Request.WithAlone()
 	case suspects.Free:
 	}
 
-	s.serving[attempt] = &served{request: e.Request}
-	s.order = append(s.order, attempt)
+	s.serving[e.Attempt] = &served{request: e.Request, repeat: e.Repeat}
+	s.order = append(s.order, e.Attempt)
 
 	return s.toAdmission(now, admission.Arrived{
-		Attempt:  attempt,
+		Attempt:  e.Attempt,
 		Deadline: e.Request.Deadline,
 		Nested:   e.Request.Nested(),
+		Priority: e.Request.Priority,
 		Alone:    e.Request.Alone,
-		NoWait:   e.NoWait,
+		Wait:     e.Wait,
+		Slowest:  e.Slowest,
 	})
 }
 
@@ -66,6 +70,24 @@
 	return all
 }
 
+// repeatShare is the share of the requests at the backend server that may have run elsewhere before. A nested
+// call cannot be told to which of them it belongs.
+func (s *State) repeatShare() float64 {
+	running, repeats := 0, 0
+
+	for _, at := range s.serving {
+		if at.started {
+			running++
+
+			if at.repeat {
+				repeats++
+			}
+		}
+	}
+
+	return float64(repeats) / float64(max(1, running))
+}
+
 func (s *State) forget(attempt admission.Attempt) {
 	if _, ok := s.serving[attempt]; !ok {
 		return
@@ -75,9 +97,132 @@
 	s.order = slices.DeleteFunc(s.order, func(a admission.Attempt) bool { return a == attempt })
 }
 
+func (s *State) attemptServed(now time.Time, e AttemptServed) []Effect {
+	effects := s.toAdmission(now, admission.Done{Attempt: e.Attempt})
+
+	if e.Ran {
+		s.calls.addRun()
+
+		effects = append(effects, s.toHealth(now, health.Ran{Failed: e.Failed})...)
+	}
+
+	return effects
+}
+
+// toHealth applies an event and tells admission and membership what it changes.
+func (s *State) toHealth(now time.Time, event health.Event) []Effect {
+	var all []Effect
+
+	for _, effect := range s.health.Apply(now, event) {
+		if _, changed := effect.(health.Changed); !changed {
+			all = append(all, effect)
+
+			continue
+		}
+
+		if id := s.health.Server(); id != s.server {
+			s.server = id
+			all = append(all, ServerReplaced{ID: id})
+		}
+
+		all = append(all, ServerChanged{
+			ID: s.health.Server(), Closed: s.health.Closed(), Slots: s.health.Slots(), Why: fmt.Sprintf("%T", event),
+		})
+		all = append(all, s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))...)
+	}
+
+	return append(all, s.toAdmission(now, admission.ServerChanged{
+		Closed: s.health.Closed(), Slots: s.health.Slots(),
+		Queue: s.queue(), Slowness: s.health.Slowness(),
+	})...)
+}
+
+// queue is the number of requests that may wait.
+func (s *State) queue() int {
+	if s.options.FixedSlots > 0 {
+		return s.options.Queue
+	}
+
+	return s.options.QueuePerSlot * s.health.Slots()
+}
+
+// settle tells routing and the other daemons how the own server is loaded, if that has changed.
+func (s *State) settle(now time.Time) []Effect {
+	watched := s.membership.Watched(now) || s.admission.Running() > 0
+	effects := s.busy(now, watched)
+
+	report := s.loadReport(now)
+	if !significant(s.told, report) {
+		return effects
+	}
+
+	s.told = report
+
+	own := report
+	own.Open = s.health.Closed() == ""
+	effects = append(effects, s.fromRouting(now, s.routing.Apply(now, routing.Reported{Report: own}))...)
+
+	return append(effects, s.fromMembership(now, s.membership.Apply(now, membership.LoadChanged{
+		Report: report, Version: s.version,
+	}))...)
+}
+
+// busy tells health whether the load is of interest.
+func (s *State) busy(now time.Time, watched bool) []Effect {
+	if watched == s.health.Watched() {
+		return nil
+	}
+
+	return s.toHealth(now, health.Busy{Watched: watched})
+}
+
+func (s *State) loadReport(now time.Time) load.Report {
+	return load.Report{
+		Server: s.options.Self.ID, Incarnation: s.membership.Self().Member.Incarnation,
+		Open:    s.health.Closed() == "" && !s.draining,
+		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.health.Slots(),
+		Slowness: s.health.Slowness(), Failing: s.health.Failing(now), ColdFor: s.health.ColdFor(now),
+		Calls: s.calls.perRun(), Counter: s.counter(now),
+	}
+}
+
+// counter orders the reports of a run. It is the time since the start, so that asking for a report changes
+// nothing.
+func (s *State) counter(now time.Time) uint64 {
+	return uint64(max(0, now.Sub(s.options.Self.Started).Microseconds())) + 1
+}
+
+const (
+	// slownessStep is the relative change of the slowness that others are told.
+	slownessStep = 1.15
+	// failingStep is the change of the share of failures that others are told.
+	failingStep = 0.08
+)
+
+// significant reports whether a change of the load matters to those who choose a server. How many of its
+// slots are taken does not matter while half of them are free.
+func significant(before, after load.Report) bool {
+	if before.Server == "" || before.Open != after.Open || before.Slots != after.Slots ||
+		before.Incarnation != after.Incarnation {
+		return true
+	}
+
+	if after.Slowness > before.Slowness*slownessStep || after.Slowness*slownessStep < before.Slowness {
+		return true
+	}
+
+	if diff := after.Failing - before.Failing; diff > failingStep || diff < -failingStep {
+		return true
+	}
+
+	was, is := before.Running+before.Waiting, after.Running+after.Waiting
+
+	return was != is && 2*max(was, is) >= after.Slots
+}
+
 // serverCrashed makes everything that was in flight suspect. The attempts that were in flight notice
 // the crash one after the other; each is reported once.
-func (s *State) serverCrashed(now time.Time, only admission.Attempt) []Effect {
+func (s *State) serverCrashed(now time.Time) []Effect {
 	var (
 		requests []request.Request
 		hit      []*served
@@ -85,7 +230,7 @@
 
 	for _, attempt := range s.order {
 		at := s.serving[attempt]
-		if !at.started || at.crash != "" || (only.ID != "" && only != attempt) {
+		if !at.started || at.crash != "" {
 			continue
 		}
 
@@ -98,13 +243,45 @@
 	}
 
 	s.crashes++
-	source := fmt.Sprintf("%s/%d/%d", s.self.ID, s.self.Incarnation, s.crashes)
+	source := fmt.Sprintf("%s/%d/%d", s.options.Self.ID, s.options.Self.Incarnation, s.crashes)
 
 	for _, at := range hit {
 		at.crash = source
 	}
 
-	return list(s.suspects.Apply(now, suspects.Crashed{Source: source, Requests: requests}))
+	return s.fromSuspects(now, s.suspects.Apply(now, suspects.Crashed{Source: source, Requests: requests}))
+}
+
+// reportsPerMessage keeps a message within one datagram.
+const reportsPerMessage = 6
+
+// fromSuspects tells the other daemons of new reports.
+func (s *State) fromSuspects(now time.Time, effects []suspects.Effect) []Effect {
+	var all []Effect
+
+	for _, effect := range effects {
+		all = append(all, effect)
+
+		e, ok := effect.(suspects.Announce)
+		if !ok {
+			continue
+		}
+
+		for reports := range slices.Chunk(e.Reports, reportsPerMessage) {
+			all = append(all, s.fromMembership(now, s.membership.Apply(now, membership.Spread{
+				Message: suspects.Encode(now, reports),
+			}))...)
+		}
+	}
+
+	return all
+}
+
+// suspectsHeard takes the reports of another daemon.
+func (s *State) suspectsHeard(now time.Time, message []byte) {
+	if reports, err := suspects.Decode(now, message); err == nil {
+		s.suspects.Apply(now, suspects.ReportsHeard{Reports: reports})
+	}
 }
 
 // Crash returns the identifier of the crash that an attempt at the local backend server met, or an
--- a/internal/v2/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
 )
 
 // maxBeat is the largest datagram in bytes that is read.
@@ -11,30 +11,35 @@
 
 // sendBeat sends a datagram. The mutex is held; a datagram that does not fit the socket's buffer is dropped.
 func (d *Daemon) sendBeat(e membership.SendBeat) {
-	if d.beats == nil {
+	if d.sockets.Beats == nil {
 		return
 	}
 
-	if _, err := d.beats.WriteToUDPAddrPort(membership.EncodeBeat(e.Beat), e.To); err != nil {
+	n, err := d.sockets.Beats.WriteToUDPAddrPort(membership.EncodeBeat(e.Beat), e.To)
+	if err != nil {
 		d.beatErrors.Add(1)
 	}
+
+	d.beatBytes.Add(int64(n))
 }
 
 // readBeats reads datagrams of other daemons until ctx ends.
 func (d *Daemon) readBeats(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = d.beats.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = d.sockets.Beats.Close() })
 	defer stop()
 
 	buffer := make([]byte, maxBeat)
 
 	for ctx.Err() == nil {
-		n, _, err := d.beats.ReadFromUDPAddrPort(buffer)
+		n, _, err := d.sockets.Beats.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			sleep(ctx, acceptPause)
 
 			continue
 		}
 
+		d.beatBytes.Add(int64(n))
+
 		beat, err := membership.DecodeBeat(buffer[:n])
 		if err != nil {
 			d.beatErrors.Add(1)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,13 +1,10 @@
 // Package daemon runs the reducer of one daemon: it feeds events in and performs the effects, serves
-// callers and other daemons, and shuts down without cutting off a request.
+// callers, other daemons and the backend server, and shuts down without cutting off a request.
 package daemon
 
 import (
 	"context"
-	"log"
-	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,60 +17,82 @@
 	"github.com/tarragonmill/tarragonmill/internal/attempt"
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/caller"
+	"github.com/tarragonmill/tarragonmill/internal/config"
 	"github.com/tarragonmill/tarragonmill/internal/core"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
+	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
-	"github.com/tarragonmill/tarragonmill/internal/logservice"
-	"github.com/tarragonmill/tarragonmill/internal/peer"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/task"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
-const (
-	// drainPeriod is how long a leaving daemon goes on answering, so that every other daemon has heard
-	// of it before its sockets close. No new work has to arrive within 2 s.
-	drainPeriod = 2 * time.Second
-	// drainLimit bounds the wait for requests in flight.
-	drainLimit = 60 * time.Second
-
-	// startLimit is the longest time that callers wait for a daemon that starts.
-	startLimit    = 2 * time.Second
-	readyInterval = 10 * time.Millisecond
-
-	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the time for a whole request of a caller.
-	bodyTimeout = 30 * time.Second
-	idleTimeout = 2 * time.Minute
-	maxHeader   = 64 << 10
-)
+// Entries is the topic of the platform's store in which each daemon keeps an entry.
+type Entries interface {
+	Newest(ctx context.Context) (store.Page, error)
+	Append(ctx context.Context, records ...store.Record) error
+}
 
-// unset is the text of an address that was not set.
-var unset = netip.AddrPort{}.String()
+// Configuration is the topic of the platform's store in which the operator publishes.
+type Configuration interface {
+	Newest(ctx context.Context) (store.Page, error)
+	Read(ctx context.Context, from int64, wait time.Duration) (store.Page, error)
+}
 
-// Listeners are the open sockets of a daemon.
-type Listeners struct {
-	Caller net.Listener
-	Peer   net.Listener
-	Admin  net.Listener
+// Announcements takes what the backend server says of itself. An error means that nothing was accepted.
+type Announcements interface {
+	Announce(ctx context.Context, a backend.Announcement) error
+	Withdraw(ctx context.Context, id backend.ID, born time.Time) error
 }
 
-// Option configures a Daemon.
-type Option func(*Daemon)
+// Platform is what the daemon runs on.
+type Platform struct {
+	Dialect       dialect.Dialect
+	Entries       Entries
+	Configuration Configuration
+	// Grants and Bases are used if a manifest uses idempotency keys.
+	Grants Grants
+	Bases  Entries
+	// ConfigKey is the key of the configuration in its topic, and Decode reads its record.
+	ConfigKey string
+	Decode    func(data []byte) (version uint64, m manifest.Manifest, err error)
+	// Announced returns the handler of the calls by which the backend server announces itself; nil if it does
+	// not.
+	Announced func(to Announcements) http.Handler
+	// ReadyPath is asked whether callers are to be sent here.
+	ReadyPath string
+	// StoreCounts returns the totals of the calls to the store; nil if they are not counted.
+	StoreCounts func() StoreCounts
+}
 
-// WithListeners uses sockets that are already open.
-func WithListeners(listeners Listeners) Option {
-	return func(d *Daemon) { d.listeners = listeners }
+// Own returns a platform that speaks the project's own header fields and follows the manifests that the
+// project's own command publishes.
+func Own(entries Entries, manifests Configuration, grants Grants, bases Entries) Platform {
+	return Platform{
+		Dialect: dialect.Default(), Entries: entries, Configuration: manifests, Grants: grants, Bases: bases,
+		ConfigKey: config.Key, Decode: config.Decode, ReadyPath: "/ready",
+	}
 }
 
+// Option configures a Daemon.
+type Option func(*Daemon)
+
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(logger zerolog.Logger) Option {
-	return func(d *Daemon) { d.logger = logger }
+	return func(d *Daemon) { d.log = eventlog.New(logger) }
 }
 
-// WithObserver calls observe with every event before it is applied and its effects. It runs in the
-// event loop and must not block.
+// WithReload sets a function that reads the settings again.
+func WithReload(reload func() (settings.Settings, error)) Option {
+	return func(d *Daemon) { d.reload = reload }
+}
+
+// WithObserver calls observe with every event after it was applied and its effects. It runs in the event loop
+// and must not block.
 func WithObserver(observe Observer) Option {
 	return func(d *Daemon) { d.observe = observe }
 }
@@ -83,66 +102,72 @@
 
 // Daemon is one running daemon.
 type Daemon struct {
-	settings  settings.Settings
-	logger    zerolog.Logger
-	listeners Listeners
-	observe   Observer
-	started   time.Time
-	options   core.Options
+	platform Platform
+	log      *eventlog.Log
+	metrics  *metrics
+	reload   func() (settings.Settings, error)
+	resumes  atomic.Int64
+	started  time.Time
+	options  core.Options
+	observe  Observer
 
 	attempts *attempt.Client
-	control  *peer.Client
-	backend  *backend.Client
-	log      *logservice.Client
-	server   *peer.Server
-	callers  *http.Server
-	open     *caller.Connections
+	backend  *backend.Server
+	callers  *http1.Server
+	peers    *http1.Server
+	sockets  Sockets
 	tasks    *task.Group
+	settings atomic.Pointer[settings.Settings]
 	matcher  atomic.Pointer[manifest.Matcher]
+	manifest atomic.Pointer[manifest.Manifest]
 	version  atomic.Uint64
-	ready    atomic.Bool
-	calls    atomic.Uint64
-	resumes  atomic.Int64
-	drained  chan struct{}
-	// unlistened is closed when no further connection of a caller is accepted.
-	unlistened chan struct{}
-	// superseded is closed when a later run of this daemon was seen.
-	superseded chan struct{}
+	// beatErrors counts datagrams that could not be sent or read.
+	beatErrors atomic.Int64
+	// beatBytes counts the bytes of datagrams in both directions.
+	beatBytes atomic.Int64
+	drain     atomic.Pointer[drain]
+	// manifested is closed when the first manifest is in force.
+	manifested chan struct{}
+	// reread tells the follower of the configuration that there may be a newer one.
+	reread chan struct{}
 
 	// mutex makes the holder the owner of the state and of the fields below.
 	mutex    sync.Mutex
 	state    *core.State
 	pending  []core.Event
 	applying bool
+	timer    *time.Timer
+	armed    time.Time
 	entries  map[request.ID]*entry
 	jobs     map[admission.Attempt]*job
-	replies  map[uint64]any
-	draining bool
-	// serverDown is the last known state of the backend server.
-	serverDown bool
 }
 
 // New returns a daemon that has not started.
-func New(chosen settings.Settings, options ...Option) (*Daemon, error) {
+func New(chosen settings.Settings, platform Platform, options ...Option) (*Daemon, error) {
+	counted, err := newMetrics(zerolog.Nop())
+	if err != nil {
+		return nil, err
+	}
+
 	d := &Daemon{
-		settings:   chosen,
-		logger:     zerolog.Nop(),
-		started:    time.Now(),
-		drained:    make(chan struct{}),
-		unlistened: make(chan struct{}),
-		superseded: make(chan struct{}),
+		platform: platform,
+		metrics:  counted,
+		log:      eventlog.New(zerolog.Nop()),
+		started:  time.Now(),
+		reread:   make(chan struct{}, 1),
+
+		manifested: make(chan struct{}),
 		entries:    make(map[request.ID]*entry),
 		jobs:       make(map[admission.Attempt]*job),
-		replies:    make(map[uint64]any),
 	}
 
 	for _, option := range options {
 		option(d)
 	}
 
-	if err := d.connect(); err != nil {
-		return nil, err
-	}
+	d.settings.Store(&chosen)
+	d.attempts = attempt.NewClient(chosen.Key)
+	d.backend = backend.NewServer(chosen.Backend.Address, chosen.Backend.Connections, platform.Dialect)
 
 	self := instance.Member{
 		ID:          chosen.ID,
@@ -154,54 +179,35 @@
 		Started:     d.started.Round(0).UTC(),
 	}
 	d.options = core.Options{
-		Self: self, Seeds: chosen.Seeds, Queue: chosen.Backend.Queue, Seed: uint64(self.Incarnation),
+		Self: self, FixedSlots: chosen.Backend.Slots, Queue: chosen.Backend.Queue,
+		QueuePerSlot: chosen.Backend.Backlog, Seeds: chosen.Seeds,
+		ProbeInterval: chosen.Backend.Interval,
+		Repeats: routing.Repeats{
+			Share: chosen.Repeat.Share, Slack: chosen.Repeat.Slack, Window: chosen.Repeat.Window,
+		},
+		Seed: uint64(self.Incarnation),
 	}
 	d.state = core.New(d.options)
-	d.open = caller.NewConnections()
-	d.callers = &http.Server{
-		ConnState:         d.open.Track,
-		Handler:           caller.NewHandler(d.currentMatcher, d, d, d.now),
-		Protocols:         callerProtocols(),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
-	}
-
-	return d, nil
-}
 
-func callerProtocols() *http.Protocols {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
+	d.callers = http1.NewServer(d.newCallerHandler(chosen), http1.WithLimits(d.callerLimits))
+	d.peers = http1.NewServer(attempt.NewHandler(chosen.Key, d.serveRemote, d.serveOwned, d.takeHandover), http1.WithSkippedBody(),
+		http1.WithLimits(func() http1.Limits { return peerLimits }))
 
-	return protocols
+	return d, nil
 }
 
-// connect creates the clients; none of them opens a connection yet.
-func (d *Daemon) connect() error {
-	var err error
-
-	if d.control, err = peer.NewClient(d.settings.Key); err != nil {
-		return errors.Wrap(err, "create peer client")
+func (d *Daemon) newCallerHandler(chosen settings.Settings) *caller.Handler {
+	options := []caller.Option{
+		caller.WithDialect(d.platform.Dialect), caller.WithOrigin(chosen.Service),
+		caller.WithObserver(d.observeResult),
 	}
 
-	if d.log, err = logservice.New(d.settings.Log); err != nil {
-		return errors.Wrap(err, "create log client")
+	// On loopback, callers and the backend server have the same address.
+	if address := chosen.Backend.Address.Addr(); !address.IsLoopback() {
+		options = append(options, caller.WithNestedFrom(address))
 	}
 
-	d.attempts = attempt.NewClient(d.settings.Key)
-	d.backend = backend.New(d.settings.Backend.Address, d.settings.Backend.Connections)
-
-	data := http.NewServeMux()
-	data.Handle(attempt.Path, attempt.Handler(d.settings.Key, d.serveAttempt))
-	data.Handle(attempt.OwnedPath, attempt.Handler(d.settings.Key, d.serveOwned))
-
-	d.server, err = peer.NewServer(d.settings.Key, control{d}, peer.WithData(data),
-		peer.WithErrorLog(log.New(d.logger, "", 0)))
-
-	return errors.Wrap(err, "create peer server")
+	return caller.NewHandler(d.currentMatcher, d, d, d.now, options...)
 }
 
 // now never goes back: it is the start time plus elapsed monotonic time.
@@ -217,35 +223,39 @@
 	return nil
 }
 
-// Options returns what the reducer started from.
-func (d *Daemon) Options() core.Options { return d.options }
+// Ready reports whether callers are to be sent here.
+func (d *Daemon) Ready() bool { return d.checkReady() == nil }
 
-// Ready reports whether the daemon knows other members, or that there are none, and a manifest.
-func (d *Daemon) Ready() bool { return d.ready.Load() && d.matcher.Load() != nil }
+func (d *Daemon) checkReady() error {
+	switch {
+	case d.drain.Load() != nil:
+		return ErrDraining
+	case d.matcher.Load() == nil:
+		return ErrNoManifest
+	default:
+		return nil
+	}
+}
 
-// Members returns the number of daemons known that take new work, this one included.
+// Members returns the number of daemons known, this one included.
 func (d *Daemon) Members() int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	return d.state.Usable()
+	return d.state.Members()
 }
 
 // Version returns the version of the manifest in force, or zero.
 func (d *Daemon) Version() uint64 { return d.version.Load() }
 
-// Run runs a daemon until ctx ends.
-func Run(ctx context.Context, chosen settings.Settings, logger zerolog.Logger) error {
-	d, err := New(chosen, WithLogger(logger.With().Str("instance", string(chosen.ID)).Logger()))
-	if err != nil {
-		return err
-	}
-
-	return d.Run(ctx)
-}
+// Options returns what the reducer started from.
+func (d *Daemon) Options() core.Options { return d.options }
 
-// Run serves until ctx ends and then shuts down gracefully. It opens the sockets that it was not given.
+// Run serves until ctx ends and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
+	// Tasks outlive ctx: requests in flight finish after it has ended.
+	d.tasks = task.NewGroup(context.WithoutCancel(ctx))
+
 	if err := d.listen(ctx); err != nil {
 		return err
 	}
@@ -255,40 +265,45 @@
 		return err
 	}
 
-	// Tasks outlive ctx: requests in flight finish after it has ended.
-	d.tasks = task.NewGroup(context.WithoutCancel(ctx))
+	d.mutex.Lock()
+	d.timer = time.AfterFunc(time.Hour, d.tick)
+	d.mutex.Unlock()
+
+	d.log.Notable(eventlog.Started).Str("instance", string(d.options.Self.ID)).
+		Uint64("run", uint64(d.options.Self.Incarnation)).Str("service", d.options.Self.Service).Send()
 	d.apply(core.Started{})
 
 	var group run.Group
 
-	addActor(ctx, &group, func(ctx context.Context) error { return d.server.Serve(ctx, d.listeners.Peer) })
+	addActor(ctx, &group, func(ctx context.Context) error { return d.peers.Serve(ctx, d.sockets.Peer) })
 	addActor(ctx, &group, d.serveCallers)
-	addActor(ctx, &group, d.tick)
-
-	if d.listeners.Admin != nil {
-		operators, err := d.newAdmin()
-		if err != nil {
-			return err
-		}
-
-		addActor(ctx, &group, func(ctx context.Context) error { return operators.serve(ctx, d.listeners.Admin) })
+	addActor(ctx, &group, d.readBeats)
+	addActor(ctx, &group, d.followConfiguration)
+	addActor(ctx, &group, d.watchResume)
+	addActor(ctx, &group, d.updateGauges)
+	addActor(ctx, &group, d.watchSettings)
+
+	for _, small := range d.smallActors() {
+		addActor(ctx, &group, small)
 	}
 
-	addActor(ctx, &group, d.watchServer)
 	group.Add(func() error { return d.waitAndDrain(ctx) }, func(error) {})
 
 	err = group.Run()
+
+	d.mutex.Lock()
+	d.timer.Stop()
+	d.mutex.Unlock()
 	d.tasks.Stop()
 
 	// A recording that could not be written is no failure of the daemon.
-	if err := stopRecording(); err != nil {
-		d.logger.Error().Err(err).Msg("recording failed")
+	if failed := stopRecording(); failed != nil {
+		d.log.Warn(eventlog.Lost).Str("what", "recording").AnErr("error", failed).Send()
 	}
 
 	d.attempts.Close()
-	d.control.Close()
 	d.backend.Close()
-	d.log.Close()
+	d.log.Notable(eventlog.Stopped).AnErr("error", err).Send()
 
 	return err
 }
@@ -301,83 +316,8 @@
 	group.Add(func() error { return actor(inner) }, func(error) { cancel() })
 }
 
-func (d *Daemon) listen(ctx context.Context) error {
-	var config net.ListenConfig
-
-	for _, socket := range []struct {
-		listener *net.Listener
-		address  string
-	}{
-		{&d.listeners.Caller, d.settings.Listen.Caller.String()},
-		{&d.listeners.Peer, d.settings.Listen.Peer.String()},
-		{&d.listeners.Admin, d.settings.Listen.Admin.String()},
-	} {
-		// Daemons of tests have no admin address.
-		if *socket.listener != nil || socket.address == unset {
-			continue
-		}
-
-		opened, err := config.Listen(ctx, "tcp", socket.address)
-		if err != nil {
-			return errors.Wrap(err, "open socket")
-		}
-
-		*socket.listener = opened
-	}
-
-	return nil
-}
-
-// serveCallers takes requests once the member table and a manifest are there; until then connections
-// wait in the socket's queue. After startLimit requests are refused rather than kept waiting.
-func (d *Daemon) serveCallers(ctx context.Context) error {
-	d.waitReady(ctx)
-
-	d.listeners.Caller = caller.NewListener(d.listeners.Caller)
-	ended := make(chan error, 1)
-
-	go func() { ended <- d.callers.Serve(d.listeners.Caller) }()
-
-	select {
-	case err := <-ended:
-		close(d.unlistened)
-
-		if errors.Is(err, net.ErrClosed) {
-			<-ctx.Done()
-
-			return nil
-		}
-
-		return errors.Wrap(err, "serve callers")
-	case <-ctx.Done():
-		_ = d.callers.Close()
-
-		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve callers")
-		}
-
-		return nil
-	}
-}
-
-func (d *Daemon) waitReady(ctx context.Context) {
-	limit := time.Now().Add(startLimit)
-
-	for !d.Ready() && ctx.Err() == nil && time.Now().Before(limit) {
-		sleep(ctx, readyInterval)
-	}
-}
-
-func (d *Daemon) tick(ctx context.Context) error {
-	ticker := time.NewTicker(routing.TickInterval)
-	defer ticker.Stop()
-
-	for {
-		select {
-		case <-ticker.C:
-			d.apply(core.Tick{})
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
+// Errors of the ready check.
+var (
+	ErrNoManifest = errors.New("no manifest yet")
+	ErrDraining   = errors.New("draining")
+)
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -4,150 +4,92 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/tarragonmill/tarragonmill/internal/core"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 )
 
-// leavePeriod lets the announcement that this daemon has left reach its neighbours.
-const leavePeriod = 200 * time.Millisecond
-
-// releaseLimit bounds the wait for the handover of the key table.
-const releaseLimit = 3 * time.Second
-
-// quietInterval is the period at which the end of the last request or of the handover is looked for.
-const quietInterval = 5 * time.Millisecond
-
-// ErrSuperseded is returned if a later run with the same instance ID was seen.
-var ErrSuperseded = errors.New("a later run of this instance exists")
+const (
+	// noticePeriod is how long a leaving daemon takes new connections, until whoever sends callers here has
+	// seen twice in a row, a second apart, that it is not ready.
+	noticePeriod = 2300 * time.Millisecond
+	// takePeriod is how long a leaving daemon takes every request. Callers may still be sent here because the
+	// other daemons of the failure domain are leaving, too.
+	takePeriod = 2800 * time.Millisecond
+	// openPeriod is how long the backend server of a leaving daemon takes requests of other daemons. It ends
+	// before noticePeriod, so that they know of it when the sockets close.
+	openPeriod = 1900 * time.Millisecond
+	// drainMargin is kept between the end of the drain and the time at which the process is killed.
+	drainMargin = 400 * time.Millisecond
+	drainStep   = 25 * time.Millisecond
+	acceptPause = 20 * time.Millisecond
+	// leaveWait is the time for the last call to the store.
+	leaveWait = 100 * time.Millisecond
+
+	// resumeInterval is the time between two looks at whether the process stood still.
+	resumeInterval = 500 * time.Millisecond
+)
 
-// waitAndDrain waits for the end of ctx and then leaves in order: no new work for the server, requests
-// in flight finish, the caller's socket closes, the others are told.
+// waitAndDrain waits for the end of ctx, and then until no request is in progress.
 func (d *Daemon) waitAndDrain(ctx context.Context) error {
-	var result error
-
-	select {
-	case <-ctx.Done():
-	case <-d.superseded:
-		result = ErrSuperseded
-	}
+	<-ctx.Done()
 
 	begun := time.Now()
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
-
-	defer cancel()
+	limit := begun.Add(d.settings.Load().Grace - drainMargin)
 
-	d.logger.Info().Msg("draining")
-	d.Drain()
-	d.callers.SetKeepAlivesEnabled(false)
+	d.log.Notable(eventlog.Stopping).Int("requests", d.callers.Open()).Int("calls", d.peers.Open()).Send()
+	d.drain.Store(&drain{begun: begun, limit: limit})
+	d.callers.Drain()
 
-	select {
-	case <-d.drained:
-	case <-limited.Done():
-		d.logger.Error().Msg("requests are still in flight at the end of the drain period")
-	}
-
-	sleep(limited, drainPeriod-time.Since(begun))
-	d.waitReleased(limited)
-
-	if err := d.stopCallers(limited); err != nil {
-		result = errors.CombineErrors(result, err)
-	}
+	time.Sleep(time.Until(earlier(begun.Add(openPeriod), limit)))
+	d.apply(core.DrainStarted{})
+	time.Sleep(time.Until(earlier(begun.Add(noticePeriod), limit)))
+	d.finishDrain(limit)
 
-	d.waitEntries(limited)
-	d.apply(membership.LeaveStarted{})
-	sleep(limited, leavePeriod)
-	d.logger.Info().Dur("took", time.Since(begun)).Msg("stopped")
-
-	return result
+	return nil
 }
 
-// waitReleased waits until the key table was handed over, so that its keys are answered by a successor and
-// not in doubt. Without a successor, or while the log is down, the wait is given up.
-func (d *Daemon) waitReleased(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
-	defer cancel()
-
-	for ctx.Err() == nil {
-		d.mutex.Lock()
-		released := d.state.Released()
-		d.mutex.Unlock()
-
-		if released {
-			return
-		}
-
-		sleep(ctx, quietInterval)
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
 
-	d.logger.Warn().Msg("key table was not handed over in time; its keys are in doubt")
+	return a
 }
 
-// waitEntries waits for requests that other daemons have forwarded because this one owns their keys.
-func (d *Daemon) waitEntries(ctx context.Context) {
-	for ctx.Err() == nil {
-		d.mutex.Lock()
-		left := len(d.entries)
-		d.mutex.Unlock()
+// finishDrain closes the sockets in order: what was read until then is answered.
+func (d *Daemon) finishDrain(limit time.Time) {
+	d.callers.Stop()
+	d.peers.Stop()
+	d.apply(membership.Left{})
 
-		if left == 0 {
-			return
-		}
-
-		sleep(ctx, quietInterval)
+	until := time.Now().Add(leaveWait)
+	for (d.busy() || time.Now().Before(until)) && time.Now().Before(limit) {
+		time.Sleep(drainStep)
 	}
 }
 
-// stopCallers accepts the connections that wait, closes the socket, waits for the requests in flight and
-// only then calls Shutdown, after which net/http drops requests that it still reads. Connections end after
-// one request by then, because keep-alive is off.
-func (d *Daemon) stopCallers(ctx context.Context) error {
-	if err := d.listeners.Caller.Close(); err != nil {
-		return errors.Wrap(err, "close caller socket")
-	}
-
-	select {
-	case <-d.unlistened:
-	case <-ctx.Done():
-	}
+// drain is a shutdown in progress.
+type drain struct {
+	begun time.Time
+	// limit is when requests in progress are cut off.
+	limit time.Time
+}
 
-	for !d.open.Quiet(time.Now()) && ctx.Err() == nil {
-		sleep(ctx, quietInterval)
-	}
+// takes reports whether a request that arrives now can be finished before the process ends.
+func (s *drain) takes(left time.Duration) bool {
+	now := time.Now()
 
-	return errors.Wrap(d.callers.Shutdown(ctx), "shut down caller interface")
+	return now.Sub(s.begun) < takePeriod || now.Add(left).Before(s.limit)
 }
 
-// Drain stops new work for the backend server. It can be called more than once.
-func (d *Daemon) Drain() {
-	d.mutex.Lock()
-	first := !d.draining
-	d.draining = true
-	d.mutex.Unlock()
-
-	if first {
-		d.apply(core.DrainStarted{})
+func (d *Daemon) busy() bool {
+	if d.callers.Open() > 0 || d.peers.Open() > 0 {
+		return true
 	}
-}
 
-func (d *Daemon) isDraining() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	return d.draining
-}
-
-func sleep(ctx context.Context, period time.Duration) {
-	if period <= 0 {
-		return
-	}
-
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	return d.state.Busy() > 0 || !d.state.KeysReleased()
 }
