--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -4,31 +4,26 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
-	"slices"
+	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/attempt"
 	"github.com/tarragonmill/tarragonmill/internal/caller"
 	"github.com/tarragonmill/tarragonmill/internal/core"
-	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
-// maxStored is the size up to which a response is kept for resends of its key, in bytes.
-const maxStored = 64 << 10
-
-// entry is a request in progress at this daemon, as entry or as owner of its key.
+// entry is a request in progress at this daemon as entry.
 type entry struct {
 	submission caller.Submission
 	// result receives the final result. It has room for it, so that sending never blocks.
 	result chan caller.Result
+	// cancel stops the request that was forwarded to the owner of its key, if any.
+	cancel context.CancelFunc
 	// finished is set once the result is known or nobody waits for it any more.
 	finished bool
-	// cancel stops the forwarded request, if any.
-	cancel   context.CancelFunc
-	outgoing map[int]*outgoing
+	outgoing []*outgoing
 }
 
 // outgoing is an attempt of an entry.
@@ -41,48 +36,79 @@
 	response *attempt.Response
 }
 
+// restartTime is when a caller may come back to a daemon that is about to end.
+const restartTime = 700 * time.Millisecond
+
 // Submit implements caller.Submitter.
 func (d *Daemon) Submit(ctx context.Context, submission caller.Submission) caller.Result {
-	result := d.submit(ctx, submission, core.RequestArrived{Request: submission.Request})
+	if leaving := d.drain.Load(); leaving != nil && !leaving.takes(submission.Request.Deadline.Sub(d.now())) {
+		return caller.Result{Refusal: caller.Refusal{
+			Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: caller.ShuttingDown, RetryAfter: restartTime,
+		}}
+	}
+
+	result := d.submit(ctx, submission, false)
 	if result.Response != nil {
-		result.Response = d.resumable(ctx, submission, result.Response)
+		d.makeResumable(ctx, submission, result.Response)
 	}
 
 	return result
 }
 
-func (d *Daemon) submit(ctx context.Context, submission caller.Submission, arrival core.Event) caller.Result {
-	e := &entry{
-		submission: submission,
-		result:     make(chan caller.Result, 1),
-		outgoing:   make(map[int]*outgoing),
+// submit routes a request. It is owned if another daemon forwarded it because this one owns its key.
+func (d *Daemon) submit(ctx context.Context, submission caller.Submission, owned bool) caller.Result {
+	e := &entry{submission: submission, result: make(chan caller.Result, 1)}
+	id := d.register(e, owned)
+
+	select {
+	case result := <-e.result:
+		return result
+	case <-ctx.Done():
 	}
-	id := submission.Request.ID
 
 	d.mutex.Lock()
-	d.entries[id] = e
-	d.applyLocked(arrival)
+	d.applyLocked(core.RequestCancelled{ID: id})
+	e.finished = true
+
+	if e.cancel != nil {
+		e.cancel()
+	}
+
+	d.release(id, e)
 	d.mutex.Unlock()
 
 	select {
 	case result := <-e.result:
 		return result
-	case <-ctx.Done():
-		d.apply(core.RequestCancelled{ID: id})
-
-		// The request may have been finished or may still run for a resend of its key. A response that
-		// came too late is closed.
-		select {
-		case result := <-e.result:
-			return result
-		default:
-			return caller.Result{Refusal: caller.Refusal{
-				Verdict: verdict.MayHaveRun, Delivery: verdict.MayHaveRun, Reason: caller.Reason(routing.CallerCancelled),
-			}}
-		}
+	default:
+		return caller.Result{Refusal: caller.Refusal{
+			Verdict: verdict.MayHaveRun, Delivery: verdict.MayHaveRun, Reason: caller.Reason(routing.CallerLeft),
+		}}
 	}
 }
 
+// register begins a request. An identifier that is in use is replaced: two requests must not be confused
+// because their callers chose the same one.
+func (d *Daemon) register(e *entry, owned bool) request.ID {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if _, taken := d.entries[e.submission.Request.ID]; taken {
+		e.submission.Request.ID = request.NewID()
+	}
+
+	id := e.submission.Request.ID
+	d.entries[id] = e
+
+	if owned {
+		d.applyLocked(core.OwnedArrived{Request: e.submission.Request})
+	} else {
+		d.applyLocked(core.RequestArrived{Request: e.submission.Request, Parts: e.submission.Parts})
+	}
+
+	return id
+}
+
 // finish hands the result over. The mutex is held.
 func (d *Daemon) finish(id request.ID, result caller.Result) {
 	e, ok := d.entries[id]
@@ -99,7 +125,7 @@
 	d.release(id, e)
 }
 
-// release forgets an entry once it is finished and none of its attempts is live.
+// release forgets an entry once it is finished and none of its attempts is live. The mutex is held.
 func (d *Daemon) release(id request.ID, e *entry) {
 	if !e.finished {
 		return
@@ -118,23 +144,6 @@
 	}
 
 	delete(d.entries, id)
-	d.applyLocked(core.RequestEnded{ID: id})
-}
-
-// abandon ends an entry whose caller has gone away.
-func (d *Daemon) abandon(id request.ID) {
-	e, ok := d.entries[id]
-	if !ok || e.finished {
-		return
-	}
-
-	e.finished = true
-
-	if e.cancel != nil {
-		e.cancel()
-	}
-
-	d.release(id, e)
 }
 
 func (d *Daemon) refuse(e core.Refuse) {
@@ -143,16 +152,15 @@
 	}})
 }
 
-// deliver passes the response of an attempt to the caller and, for a request with a key, to the key
-// table.
+// deliver passes the response of an attempt to the caller.
 func (d *Daemon) deliver(e routing.Deliver) {
 	current, ok := d.entries[e.ID]
-	if !ok {
+	if !ok || e.Number >= len(current.outgoing) {
 		return
 	}
 
 	out := current.outgoing[e.Number]
-	if out == nil || out.response == nil {
+	if out.response == nil {
 		return
 	}
 
@@ -160,63 +168,49 @@
 	out.response = nil
 
 	d.applyLocked(core.Answered{ID: e.ID, Response: stored(response)})
-	d.finish(e.ID, caller.Result{Response: response})
+	d.finish(e.ID, caller.Result{Response: &caller.Response{
+		Status: response.Reply.Status, Header: response.Header, Body: response.Body, Length: response.Length,
+	}})
 }
 
-// stored returns the response in the form that is kept for resends, or nil if it is too large.
-func stored(response *attempt.Response) *keys.Response {
-	whole, ok := response.Body.(*wholeBody)
-	if !ok || len(whole.data) > maxStored {
-		return nil
-	}
-
-	kept := &keys.Response{Status: response.Reply.Status, Body: whole.data}
-
-	for name, values := range response.Header {
-		for _, value := range values {
-			kept.Header = append(kept.Header, keys.Field{Name: name, Value: value})
+// maxWhole is the size up to which a response is read whole before its first byte goes to the caller, in
+// bytes. Until then, another server may still take its place.
+const maxWhole = 448 << 10
+
+// readWhole replaces a body by one in memory if it is small enough. An error means that it broke off.
+func readWhole(body io.ReadCloser, length int64) (io.ReadCloser, int64, error) {
+	var (
+		data []byte
+		err  error
+	)
+
+	if length >= 0 && length <= maxWhole {
+		data = make([]byte, length)
+		if _, err = io.ReadFull(body, data); err == nil {
+			// The end of the body has to be read for its connection to be reused.
+			_, err = io.CopyN(io.Discard, body, 1)
+			if err == io.EOF { //nolint:errorlint // io.CopyN returns it unwrapped
+				err = nil
+			}
 		}
+	} else {
+		data, err = io.ReadAll(io.LimitReader(body, maxWhole+1))
 	}
 
-	// Header maps have no order, and equal responses have to be equal in recordings.
-	slices.SortStableFunc(kept.Header, func(a, b keys.Field) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	switch {
+	case err != nil:
+		_ = body.Close()
 
-	return kept
-}
-
-// replay answers a resend with the stored response of its key.
-func (d *Daemon) replay(e keys.Replay) {
-	if e.Response == nil {
-		return
-	}
+		return nil, 0, err
+	case len(data) <= maxWhole:
+		_ = body.Close()
 
-	header := http.Header{}
-	for _, field := range e.Response.Header {
-		header.Add(field.Name, field.Value)
+		return newWholeBody(data), int64(len(data)), nil
+	default:
+		return joinedBody{Reader: io.MultiReader(bytes.NewReader(data), body), Closer: body}, length, nil
 	}
-
-	d.finish(e.ID, caller.Result{Response: &attempt.Response{
-		Reply: attempt.Reply{
-			ID: e.ID, Verdict: verdict.Answered, Status: e.Response.Status, Size: int64(len(e.Response.Body)),
-		},
-		Header: header,
-		Body:   newWholeBody(e.Response.Body),
-	}})
-}
-
-// wholeBody is a response body that was read and verified to its end.
-type wholeBody struct {
-	*bytes.Reader
-	data []byte
 }
 
-func newWholeBody(data []byte) *wholeBody {
-	return &wholeBody{Reader: bytes.NewReader(data), data: data}
-}
-
-// Close implements io.Closer.
-func (b *wholeBody) Close() error { return nil }
-
 // joinedBody is a body of which a part was read before.
 type joinedBody struct {
 	io.Reader
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -120,7 +120,7 @@
 			if i.Server.Crashed() {
 				crashes++
 
-				require.NoError(t, f.RestartServer(t.Context(), i))
+				require.NoError(t, f.RestartServer(i))
 			}
 		}
 	}
@@ -210,7 +210,7 @@
 
 	underLoad(t, others, func() {
 		begun = time.Now()
-		require.NoError(t, f.Leave(leaving))
+		require.NoError(t, f.Retire(leaving))
 	})
 
 	_, last := leaving.Server.Served()
@@ -224,7 +224,7 @@
 
 	underLoad(t, f.Instances, func() {
 		for _, i := range f.Instances[:3] {
-			require.NoError(t, f.Restart(t.Context(), i))
+			require.NoError(t, f.Restart(i))
 		}
 	})
 }
--- a/internal/v2/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -7,9 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/store"
-	"github.com/tarragonmill/tarragonmill/internal/v2/core"
 )
 
 const (
@@ -50,7 +50,7 @@
 		f.pause = followMin
 		f.report(nil)
 		f.take(page)
-	case errors.Is(err, store.ErrExpired):
+	case errors.HasType(err, (*store.ExpiredError)(nil)):
 		f.listed = false
 	case ctx.Err() != nil:
 	case errors.Is(err, errReread):
--- /dev/null
+++ b/internal/daemon/grants.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
+	"github.com/tarragonmill/tarragonmill/internal/keys"
+	"github.com/tarragonmill/tarragonmill/internal/store"
+)
+
+const (
+	// grantTimeout bounds an append of grants and a handover.
+	grantTimeout = 2 * time.Second
+	// baseKey is the key of the newest base among the bases.
+	baseKey = "base"
+	// grantRetry is the pause after a failed read of grants.
+	grantRetry = 300 * time.Millisecond
+)
+
+// Grants is the topic of the platform's store that orders the grants of key partitions.
+type Grants interface {
+	Append(ctx context.Context, records ...store.Record) error
+	Read(ctx context.Context, from int64, wait time.Duration) (store.Page, error)
+}
+
+// followGrants reads the grants until ctx ends. It begins with the newest base, because older records expire.
+func (d *Daemon) followGrants(ctx context.Context) {
+	// The first read does not wait: only a daemon that knows the end of the topic may claim keys.
+	from, wait := int64(0), time.Duration(0)
+
+	for ctx.Err() == nil {
+		page, err := d.platform.Grants.Read(ctx, from, wait)
+
+		var expired *store.ExpiredError
+
+		switch {
+		case err == nil:
+			d.apply(toRecords(page, from))
+
+			from, wait = page.Next(from), configWait
+		case errors.As(err, &expired):
+			d.offerBase(ctx)
+
+			from, wait = expired.First, 0
+		case ctx.Err() == nil:
+			sleep(ctx, grantRetry/2+rand.N(grantRetry))
+		}
+	}
+}
+
+// offerBase passes the newest base on.
+func (d *Daemon) offerBase(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+
+	page, err := d.platform.Bases.Newest(ctx)
+	if err != nil {
+		d.log.Warn(eventlog.Lost).Str("what", "base of grants").AnErr("error", err).Send()
+
+		return
+	}
+
+	for _, record := range page.Records {
+		decoded, err := keys.DecodeRecord(record.Value)
+		if record.Key == baseKey && err == nil && decoded.Base != nil {
+			d.apply(keys.BaseOffered{Base: *decoded.Base})
+		}
+	}
+}
+
+func toRecords(page store.Page, from int64) keys.RecordsRead {
+	read := keys.RecordsRead{First: uint64(page.First), Next: uint64(page.Next(from))}
+
+	for _, record := range page.Records {
+		// A record that cannot be decoded counts as empty: every reader treats it in the same way.
+		decoded, err := keys.DecodeRecord(record.Value)
+		if err != nil {
+			decoded = keys.Record{}
+		}
+
+		read.Records = append(read.Records, keys.Entry{Offset: uint64(record.Offset), Record: decoded})
+	}
+
+	return read
+}
+
+// appendGrants appends a change of grants. Its outcome is learned by reading. The mutex is held.
+func (d *Daemon) appendGrants(e keys.AppendGrants) {
+	data := keys.EncodeRecord(e.Record)
+
+	d.tasks.Go("append grants", func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+		defer cancel()
+
+		if err := d.platform.Grants.Append(ctx, store.Record{Value: data}); err != nil {
+			d.log.Warn(eventlog.Lost).Str("what", "append of grants").AnErr("error", err).Send()
+		}
+
+		if e.Record.Base == nil {
+			return
+		}
+
+		if err := d.platform.Bases.Append(ctx, store.Record{Key: baseKey, Value: data}); err != nil {
+			d.log.Warn(eventlog.Lost).Str("what", "base of grants").AnErr("error", err).Send()
+		}
+	})
+}
+
+// sendHandover passes a part of the key table to a successor. The mutex is held.
+func (d *Daemon) sendHandover(e keys.SendHandover) {
+	member, known := d.state.Member(e.To)
+
+	d.tasks.Go("handover", func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+		defer cancel()
+
+		var err error
+		if known {
+			err = d.attempts.HandOver(ctx, member.Peer, keys.EncodeHandover(e.Handover))
+		}
+
+		if err != nil {
+			d.log.Warn(eventlog.Lost).Str("what", "handover").Str("to", string(e.To)).AnErr("error", err).Send()
+		}
+
+		d.apply(keys.HandoverEnded{
+			To: e.To, Round: e.Handover.Round, Chunk: e.Handover.Chunk, Delivered: known && err == nil,
+		})
+	})
+}
+
+// takeHandover takes a part of the key table of a leaving owner.
+func (d *Daemon) takeHandover(data []byte) error {
+	handover, err := keys.DecodeHandover(data)
+	if err != nil {
+		return err
+	}
+
+	d.apply(keys.HandoverReceived{Handover: handover})
+
+	return nil
+}
--- a/internal/v2/daemon/local.go
+++ b/internal/daemon/local.go
@@ -20,7 +20,9 @@
 
 	d.tasks.Go("probe", func(ctx context.Context) {
 		if path == "" {
-			d.apply(health.Probed{})
+			// A server without a health path is well if it accepts connections.
+			reachable := d.backend.Reachable(ctx)
+			d.apply(health.Probed{Answered: reachable, Healthy: reachable})
 
 			return
 		}
@@ -34,7 +36,7 @@
 		}
 
 		d.apply(health.Probed{
-			Answered: err == nil, Healthy: answer.Healthy, ID: answer.Instance, Load: answer.Load, Loaded: answer.Loaded,
+			Answered: err == nil, Healthy: answer.Healthy, Draining: answer.Draining, ID: answer.Instance, Load: answer.Load, Loaded: answer.Loaded,
 		})
 	})
 }
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -1,89 +1,136 @@
 package daemon
 
 import (
-	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
-	"github.com/tarragonmill/tarragonmill/internal/logrelay"
-	"github.com/tarragonmill/tarragonmill/internal/logservice"
-	"github.com/tarragonmill/tarragonmill/internal/peer"
+	"github.com/tarragonmill/tarragonmill/internal/admission"
+	"github.com/tarragonmill/tarragonmill/internal/attempt"
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/caller"
+	"github.com/tarragonmill/tarragonmill/internal/core"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/routing"
 )
 
-func (d *Daemon) readLog(e logrelay.Read) {
-	d.tasks.Go("read log", func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, logTimeout)
-		defer cancel()
+// milliseconds writes a duration as a number of milliseconds with three decimals.
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Round(time.Microsecond)) / float64(time.Millisecond)
+}
 
-		page, err := d.log.Read(ctx, e.Stream, e.From, e.Limit)
-		if err != nil {
-			d.logger.Debug().Err(err).Str("stream", e.Stream).Msg("log not read")
-		}
+// about begins a line about a request. What goes as usual has an allowance of its own.
+func (d *Daemon) about(event eventlog.Event, routine bool, id request.ID) *zerolog.Event {
+	if routine {
+		return d.log.Routine(event).Str("request", string(id))
+	}
 
-		d.apply(logrelay.ReadEnded{Stream: e.Stream, Page: page, Failed: err != nil})
-	})
+	return d.log.Notable(event).Str("request", string(id))
 }
 
-func (d *Daemon) appendLog(e logrelay.Append) {
-	d.tasks.Go("append", func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, logTimeout)
-		defer cancel()
-
-		offset, err := d.log.Append(ctx, e.Stream, e.Data)
-		d.apply(appendEnded(e.Token, offset, err))
-	})
+// logSent writes the choice of a server with its inputs.
+func (d *Daemon) logSent(e routing.Attempt) {
+	b := e.Basis
+
+	d.metrics.sent(e)
+	d.about(eventlog.Sent, e.Why == routing.First, e.Request.ID).
+		Int("attempt", e.Number).Str("why", string(e.Why)).
+		Str("service", e.Request.Service).Str("route", e.Request.Route).Str("to", string(e.Target.ID)).
+		Float64("expected_ms", milliseconds(b.Expected)).Float64("next_ms", milliseconds(b.Next)).
+		Int("ahead", b.Ahead).Int("slots", b.Slots).Float64("slowness", b.Slowness).Float64("failing", b.Failing).
+		Float64("age_ms", milliseconds(b.Age)).Int("candidates", b.Candidates).
+		Float64("left_ms", milliseconds(e.Request.Deadline.Sub(d.now()))).Float64("budget", b.Budget).Send()
 }
 
-func appendEnded(token, offset uint64, err error) logrelay.AppendEnded {
-	if err == nil {
-		return logrelay.AppendEnded{Token: token, Offset: offset}
+// logAttemptEnded writes the end of an attempt that brought no usable response.
+func (d *Daemon) logAttemptEnded(e routing.Attempt, ended core.AttemptEnded, reason string, err error) {
+	line := d.log.Notable(eventlog.AttemptEnded).Str("request", string(e.Request.ID)).Int("attempt", e.Number).
+		Str("to", string(e.Target.ID)).Stringer("outcome", ended.Ended.Outcome).
+		Stringer("verdict", ended.Ended.Verdict)
+
+	if reason != "" {
+		line = line.Str("reason", reason).Int("running", ended.Report.Running).Int("waiting", ended.Report.Waiting).
+			Int("slots", ended.Report.Slots).Float64("slowness", ended.Report.Slowness)
 	}
 
-	var retryAfter time.Duration
+	if err != nil {
+		line = line.AnErr("error", err)
+	}
+
+	line.Send()
+}
+
+func (d *Daemon) logWithdrawn(e routing.CancelAttempt) {
+	d.log.Notable(eventlog.Withdrawn).Str("request", string(e.ID)).Int("attempt", e.Number).
+		Str("why", string(e.Why)).Send()
+}
 
-	var failed *logservice.AppendError
-	if errors.As(err, &failed) {
-		retryAfter = failed.RetryAfter
+// observeResult writes the end of a request as its caller sees it.
+func (d *Daemon) observeResult(o caller.Outcome) {
+	id, refusal, elapsed, status := o.ID, o.Refusal, o.Elapsed, o.Status
+	d.countResult(o)
+
+	switch refusal.Reason {
+	case "":
+		d.about(eventlog.Answered, !isFailure(status), id).Int("status", status).
+			Float64("elapsed_ms", milliseconds(elapsed)).Send()
+	case caller.Reason(routing.CallerLeft):
+		d.log.Notable(eventlog.CallerLeft).Str("request", string(id)).
+			Float64("elapsed_ms", milliseconds(elapsed)).Send()
+	default:
+		d.log.Notable(eventlog.Refused).Str("request", string(id)).Int("status", status).
+			Stringer("verdict", refusal.Verdict).Str("reason", string(refusal.Reason)).
+			Float64("retry_ms", milliseconds(refusal.RetryAfter)).Float64("elapsed_ms", milliseconds(elapsed)).
+			Uint64("version", d.version.Load()).Send()
 	}
+}
+
+func (d *Daemon) countResult(o caller.Outcome) {
+	outcome := "answered"
 
-	return logrelay.AppendEnded{
-		Token: token, Failed: true, Effect: logservice.EffectOf(err), RetryAfter: retryAfter,
+	switch {
+	case o.Refusal.Reason != "":
+		outcome = o.Refusal.Verdict.String()
+		d.metrics.countReason("refusals_total", string(o.Refusal.Reason))
+	case isFailure(o.Status):
+		outcome = "failed"
 	}
+
+	d.metrics.request(o.Service, o.Kind, outcome, o.Elapsed)
+}
+
+// logTurned writes that an attempt was not run here.
+func (d *Daemon) logTurned(call attempt.Call, reason string, report admission.Dump) {
+	d.metrics.countReason("turned_away_total", reason)
+	d.log.Notable(eventlog.Turned).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
+		Str("from", string(call.From)).Str("reason", reason).Int("running", report.Running).
+		Int("waiting", report.Waiting).Int("slots", report.Slots).Float64("slowness", report.Slowness).Send()
 }
 
-func (d *Daemon) pullRecords(e logrelay.Pull) {
-	member, ok := d.state.Member(e.Peer)
+func (d *Daemon) logServed(call attempt.Call, response *backend.Response, begun time.Time) {
+	d.metrics.serviceTime.RecordDuration(time.Since(begun))
 
-	d.tasks.Go("pull records", func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-		defer cancel()
+	line := d.about(eventlog.Served, !isFailure(response.Status), call.Request.ID).Int("attempt", call.Number).
+		Str("from", string(call.From)).Int("status", response.Status).
+		Float64("elapsed_ms", milliseconds(time.Since(begun)))
 
-		var page logrelay.Page
+	if response.Loaded {
+		line = line.Float64("slowness", response.Load.Slowness)
+	}
 
-		err := errors.New("daemon is not a member")
-		if ok {
-			page, err = d.control.Records(ctx, member.Peer, peer.RecordsRequest{Stream: e.Stream, From: e.From})
-		}
+	line.Send()
+}
 
-		d.apply(logrelay.PullEnded{Stream: e.Stream, Peer: e.Peer, Page: page, Failed: err != nil})
-	})
+func (d *Daemon) logServeFailed(call attempt.Call, reply attempt.Reply, begun time.Time, err error) {
+	d.metrics.countReason("serve_failures_total", reply.Reason)
+	d.log.Notable(eventlog.ServeFailed).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
+		Str("from", string(call.From)).Str("reason", reply.Reason).Stringer("verdict", reply.Verdict).
+		Float64("elapsed_ms", milliseconds(time.Since(begun))).AnErr("error", err).Send()
 }
 
-func (d *Daemon) announceThroughs(e logrelay.Announce) {
-	for _, id := range e.Peers {
-		member, ok := d.state.Member(id)
-		if !ok {
-			continue
-		}
-
-		d.tasks.Go("announce", func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-			defer cancel()
-
-			if err := d.control.Announce(ctx, member.Peer, d.settings.ID, e.Throughs); err != nil {
-				d.logger.Debug().Err(err).Str("to", string(id)).Msg("offset not announced")
-			}
-		})
-	}
+func (d *Daemon) logServerRefused(call attempt.Call, response *backend.Response) {
+	d.log.Notable(eventlog.ServerRefused).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
+		Str("from", string(call.From)).Int("status", response.Status).Str("instance", string(response.Instance)).
+		Int("running", response.Load.Running).Int("waiting", response.Load.Waiting).Send()
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -4,18 +4,18 @@
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/admission"
-	"github.com/tarragonmill/tarragonmill/internal/config"
 	"github.com/tarragonmill/tarragonmill/internal/core"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
+	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
-	"github.com/tarragonmill/tarragonmill/internal/logrelay"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
-// apply feeds an event to the reducer and performs its effects. Effects only start tasks, send on
-// buffered channels or queue further events, so that the mutex is held briefly.
+// apply feeds an event to the reducer and performs its effects. Effects only start tasks, send datagrams or
+// on buffered channels, or queue further events, so that the mutex is held briefly.
 func (d *Daemon) apply(event core.Event) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -36,6 +36,7 @@
 		next := d.pending[0]
 		d.pending = d.pending[1:]
 		now := d.now()
+
 		effects := d.state.Apply(now, next)
 
 		if d.observe != nil {
@@ -48,7 +49,34 @@
 	}
 
 	d.applying = false
-	d.pending = nil
+	d.pending = d.pending[:0]
+	d.arm()
+}
+
+// arm sets the timer to when the reducer wants to know the time. The mutex is held.
+func (d *Daemon) arm() {
+	next := d.state.Next()
+	if next.Equal(d.armed) || d.timer == nil {
+		return
+	}
+
+	d.armed = next
+	if next.IsZero() {
+		d.timer.Stop()
+
+		return
+	}
+
+	d.timer.Reset(max(0, next.Sub(d.now())))
+}
+
+// tick is run by the timer.
+func (d *Daemon) tick() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	d.armed = time.Time{}
+	d.applyLocked(core.Tick{})
 }
 
 // perform starts what an effect asks for. The mutex is held.
@@ -58,38 +86,32 @@
 		d.performRouting(e)
 	case admission.Effect:
 		d.performAdmission(e)
-	case keys.Effect:
-		d.performKeys(e)
 	case membership.Effect:
 		d.performMembership(e)
-	case logrelay.Effect:
-		d.performRelay(e)
+	case health.Probe:
+		d.probe()
 	case suspects.Announce:
 		d.announceSuspects(e)
-	case config.Decided:
-		d.logger.Info().Str("id", e.ID).Bool("accepted", e.Accepted).Uint64("version", e.Version).
-			Str("reason", string(e.Reason)).Msg("publish record decided")
-	default:
-		d.performCore(effect)
-	}
-}
-
-func (d *Daemon) performCore(effect core.Effect) {
-	switch e := effect.(type) {
+	case keys.Effect:
+		d.performKeys(e)
 	case core.Forward:
 		d.forward(e)
+	case core.FollowGrants:
+		d.tasks.Go("follow grants", d.followGrants)
 	case core.Refuse:
 		d.refuse(e)
-	case core.Abandon:
-		d.abandon(e.ID)
-	case core.Exchange:
-		d.exchange(e)
-	case core.ExchangeReply:
-		d.replies[e.Call] = e
 	case core.ManifestChanged:
 		d.changeManifest(e)
-	case core.SendGrants:
-		d.sendGrants(e)
+	case core.RereadManifest:
+		select {
+		case d.reread <- struct{}{}:
+		default:
+		}
+	case core.ServerReplaced:
+		d.backend.Forget()
+	case core.ServerChanged:
+		d.log.Notable(eventlog.ServerState).Str("server", string(e.ID)).Str("closed", string(e.Closed)).
+			Int("slots", e.Slots).Str("why", e.Why).Send()
 	}
 }
 
@@ -101,10 +123,6 @@
 		d.cancelAttempt(e)
 	case routing.Deliver:
 		d.deliver(e)
-	case routing.StartTimer:
-		time.AfterFunc(e.After, func() { d.apply(routing.TimerFired{ID: e.ID}) })
-	case routing.Probe:
-		d.probe(e)
 	}
 }
 
@@ -114,12 +132,12 @@
 		d.decide(e.Attempt, decision{start: true})
 	case admission.Refuse:
 		d.decide(e.Attempt, decision{refusal: e})
+	case admission.Queued:
+		d.decide(e.Attempt, decision{queued: true})
 	case admission.Abort:
 		if j, ok := d.jobs[e.Attempt]; ok {
 			j.cancel()
 		}
-	case admission.Drained:
-		close(d.drained)
 	}
 }
 
@@ -127,6 +145,8 @@
 	switch e := effect.(type) {
 	case keys.Replay:
 		d.replay(e)
+	case keys.AppendGrants:
+		d.appendGrants(e)
 	case keys.SendHandover:
 		d.sendHandover(e)
 	}
@@ -134,36 +154,14 @@
 
 func (d *Daemon) performMembership(effect membership.Effect) {
 	switch e := effect.(type) {
-	case membership.Pull:
-		d.pullMembers(e)
-	case membership.ReplyPage:
-		d.replies[e.Call] = e
-	case membership.Ready:
-		d.ready.Store(true)
-		d.logger.Info().Bool("alone", e.Alone).Msg("member table is ready")
-	case membership.Superseded:
-		d.logger.Error().Uint64("by", uint64(e.By.Incarnation)).Msg("a later run of this instance was seen")
-
-		select {
-		case <-d.superseded:
-		default:
-			close(d.superseded)
-		}
-	}
-}
-
-func (d *Daemon) performRelay(effect logrelay.Effect) {
-	switch e := effect.(type) {
-	case logrelay.Read:
-		d.readLog(e)
-	case logrelay.Pull:
-		d.pullRecords(e)
-	case logrelay.Answer:
-		d.replies[e.Call] = e
-	case logrelay.Announce:
-		d.announceThroughs(e)
-	case logrelay.Append:
-		d.appendLog(e)
+	case membership.ReadEntries:
+		d.tasks.Go("read entries", d.readEntries)
+	case membership.WriteEntry:
+		d.writeEntry(e)
+	case membership.SendBeat:
+		d.sendBeat(e)
+	case membership.MembersChanged:
+		d.logMembers(e.Members)
 	}
 }
 
@@ -171,12 +169,18 @@
 func (d *Daemon) changeManifest(e core.ManifestChanged) {
 	matcher, err := manifest.NewMatcher(e.Manifest)
 	if err != nil {
-		d.logger.Error().Err(err).Uint64("version", e.Version).Msg("manifest in force cannot be compiled")
+		d.log.Warn(eventlog.BadRecord).Uint64("version", e.Version).AnErr("error", err).Send()
 
 		return
 	}
 
-	d.matcher.Store(matcher)
+	m := e.Manifest
+	d.manifest.Store(&m)
+
+	if d.matcher.Swap(matcher) == nil {
+		close(d.manifested)
+	}
+
 	d.version.Store(e.Version)
-	d.logger.Info().Uint64("version", e.Version).Msg("manifest in force")
+	d.log.Notable(eventlog.Configuration).Uint64("version", e.Version).Int("routes", len(m.Routes)).Send()
 }
--- a/internal/v2/daemon/members.go
+++ b/internal/daemon/members.go
@@ -6,9 +6,9 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
-	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
 )
 
 // entryTimeout bounds a call to the store for entries.
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -13,16 +13,17 @@
 // record starts a recording of the reducer if the settings ask for one. The returned function ends it
 // and waits until it is written.
 func (d *Daemon) record(ctx context.Context) (func() error, error) {
-	if d.settings.Trace.File == "" {
+	wanted := d.settings.Load().Trace
+	if wanted.File == "" {
 		return func() error { return nil }, nil
 	}
 
-	file, err := trace.Create(d.settings.Trace.File)
+	file, err := trace.Create(wanted.File)
 	if err != nil {
 		return nil, err
 	}
 
-	recorder, err := core.NewRecorder(file, d.settings.Trace.Limit, d.options)
+	recorder, err := core.NewRecorder(file, wanted.Limit, d.options)
 	if err != nil {
 		return nil, errors.CombineErrors(err, file.Close())
 	}
--- a/internal/daemon/resume.go
+++ b/internal/daemon/resume.go
@@ -2,105 +2,50 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net/http"
-	"strings"
+	"time"
 
-	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
-	"github.com/tarragonmill/tarragonmill/internal/attempt"
-	"github.com/tarragonmill/tarragonmill/internal/caller"
 	"github.com/tarragonmill/tarragonmill/internal/core"
-	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 )
 
-// maxResumes bounds how often one download is resumed.
-const maxResumes = 3
+// resumeGap is the time that a process has to stand still for its beliefs to count as old.
+const resumeGap = 300 * time.Millisecond
 
-// resumableBody continues a broken download at another server. The bytes before the break were passed
-// on, so the rest has to come from the same representation, which a strong validator identifies.
-type resumableBody struct {
-	daemon     *Daemon
-	ctx        context.Context
-	submission caller.Submission
-	body       io.ReadCloser
-	validator  string
-	size       int64
-	offset     int64
-	resumes    int
-}
+// watchResume finds out when the machine was suspended. The monotonic clock stands still meanwhile, so no
+// timeout tells.
+func (d *Daemon) watchResume(ctx context.Context) error {
+	last := suspended()
 
-// resumable wraps the body of a large response that can be resumed; any other response is returned as
-// it is.
-func (d *Daemon) resumable(ctx context.Context, submission caller.Submission, response *attempt.Response) *attempt.Response {
-	validator := response.Header.Get("Etag")
-	strong := validator != "" && !strings.HasPrefix(validator, "W/")
+	for ctx.Err() == nil {
+		sleep(ctx, resumeInterval)
 
-	if _, whole := response.Body.(*wholeBody); whole || !strong || !submission.Request.Idempotent() ||
-		submission.Method != http.MethodGet || response.Reply.Status != http.StatusOK || response.Reply.Size < 0 {
-		return response
-	}
+		current := suspended()
+		if current-last > resumeGap {
+			d.log.Warn(eventlog.Resumed).Float64("gap_ms", milliseconds(current-last)).Send()
+			d.apply(core.Resumed{})
 
-	response.Body = &resumableBody{
-		daemon: d, ctx: ctx, submission: submission, body: response.Body,
-		validator: validator, size: response.Reply.Size,
-	}
-
-	return response
-}
+			select {
+			case d.reread <- struct{}{}:
+			default:
+			}
+		}
 
-// Read implements io.Reader.
-func (b *resumableBody) Read(data []byte) (int, error) {
-	n, err := b.body.Read(data)
-	b.offset += int64(n)
-
-	if err == nil || errors.Is(err, io.EOF) {
-		return n, err
-	}
-
-	if resumeErr := b.resume(); resumeErr != nil {
-		return n, errors.CombineErrors(err, resumeErr)
+		last = current
 	}
 
-	return n, nil
+	return nil
 }
 
-// Close implements io.Closer.
-func (b *resumableBody) Close() error { return errors.Wrap(b.body.Close(), "close download") }
+// suspended is the time for which the machine was suspended since its start.
+func suspended() time.Duration {
+	var boot, monotonic unix.Timespec
 
-// resume asks for the rest and checks that it is the rest of the same representation.
-func (b *resumableBody) resume() error {
-	if b.resumes >= maxResumes || b.offset >= b.size {
-		return errors.Newf("download is not resumed at %d of %d bytes", b.offset, b.size)
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil ||
+		unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil {
+		return 0
 	}
 
-	b.resumes++
-	_ = b.body.Close()
-
-	header := b.submission.Header.Clone()
-	header.Set("Range", fmt.Sprintf("bytes=%d-", b.offset))
-	header.Set("If-Match", b.validator)
-
-	rest := b.submission
-	rest.Header = header
-	rest.Request.ID = request.NewID()
-
-	result := b.daemon.submit(b.ctx, rest, core.RequestArrived{Request: rest.Request})
-	if result.Response == nil {
-		return errors.Newf("download is not resumed: %s", string(result.Refusal.Reason))
-	}
-
-	b.body = result.Response.Body
-	b.daemon.resumes.Add(1)
-
-	expected := fmt.Sprintf("bytes %d-%d/%d", b.offset, b.size-1, b.size)
-	if result.Response.Reply.Status != http.StatusPartialContent ||
-		result.Response.Header.Get("Content-Range") != expected ||
-		result.Response.Header.Get("Etag") != b.validator {
-		return errors.Newf("server answered %d with range %q", result.Response.Reply.Status,
-			result.Response.Header.Get("Content-Range"))
-	}
-
-	return nil
+	return time.Duration(boot.Nano() - monotonic.Nano())
 }
--- /dev/null
+++ b/internal/daemon/resume_download.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/caller"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+)
+
+// maxResumes bounds how often one download is resumed.
+const maxResumes = 3
+
+// resumableBody continues a broken download at another server. The bytes before the break were passed
+// on, so the rest has to come from the same representation, which a strong validator identifies.
+type resumableBody struct {
+	daemon     *Daemon
+	ctx        context.Context
+	submission caller.Submission
+	body       io.ReadCloser
+	validator  string
+	size       int64
+	offset     int64
+	resumes    int
+}
+
+// makeResumable wraps the body of a large response that can be resumed; any other is left as it is.
+func (d *Daemon) makeResumable(ctx context.Context, submission caller.Submission, response *caller.Response) {
+	validator := response.Header.Get("Etag")
+	strong := validator != "" && !strings.HasPrefix(validator, "W/")
+
+	if _, whole := response.Body.(*wholeBody); whole || !strong || !submission.Request.Idempotent() ||
+		submission.Method != http.MethodGet || response.Status != http.StatusOK || response.Length < 0 {
+		return
+	}
+
+	response.Body = &resumableBody{
+		daemon: d, ctx: ctx, submission: submission, body: response.Body, validator: validator, size: response.Length,
+	}
+}
+
+// Read implements io.Reader.
+func (b *resumableBody) Read(data []byte) (int, error) {
+	n, err := b.body.Read(data)
+	b.offset += int64(n)
+
+	if err == nil || errors.Is(err, io.EOF) {
+		return n, err
+	}
+
+	if resumeErr := b.resume(); resumeErr != nil {
+		return n, errors.CombineErrors(err, resumeErr)
+	}
+
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *resumableBody) Close() error { return errors.Wrap(b.body.Close(), "close download") }
+
+// resume asks for the rest and checks that it is the rest of the same representation.
+func (b *resumableBody) resume() error {
+	if b.resumes >= maxResumes || b.offset >= b.size {
+		return errors.Newf("download is not resumed at %d of %d bytes", b.offset, b.size)
+	}
+
+	b.resumes++
+	_ = b.body.Close()
+
+	header := b.submission.Header.Clone()
+	header.Set("Range", fmt.Sprintf("bytes=%d-", b.offset))
+	header.Set("If-Match", b.validator)
+
+	rest := b.submission
+	rest.Header = header
+	rest.Request.ID = request.NewID()
+
+	result := b.daemon.submit(b.ctx, rest, false)
+	if result.Response == nil {
+		return errors.Newf("download is not resumed: %s", string(result.Refusal.Reason))
+	}
+
+	b.body = result.Response.Body
+	b.daemon.resumes.Add(1)
+
+	expected := fmt.Sprintf("bytes %d-%d/%d", b.offset, b.size-1, b.size)
+	if result.Response.Status != http.StatusPartialContent ||
+		result.Response.Header.Get("Content-Range") != expected ||
+		result.Response.Header.Get("Etag") != b.validator {
+		return errors.Newf("server answered %d with range %q", result.Response.Status,
+			result.Response.Header.Get("Content-Range"))
+	}
+
+	return nil
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -1,58 +1,53 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/attempt"
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/core"
-	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/request"
-	"github.com/tarragonmill/tarragonmill/internal/spool"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
+// Reasons for refusing an attempt that arise here.
 const (
-	// spoolSize bounds what is read ahead of a slow caller while the slot is held, in bytes.
-	spoolSize = 1 << 20
-
-	serverBroke = "server-broke"
-	bodyBroke   = "body-broke"
-	timedOut    = "deadline"
+	serverBroke  = "server-broke"
+	serverShed   = "server-refused"
+	notCommitted = "not-committed"
+	duplicate    = "duplicate-attempt"
+	withdrawn    = "withdrawn"
+	timedOut     = "deadline"
+	misdirected  = "misdirected"
 )
 
 // job is an attempt at the local backend server.
 type job struct {
-	// decided receives admission's decision. It has room for it, so that sending never blocks.
-	decided chan decision
-	cancel  context.CancelFunc
+	// decisions receives admission's decisions. It has room for all, so that sending never blocks.
+	decisions chan decision
+	cancel    context.CancelFunc
 }
 
 type decision struct {
-	start   bool
-	refusal admission.Refuse
+	queued, start bool
+	refusal       admission.Refuse
 }
 
 // decide passes admission's decision to the attempt. The mutex is held.
-func (d *Daemon) decide(attempt admission.Attempt, decided decision) {
-	if j, ok := d.jobs[attempt]; ok {
-		j.decided <- decided
+func (d *Daemon) decide(id admission.Attempt, decided decision) {
+	if j, ok := d.jobs[id]; ok {
+		j.decisions <- decided
 	}
 }
 
-// hint returns the present load.
-func (d *Daemon) hint() load.Hint {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-
-	return d.state.Hint(d.now())
-}
-
 // Parent implements caller.Parents.
 func (d *Daemon) Parent(call string) (request.Request, bool) {
 	if call == "" {
@@ -65,41 +60,114 @@
 	return d.state.Parent(call)
 }
 
-// serveAttempt runs a call of another daemon at the local backend server, or refuses it.
-func (d *Daemon) serveAttempt(in *attempt.Incoming) {
-	id := admission.Attempt{ID: in.Call.Request.ID, Number: in.Call.Number}
-	r := in.Call.Request
-	r.Deadline = d.now().Add(in.Call.Timeout)
+// local is a call of this daemon's own callers.
+type local struct {
+	progress attempt.Progress
+	body     []byte
+}
 
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(in.Call.Timeout))
-	defer cancel()
+func (l local) Queued() error {
+	l.progress(false)
 
-	j := &job{decided: make(chan decision, 1), cancel: cancel}
-	if !d.enter(id, j, core.AttemptArrived{Request: r, Number: in.Call.Number, NoWait: in.Call.NoWait}) {
-		in.Respond(attempt.Reply{Verdict: verdict.MayHaveRun, Reason: "duplicate attempt"}, nil, nil)
+	return nil
+}
 
-		return
+func (l local) Running() error {
+	if !l.progress(true) {
+		return attempt.ErrWithdrawn
 	}
 
-	defer d.leave(id)
+	return nil
+}
+
+func (l local) Body() ([]byte, error) { return l.body, nil }
+
+// serveLocal runs a call of this daemon's own callers.
+func (d *Daemon) serveLocal(ctx context.Context, call attempt.Call, progress attempt.Progress) *attempt.Response {
+	answer := d.serveRemote(ctx, call, local{progress: progress, body: call.Body})
+	response := &attempt.Response{
+		Reply: answer.Reply, Header: answer.Header, Body: answer.Body, Length: answer.Length,
+	}
+
+	if response.Body == nil {
+		response.Body = http.NoBody
+	}
 
-	stop := context.AfterFunc(in.Context(), func() { d.apply(admission.Cancelled{Attempt: id}) })
-	defer stop()
+	return response
+}
 
-	select {
-	case decided := <-j.decided:
-		if !decided.start {
-			d.respondRefused(in, string(decided.refusal.Reason), decided.refusal.Hint)
+// serveRemote runs a call at the local backend server, or refuses it.
+func (d *Daemon) serveRemote(ctx context.Context, call attempt.Call, in attempt.Incoming) attempt.Answer {
+	if call.To != d.options.Self.ID || call.Request.Service != d.options.Self.Service {
+		return d.refusal(call, verdict.NotRun, misdirected)
+	}
+
+	if leaving := d.drain.Load(); leaving != nil && !leaving.takes(call.Timeout) {
+		return d.refusal(call, verdict.NotRun, string(admission.IsDraining))
+	}
 
-			return
+	id := admission.Attempt{Entry: string(call.From), ID: call.Request.ID, Number: call.Number}
+	call.Request.Deadline = d.now().Add(call.Timeout)
+
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer func() {
+		if ctx.Err() != nil {
+			cancel()
 		}
-	case <-in.Context().Done():
-		if !d.startedAnyway(id, j) {
-			return
+	}()
+
+	j := &job{decisions: make(chan decision, 2), cancel: cancel}
+	if !d.enter(id, j, core.AttemptArrived{Attempt: id, Request: call.Request, Repeat: call.Repeat, Wait: call.Wait, Slowest: call.Slowest}) {
+		return d.refusal(call, verdict.MayHaveRun, duplicate)
+	}
+
+	defer d.leave(id)
+
+	arrived := time.Now()
+
+	if reason, started := d.await(ctx, id, j, in); !started {
+		return d.refusal(call, verdict.NotRun, reason)
+	}
+
+	d.metrics.queueTime.RecordDuration(time.Since(arrived))
+
+	return d.execute(ctx, cancel, call, id, in)
+}
+
+// await waits for a slot.
+func (d *Daemon) await(ctx context.Context, id admission.Attempt, j *job, in attempt.Incoming) (string, bool) {
+	for {
+		select {
+		case decided := <-j.decisions:
+			switch {
+			case decided.start:
+				return "", true
+			case decided.queued:
+				// If the entry daemon is gone, its context ends.
+				_ = in.Queued()
+			default:
+				return string(decided.refusal.Reason), false
+			}
+		case <-ctx.Done():
+			return withdrawn, d.startedAnyway(id, j)
 		}
 	}
+}
+
+// startedAnyway cancels an attempt whose entry has gone away and reports whether it holds a slot.
+func (d *Daemon) startedAnyway(id admission.Attempt, j *job) bool {
+	d.apply(admission.Cancelled{Attempt: id})
 
-	d.execute(ctx, in, id)
+	for {
+		select {
+		case decided := <-j.decisions:
+			if decided.start {
+				return true
+			}
+		default:
+			return false
+		}
+	}
 }
 
 // enter registers an attempt. It is false if the same attempt is in progress.
@@ -124,149 +192,195 @@
 	delete(d.jobs, id)
 }
 
-// startedAnyway cancels an attempt whose entry has gone away and reports whether it holds a slot.
-func (d *Daemon) startedAnyway(id admission.Attempt, j *job) bool {
-	d.apply(admission.Cancelled{Attempt: id})
+// reply fills in what each reply holds.
+func (d *Daemon) reply(call attempt.Call, reply attempt.Reply) attempt.Reply {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	reply.ID, reply.Number = call.Request.ID, call.Number
+	reply.Report = d.state.ReplyReport(d.now(), call.From)
 
-	select {
-	case decided := <-j.decided:
-		return decided.start
+	return reply
+}
+
+func (d *Daemon) refusal(call attempt.Call, judged verdict.Verdict, reason string) attempt.Answer {
+	d.mutex.Lock()
+	state := d.state.Admission()
+	d.mutex.Unlock()
+
+	d.logTurned(call, reason, state)
+
+	return attempt.Answer{Reply: d.reply(call, attempt.Reply{
+		Verdict: judged, Reason: reason, Unusable: isClosed(reason),
+	})}
+}
+
+func isClosed(reason string) bool {
+	if reason == misdirected {
+		return true
+	}
+
+	switch admission.Reason(reason) {
+	case admission.IsDraining, admission.ServerDown, admission.ServerUnknown:
+		return true
 	default:
 		return false
 	}
 }
 
-func (d *Daemon) respondRefused(in *attempt.Incoming, reason string, hint load.Hint) {
-	in.Respond(attempt.Reply{
-		Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: reason, Hint: hint, Server: d.settings.ID,
-	}, nil, nil)
-}
+// execute holds a slot. The slot is free again when AttemptServed is applied, exactly once.
+func (d *Daemon) execute(
+	ctx context.Context, cancel context.CancelFunc, call attempt.Call, id admission.Attempt, in attempt.Incoming,
+) attempt.Answer {
+	// The body is complete before the server is contacted, so that a call that breaks off has not run.
+	err := in.Running()
+	if err == nil {
+		call.Body, err = in.Body()
+	}
+
+	if err != nil || ctx.Err() != nil {
+		d.apply(core.AttemptServed{Attempt: id})
+		cancel()
+
+		return d.refusal(call, verdict.NotRun, notCommitted)
+	}
 
-// execute holds a slot. The slot is free again when Done is applied, exactly once.
-func (d *Daemon) execute(ctx context.Context, in *attempt.Incoming, id admission.Attempt) {
 	begun := time.Now()
 
-	// The body is read whole before the server is contacted, so that a call that breaks off has not run.
-	if err := in.ReadBody(); err != nil {
-		d.done(id, begun, false)
-		d.respondRefused(in, bodyBroke, d.hint())
+	response, err := d.backend.Do(ctx, d.backendCall(call, id))
+	if err != nil {
+		return d.failed(ctx, cancel, call, id, begun, err)
+	}
+
+	d.takeLoad(response)
 
-		return
+	if response.NotRun {
+		return d.shed(cancel, call, id, response)
 	}
 
-	response, err := d.backend.Do(ctx, backend.Exchange{
-		Call:   core.CallToken(id),
-		Method: in.Call.Method,
-		Target: in.Call.Target,
-		Host:   in.Call.Host,
-		Header: in.Call.Header,
-		Body:   in.Call.Body,
-	})
+	body, length, err := readWhole(response.Body, response.Length)
 	if err != nil {
-		d.respondFailed(ctx, in, id, begun, err)
+		broken := verdict.WithError(verdict.MayHaveRun, errors.Wrap(err, "response broke off"))
 
-		return
+		return d.failed(ctx, cancel, call, id, begun, broken)
 	}
 
-	defer func() { _ = response.Body.Close() }()
+	d.logServed(call, response, begun)
 
-	if backend.Refused(response) {
-		d.done(id, begun, false)
-		d.respondRefused(in, "server-refused", d.hint())
+	// A response that is larger than what is read at once holds the slot only that long.
+	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: isFailure(response.Status)})
 
-		return
+	return attempt.Answer{
+		Reply:  d.reply(call, attempt.Reply{Verdict: verdict.Answered, Status: response.Status}),
+		Header: response.Header, Body: body, Length: length,
 	}
-
-	d.passOn(ctx, in, id, begun, response)
 }
 
-func (d *Daemon) done(id admission.Attempt, begun time.Time, failed bool) {
-	d.apply(admission.Done{Attempt: id, Elapsed: time.Since(begun), Failed: failed})
-}
+// backendCall describes a call to the backend server.
+func (d *Daemon) backendCall(call attempt.Call, id admission.Attempt) backend.Call {
+	names := d.platform.Dialect
+	header := call.Header.Clone()
 
-// respondFailed answers an attempt that got no response. If the server broke the connection, it may
-// have crashed; what was in flight is then suspect.
-func (d *Daemon) respondFailed(ctx context.Context, in *attempt.Incoming, id admission.Attempt, begun time.Time, err error) {
-	judged := verdict.Of(err)
+	if header == nil {
+		header = http.Header{}
+	}
 
-	reply := attempt.Reply{Verdict: judged, Delivery: judged, Reason: serverBroke, Server: d.settings.ID}
+	d.mutex.Lock()
+	server := d.state.Server()
+	d.mutex.Unlock()
 
-	switch {
-	case ctx.Err() != nil:
-		reply.Reason = timedOut
-	case judged == verdict.NotRun:
-		// Nothing listens at the server's address.
-		d.mutex.Lock()
-		d.serverChanged(false)
-		d.mutex.Unlock()
-	default:
-		reply.Crash = d.reportCrash(ctx, id)
+	names.SetTimeout(header, call.Request.Deadline.Sub(d.now()))
+	dialect.Set(header, names.Origin, call.Request.Origin)
+	dialect.Set(header, names.Call, core.CallToken(id))
+
+	if server != "" {
+		dialect.Set(header, names.Expected, string(server))
 	}
 
-	d.done(id, begun, true)
-	reply.Hint = d.hint()
-	in.Respond(reply, nil, nil)
+	return backend.Call{
+		Request: http1.Request{
+			Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body,
+			Bare: isBare(call.Method),
+		},
+		Attempt: names.AttemptOf(header),
+		Once:    !call.Request.Idempotent(),
+	}
 }
 
-// reportCrash finds out whether the server is down, makes what was in flight suspect and returns the
-// identifier of the crash.
-func (d *Daemon) reportCrash(ctx context.Context, id admission.Attempt) string {
-	up := d.backend.Reachable(ctx)
-
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+// isBare reports whether a request without a body states no length.
+func isBare(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodDelete ||
+		method == http.MethodOptions
+}
 
-	if up {
-		// The server only broke this connection.
-		d.applyLocked(core.ServerCrashed{Only: id})
-	} else {
-		d.applyLocked(core.ServerCrashed{})
-		d.serverChanged(false)
+// takeLoad takes the load that a response carried.
+func (d *Daemon) takeLoad(response *backend.Response) {
+	if response.Loaded {
+		d.apply(health.Observed{Load: response.Load})
 	}
-
-	return d.state.Crash(id)
 }
 
-// passOn sends the server's response to the entry. A small response is read first; a large one passes
-// through a bounded spool, so that a slow caller does not hold the slot for longer than needed.
-func (d *Daemon) passOn(
-	ctx context.Context, in *attempt.Incoming, id admission.Attempt, begun time.Time, response *http.Response,
-) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxWhole+1))
-	if err != nil {
-		d.respondFailed(ctx, in, id, begun, err)
+// shed treats a response that says that the server did not run the request.
+func (d *Daemon) shed(
+	cancel context.CancelFunc, call attempt.Call, id admission.Attempt, response *backend.Response,
+) attempt.Answer {
+	// Whether the body of a refusal is whole matters only to the connection.
+	_, _, _ = readWhole(response.Body, response.Length)
 
-		return
-	}
+	cancel()
+
+	d.logServerRefused(call, response)
 
-	failed := response.StatusCode >= http.StatusInternalServerError
-	reply := attempt.Reply{
-		Verdict: verdict.Answered, Status: response.StatusCode, Size: response.ContentLength, Server: d.settings.ID,
+	if response.Status == http.StatusMisdirectedRequest {
+		d.apply(health.Misdirected{ID: response.Instance})
 	}
 
-	if len(data) <= maxWhole {
-		d.done(id, begun, failed)
-		reply.Hint = d.hint()
-		in.Respond(reply, response.Header, bytes.NewReader(data))
+	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: true})
 
-		return
+	return d.refusal(call, verdict.NotRun, serverShed)
+}
+
+// failed answers an attempt that got no response. If the server broke the connection, it may
+// have crashed; what was in flight is then suspect.
+func (d *Daemon) failed(
+	ctx context.Context, cancel context.CancelFunc, call attempt.Call, id admission.Attempt, begun time.Time, err error,
+) attempt.Answer {
+	judged := verdict.Of(err)
+	reply := attempt.Reply{Verdict: judged, Reason: serverBroke}
+	gone := ctx.Err() != nil
+
+	switch {
+	case gone:
+		reply.Reason = timedOut
+	case errors.Is(err, backend.ErrUnreachable):
+		reply.Unusable = true
+
+		d.apply(health.Refused{})
+	default:
+		reply.Crash = d.reportCrash(ctx, id)
 	}
 
-	buffer := spool.New(spoolSize)
-	filled := buffer.Fill(ctx, response.Body)
-	finished := make(chan struct{})
+	d.logServeFailed(call, reply, begun, err)
+	d.apply(core.AttemptServed{Attempt: id, Ran: !gone && judged != verdict.NotRun, Failed: true})
+	cancel()
 
-	go func() {
-		defer close(finished)
+	return attempt.Answer{Reply: d.reply(call, reply)}
+}
 
-		broken := <-filled
-		d.done(id, begun, failed || broken != nil)
-	}()
+// reportCrash finds out whether the server is down. If it is, what was in flight becomes suspect, and the
+// identifier of the crash is returned.
+func (d *Daemon) reportCrash(ctx context.Context, id admission.Attempt) string {
+	// A deadline that passes during the check would look like a crash.
+	if d.backend.Reachable(context.WithoutCancel(ctx)) {
+		// The server has only broken this connection.
+		return ""
+	}
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 
-	defer func() { <-finished }()
-	defer func() { _ = response.Body.Close() }()
-	defer func() { _ = buffer.Close() }()
+	d.applyLocked(core.ServerCrashed{})
+	d.applyLocked(health.Refused{})
 
-	reply.Hint = d.hint()
-	in.Respond(reply, response.Header, io.MultiReader(bytes.NewReader(data), buffer))
+	return d.state.Crash(id)
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -16,8 +16,8 @@
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/daemon"
 	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
-	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
@@ -42,7 +42,7 @@
 
 // Run runs a demo and writes a report. Log lines of the daemons go to the logger.
 func Run(ctx context.Context, options Options, out io.Writer, logger zerolog.Logger) error {
-	say(out, 0, "starting 11 backend servers with their daemons and a log service on loopback")
+	say(out, 0, "starting 11 backend servers with their daemons and a store on loopback")
 
 	probes := new(atomic.Uint64)
 
@@ -52,13 +52,11 @@
 		return err
 	}
 
-	r, err := runFleet(ctx, f, options, out)
+	r, err := runFleet(ctx, f, options, probes, out)
 	if err = errors.CombineErrors(err, f.Stop()); err != nil {
 		return err
 	}
 
-	r.probes = probes.Load()
-
 	return r.write(out, f.Executions())
 }
 
@@ -66,14 +64,16 @@
 func countProbes(probes *atomic.Uint64) daemon.Observer {
 	return func(_ time.Time, _ core.Event, effects []core.Effect) {
 		for _, effect := range effects {
-			if _, ok := effect.(routing.Probe); ok {
+			if _, ok := effect.(health.Probe); ok {
 				probes.Add(1)
 			}
 		}
 	}
 }
 
-func runFleet(ctx context.Context, f *fleet.Fleet, options Options, out io.Writer) (*report, error) {
+func runFleet(
+	ctx context.Context, f *fleet.Fleet, options Options, probes *atomic.Uint64, out io.Writer,
+) (*report, error) {
 	publishing, cancel := context.WithTimeout(ctx, publishTime)
 	defer cancel()
 
@@ -101,6 +101,8 @@
 	err = <-incidents
 	r := c.report
 	r.elapsed, r.active = time.Since(begun), time.Since(published)
+	// Daemons go on to probe while they stop, beyond the time that the budget is compared with.
+	r.probes = probes.Load()
 	r.measure(f)
 	group.Stop()
 	c.close()
--- a/internal/demo/incidents.go
+++ b/internal/demo/incidents.go
@@ -9,7 +9,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/fleet"
 	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
-	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
+	"github.com/tarragonmill/tarragonmill/internal/standin/store"
 )
 
 // slowFactor is how much longer a slow server works.
@@ -31,9 +31,9 @@
 			return nil
 		}
 	}
-	outage := func(kind logstore.Outage) func(context.Context, *fleet.Fleet) error {
+	outage := func(kind store.Outage) func(context.Context, *fleet.Fleet) error {
 		return func(_ context.Context, f *fleet.Fleet) error {
-			f.Log.SetFaults(logstore.Faults{Outage: kind})
+			f.Store.Set(store.Faults{Down: kind})
 
 			return nil
 		}
@@ -47,16 +47,16 @@
 
 			return nil
 		}},
-		{0.4, "stockdesk-2 is started again", func(ctx context.Context, f *fleet.Fleet) error {
-			return f.RestartServer(ctx, f.Instances[1])
+		{0.4, "stockdesk-2 is started again", func(_ context.Context, f *fleet.Fleet) error {
+			return f.RestartServer(f.Instances[1])
 		}},
-		{0.45, "the daemon of stockdesk-3 is restarted in order", func(ctx context.Context, f *fleet.Fleet) error {
-			return f.Restart(ctx, f.Instances[2])
+		{0.45, "the daemon of stockdesk-3 is restarted in order", func(_ context.Context, f *fleet.Fleet) error {
+			return f.Restart(f.Instances[2])
 		}},
 		{0.6, "routehall-1 fails every request at once", behave(7, backend.Behaviour{Service: serviceTime, Failing: true})},
 		{0.7, "routehall-1 is well again", behave(7, backend.Behaviour{Service: serviceTime})},
-		{0.75, "the log service is down", outage(logstore.Refuse)},
-		{0.9, "the log service is back", outage(logstore.None)},
+		{0.75, "the store is down", outage(store.Reset)},
+		{0.9, "the store is back", outage(store.Up)},
 	}
 }
 
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -30,12 +30,20 @@
 	Origin string
 	// Call identifies a request in progress, for the nested calls of a backend server.
 	Call string
+	// State says with the value Draining that a backend server is about to leave.
+	State string
 	// NotRunValue is the value that NotRun has to have; empty for any value.
 	NotRunValue string
 	// FractionalRetry is set if Retry-After may have decimals.
 	FractionalRetry bool
 }
 
+// Draining is the value of the field State of a backend server that is about to leave.
+const Draining = "draining"
+
+// IsDraining reports whether a backend server says that it is about to leave.
+func (d Dialect) IsDraining(header http.Header) bool { return d.value(header, d.State) == Draining }
+
 // Default returns the project's own names.
 func Default() Dialect {
 	return Dialect{
@@ -43,6 +51,7 @@
 		Call:        "Tarragonmill-Call",
 		NotRun:      "Tarragonmill-Verdict",
 		NotRunValue: "not-run",
+		State:       "Tarragonmill-State",
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,5 +1,5 @@
-// Package fleet runs a log service stand-in, backend server stand-ins and their daemons in one process
-// over loopback sockets, for the demo, measurements and tests. It does not simulate a network.
+// Package fleet runs a store stand-in, backend server stand-ins and their daemons in one process over loopback
+// sockets, for the demo, measurements and tests. It does not simulate a network.
 package fleet
 
 import (
@@ -14,26 +14,29 @@
 	"github.com/rs/zerolog"
 
 	"github.com/tarragonmill/tarragonmill/internal/config"
-	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/daemon"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
-	"github.com/tarragonmill/tarragonmill/internal/logservice"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
 	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
-	"github.com/tarragonmill/tarragonmill/internal/standin/logstore"
+	"github.com/tarragonmill/tarragonmill/internal/standin/store"
+	"github.com/tarragonmill/tarragonmill/platform"
 )
 
-// fleetKey authenticates the daemons of one fleet to each other.
-const fleetKey = "loopback-fleet-key"
-
-// maxSeeds is the number of peers that a daemon is given to start from.
-const maxSeeds = 3
-
-// startTimeout bounds the time until all daemons know each other.
-const startTimeout = 30 * time.Second
-
-// pollInterval is the period at which conditions are checked.
-const pollInterval = 10 * time.Millisecond
+const (
+	// fleetKey authenticates the daemons of one fleet to each other.
+	fleetKey = "loopback-fleet-key"
+	// startTimeout bounds the time until all daemons know each other.
+	startTimeout = 30 * time.Second
+	// pollInterval is the period at which conditions are checked.
+	pollInterval = 10 * time.Millisecond
+	// publishTimeout bounds a publish.
+	publishTimeout = 10 * time.Second
+	// announceInterval is the time between two announcements of a backend server.
+	announceInterval = 200 * time.Millisecond
+	// grace is the time from the order to stop until a daemon cuts requests off.
+	grace = 10 * time.Second
+)
 
 // Node describes one backend server with its daemon.
 type Node struct {
@@ -41,42 +44,28 @@
 	Service string
 	Place   instance.Place
 	Slots   int
-	Queue   int
+	// Backlog is the number of requests that may wait for each slot.
+	Backlog int
 	// Behaviour of the backend server at the start.
 	Behaviour backend.Behaviour
 	// Trace records the events of the daemon.
 	Trace settings.Trace
 }
 
-// Instance is a running backend server with its daemon.
-type Instance struct {
-	Node     Node
-	Settings settings.Settings
-	Server   *backend.Server
-	Daemon   *daemon.Daemon
-
-	stopDaemon context.CancelFunc
-	daemonDone chan error
-	stopServer context.CancelFunc
-	serverDone chan error
-}
-
-// Caller returns the base URL at which the daemon takes requests.
-func (i *Instance) Caller() string { return "http://" + i.Settings.Listen.Caller.String() }
-
 // Fleet is a running fleet.
 type Fleet struct {
-	Log       *logstore.Store
-	LogURL    string
+	Store     *store.Store
+	Address   netip.AddrPort
 	Instances []*Instance
 
-	// seeds are the peers that every daemon is given to start from.
-	seeds   []netip.AddrPort
+	// names are the header fields of callers and backend servers.
+	names   string
 	logger  zerolog.Logger
 	observe func(instance.ID) daemon.Observer
+	client  *platform.Store
 	ctx     context.Context
 	cancel  context.CancelFunc
-	logDone chan error
+	done    chan error
 	// retired are instances that Replace has put out of the list.
 	retired []*Instance
 }
@@ -87,51 +76,65 @@
 // WithLogger sets the logger of all daemons.
 func WithLogger(logger zerolog.Logger) Option { return func(f *Fleet) { f.logger = logger } }
 
+// WithPlatform makes callers and backend servers speak the header fields of the users' platform, and backend
+// servers announce themselves.
+func WithPlatform() Option { return func(f *Fleet) { f.names = settings.PlatformFields } }
+
 // WithObserver observes the reducer of each daemon.
 func WithObserver(observe func(instance.ID) daemon.Observer) Option {
 	return func(f *Fleet) { f.observe = observe }
 }
 
-// Start starts a log service and an instance for each node.
+// Start starts a store and an instance for each node, and waits until all daemons know each other.
 func Start(ctx context.Context, nodes []Node, options ...Option) (*Fleet, error) {
-	f := &Fleet{Log: logstore.New(), logger: zerolog.Nop(), logDone: make(chan error, 1)}
+	f := &Fleet{Store: store.New(), names: settings.OwnFields, logger: zerolog.Nop(), done: make(chan error, 1)}
 	f.ctx, f.cancel = context.WithCancel(ctx)
 
 	for _, option := range options {
 		option(f)
 	}
 
-	listener, err := listen(ctx)
+	listener, err := listen(ctx, netip.AddrPort{})
 	if err != nil {
 		return nil, err
 	}
 
-	f.LogURL = "http://" + listener.Addr().String()
+	f.Address = addressOf(listener)
+	f.client = platform.NewStore(f.Address)
 
-	go func() { f.logDone <- f.Log.Serve(f.ctx, listener) }()
+	go func() { f.done <- f.Store.Serve(f.ctx, listener) }()
 
-	sockets := make([]sockets, len(nodes))
-	for n := range nodes {
-		if sockets[n], err = openSockets(ctx); err != nil {
+	for _, node := range nodes {
+		if err := f.Add(node); err != nil {
 			return nil, errors.CombineErrors(err, f.Stop())
 		}
-
-		if n < maxSeeds {
-			f.seeds = append(f.seeds, address(sockets[n].peer))
-		}
 	}
 
-	for n, node := range nodes {
-		if err := f.add(node, sockets[n]); err != nil {
-			return nil, errors.CombineErrors(err, f.Stop())
-		}
+	return f, f.WaitComplete(ctx)
+}
+
+// dialect returns the header fields of callers and backend servers.
+func (f *Fleet) dialect() dialect.Dialect {
+	if f.names == settings.PlatformFields {
+		return platform.Dialect()
 	}
 
-	return f, f.waitComplete(ctx)
+	return dialect.Default()
 }
 
-// waitComplete waits until every daemon knows all others.
-func (f *Fleet) waitComplete(ctx context.Context) error {
+// platform returns what daemons run on.
+func (f *Fleet) platform(client *platform.Store) daemon.Platform {
+	p := daemon.Own(client.Topic(platform.MembersTopic), client.Topic(platform.ManifestTopic),
+		client.Topic(platform.GrantsTopic), client.Topic(platform.BasesTopic))
+	p.Dialect = f.dialect()
+	p.Announced = func(to daemon.Announcements) http.Handler { return platform.AnnouncementHandler(to) }
+	p.StoreCounts = func() daemon.StoreCounts { return daemon.StoreCounts(client.Counts()) }
+
+	return p
+}
+
+// WaitComplete waits until every daemon knows all others.
+func (f *Fleet) WaitComplete(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 
@@ -146,152 +149,60 @@
 	})
 }
 
-func listen(ctx context.Context) (net.Listener, error) {
-	var config net.ListenConfig
-
-	listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
-
-	return listener, errors.Wrap(err, "open loopback socket")
-}
-
-func address(listener net.Listener) netip.AddrPort {
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
-// sockets of one instance.
-type sockets struct{ caller, peer, server net.Listener }
-
-func openSockets(ctx context.Context) (sockets, error) {
-	var (
-		opened sockets
-		err    error
-	)
+// Wait waits until a condition holds.
+func (f *Fleet) Wait(ctx context.Context, holds func() bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
 
-	for _, socket := range []*net.Listener{&opened.caller, &opened.peer, &opened.server} {
-		if *socket, err = listen(ctx); err != nil {
-			return opened, err
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "condition does not hold")
 		}
 	}
 
-	return opened, nil
-}
-
-// add starts an instance on open sockets.
-func (f *Fleet) add(node Node, opened sockets) error {
-	started := &Instance{Node: node, Server: backend.New(string(node.ID), node.Slots, node.Behaviour)}
-	started.Settings = settings.Settings{
-		ID: node.ID, Service: node.Service, Place: node.Place,
-		Listen:    settings.Listen{Caller: address(opened.caller), Peer: address(opened.peer)},
-		Advertise: address(opened.peer),
-		Backend: settings.Backend{
-			Address: address(opened.server), Slots: node.Slots, Queue: node.Queue, Connections: 200,
-			Health: "/health", Interval: 100 * time.Millisecond,
-		},
-		Log: f.LogURL, Seeds: f.seeds, Key: fleetKey, Trace: node.Trace,
-	}
-	started.serveServer(f.ctx, opened.server)
-
-	if err := f.runDaemon(started, daemon.Listeners{Caller: opened.caller, Peer: opened.peer}); err != nil {
-		return err
-	}
-
-	f.Instances = append(f.Instances, started)
-
 	return nil
 }
 
-func (i *Instance) serveServer(ctx context.Context, listener net.Listener) {
-	ctx, i.stopServer = context.WithCancel(ctx)
-	i.serverDone = make(chan error, 1)
-
-	go func() { i.serverDone <- i.Server.Serve(ctx, listener) }()
-}
+// Publish puts a manifest in force at every daemon.
+func (f *Fleet) Publish(ctx context.Context, text string) (config.Publish, error) {
+	publisher := config.NewPublisher(f.client.Topic(platform.ManifestTopic), publishTimeout)
 
-func (f *Fleet) runDaemon(i *Instance, listeners daemon.Listeners) error {
-	options := []daemon.Option{
-		daemon.WithListeners(listeners),
-		daemon.WithLogger(f.logger.With().Str("instance", string(i.Node.ID)).Logger()),
-	}
-	if f.observe != nil {
-		options = append(options, daemon.WithObserver(f.observe(i.Node.ID)))
-	}
-
-	started, err := daemon.New(i.Settings, options...)
+	result, err := publisher.Publish(ctx, text, nil)
 	if err != nil {
-		return errors.Wrapf(err, "start daemon %s", i.Node.ID)
+		return config.Publish{}, err
 	}
 
-	i.Daemon = started
-	i.daemonDone = make(chan error, 1)
-
-	ctx, cancel := context.WithCancel(f.ctx)
-	i.stopDaemon = cancel
-
-	go func() { i.daemonDone <- started.Run(ctx) }()
-
-	return nil
-}
-
-// Restart stops a daemon in order and starts it again on the same addresses.
-func (f *Fleet) Restart(ctx context.Context, i *Instance) error {
-	i.stopDaemon()
-
-	if err := <-i.daemonDone; err != nil {
-		return errors.Wrapf(err, "stop daemon %s", i.Node.ID)
-	}
-
-	var (
-		config    net.ListenConfig
-		listeners daemon.Listeners
-		err       error
-	)
-
-	if listeners.Caller, err = config.Listen(ctx, "tcp", i.Settings.Listen.Caller.String()); err != nil {
-		return errors.Wrap(err, "reopen caller socket")
-	}
-
-	if listeners.Peer, err = config.Listen(ctx, "tcp", i.Settings.Listen.Peer.String()); err != nil {
-		return errors.Wrap(err, "reopen peer socket")
+	if result.Outcome != config.Accepted {
+		return config.Publish{}, errors.New("publish was not accepted")
 	}
 
-	return f.runDaemon(i, listeners)
-}
-
-// Leave stops an instance in order, daemon first, and takes it off the list.
-func (f *Fleet) Leave(i *Instance) error {
-	i.stopDaemon()
-	err := <-i.daemonDone
-	i.stopServer()
-	f.retired = append(f.retired, i)
-
-	for at, other := range f.Instances {
-		if other == i {
-			f.Instances = append(f.Instances[:at:at], f.Instances[at+1:]...)
+	return result.Publish, f.Wait(ctx, func() bool {
+		for _, i := range f.Instances {
+			if i.Daemon.Version() < result.Publish.Version {
+				return false
+			}
 		}
-	}
 
-	return errors.CombineErrors(err, <-i.serverDone)
+		return true
+	})
 }
 
-// RestartServer starts a crashed backend server again on its address.
-func (f *Fleet) RestartServer(ctx context.Context, i *Instance) error {
-	if err := <-i.serverDone; err != nil {
-		return errors.Wrapf(err, "stop server of %s", i.Node.ID)
-	}
-
-	var config net.ListenConfig
+// Executions returns how often each order ran, over all backend servers.
+func (f *Fleet) Executions() map[string]int {
+	total := make(map[string]int)
 
-	listener, err := config.Listen(ctx, "tcp", i.Settings.Backend.Address.String())
-	if err != nil {
-		return errors.Wrap(err, "reopen server socket")
+	for _, i := range append(f.Instances[:len(f.Instances):len(f.Instances)], f.retired...) {
+		for key, count := range i.Server.Executions() {
+			total[key] += count
+		}
 	}
 
-	i.serveServer(f.ctx, listener)
-
-	return nil
+	return total
 }
 
-// Stop stops all daemons at the same time, then the servers and the log service.
+// Stop ends all daemons in order, then the rest.
 func (f *Fleet) Stop() error {
 	var failed error
 
@@ -300,103 +211,58 @@
 	}
 
 	for _, i := range f.Instances {
-		failed = errors.CombineErrors(failed, <-i.daemonDone)
-	}
-
-	for _, i := range f.Instances {
-		i.stopServer()
-		failed = errors.CombineErrors(failed, <-i.serverDone)
+		failed = errors.CombineErrors(failed, i.waitDaemon())
+		failed = errors.CombineErrors(failed, i.endServer())
 	}
 
 	f.cancel()
+	f.client.Close()
 
-	return errors.CombineErrors(failed, <-f.logDone)
+	return errors.CombineErrors(failed, <-f.done)
 }
 
-// Publish publishes a manifest through the log service and waits until it is in force at every daemon.
-func (f *Fleet) Publish(ctx context.Context, manifest string) (config.Result, error) {
-	client, err := logservice.New(f.LogURL)
-	if err != nil {
-		return config.Result{}, errors.Wrap(err, "create log client")
-	}
-
-	defer client.Close()
-
-	result, err := config.NewPublisher(client, config.WithCheck(core.CheckManifest)).Publish(ctx, manifest)
-	if err != nil {
-		return result, errors.Wrap(err, "publish manifest")
+// listen opens a socket at an address, or at a free port if it is not set.
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	if !address.IsValid() {
+		address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
 	}
 
-	return result, f.Wait(ctx, func() bool {
-		for _, i := range f.Instances {
-			if i.Daemon.Version() < result.Version {
-				return false
-			}
-		}
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address.String())
 
-		return true
-	})
+	return listener, errors.Wrap(err, "listen")
 }
 
-// Wait waits until a condition holds.
-func (f *Fleet) Wait(ctx context.Context, condition func() bool) error {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-
-	for !condition() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return errors.Wrap(ctx.Err(), "wait for fleet")
-		}
-	}
-
-	return nil
+func addressOf(listener net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-// Executions adds up how often each idempotency key ran at the backend servers, also at those that
-// have left.
-func (f *Fleet) Executions() map[string]int {
-	total := make(map[string]int)
-
-	for _, i := range append(append([]*Instance{}, f.Instances...), f.retired...) {
-		for key, count := range i.Server.Executions() {
-			total[key] += count
-		}
-	}
-
-	return total
+// Client returns a client that keeps connections to all daemons.
+func Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
 }
 
-// Association returns the nodes of the Association's fleet: stockdesk with 7 servers and routehall with
-// 4, of 6 slots each, in two regions with two failure domains each.
+// Association returns the nodes of the Association's fleet, whose servers work the given time on a request.
 func Association(service time.Duration) []Node {
-	places := []instance.Place{
-		{Region: "west-lakes", Domain: "Milwaukee"},
-		{Region: "east-lakes", Domain: "Cleveland"},
-		{Region: "west-lakes", Domain: "Grand Rapids"},
-		{Region: "east-lakes", Domain: "Toronto"},
+	domains := []instance.Place{
+		{Region: "west-lakes", Domain: "milwaukee"},
+		{Region: "west-lakes", Domain: "grand-rapids"},
+		{Region: "east-lakes", Domain: "cleveland"},
+		{Region: "east-lakes", Domain: "toronto"},
 	}
 
 	var nodes []Node
 
-	for _, group := range []struct {
-		service string
-		servers int
-	}{{"stockdesk", 7}, {"routehall", 4}} {
-		for n := range group.servers {
+	add := func(service string, count int, work time.Duration) {
+		for n := range count {
 			nodes = append(nodes, Node{
-				ID:      instance.ID(fmt.Sprintf("%s-%d", group.service, n+1)),
-				Service: group.service, Place: places[n%len(places)], Slots: 6, Queue: 12,
-				Behaviour: backend.Behaviour{Service: service},
+				ID: instance.ID(fmt.Sprintf("%s-%d", service, n+1)), Service: service, Place: domains[n%len(domains)],
+				Slots: 6, Backlog: 2, Behaviour: backend.Behaviour{Service: work},
 			})
 		}
 	}
 
-	return nodes
-}
+	add("stockdesk", 7, service)
+	add("routehall", 4, service)
 
-// Client returns an HTTP client for callers of the fleet.
-func Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	return nodes
 }
--- /dev/null
+++ b/internal/fleet/instance.go
@@ -0,0 +1,274 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/daemon"
+	"github.com/tarragonmill/tarragonmill/internal/settings"
+	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
+	"github.com/tarragonmill/tarragonmill/platform"
+)
+
+// Instance is a running backend server with its daemon.
+type Instance struct {
+	Node     Node
+	Settings settings.Settings
+	Server   *backend.Server
+	// Announcer announces the server; nil if it does not announce itself.
+	Announcer *backend.Announcer
+	Daemon    *daemon.Daemon
+
+	store      *platform.Store
+	stopDaemon context.CancelFunc
+	daemonDone chan error
+	stopServer context.CancelFunc
+	serverDone chan error
+	stopBeats  context.CancelFunc
+}
+
+// Caller returns the base URL at which the daemon takes requests.
+func (i *Instance) Caller() string { return "http://" + i.Settings.Listen.Caller.String() }
+
+// Add starts a backend server and its daemon.
+func (f *Fleet) Add(node Node) error {
+	i := &Instance{Node: node}
+
+	if err := f.startServer(i); err != nil {
+		return err
+	}
+
+	f.Instances = append(f.Instances, i)
+
+	return f.startDaemon(i)
+}
+
+// startServer starts a new run of the backend server, at the same address if it had one.
+func (f *Fleet) startServer(i *Instance) error {
+	address := "127.0.0.1:0"
+	if i.Settings.Backend.Address.IsValid() {
+		address = i.Settings.Backend.Address.String()
+	}
+
+	listener, err := new(net.ListenConfig).Listen(f.ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+
+	if i.Server == nil {
+		i.Server = backend.New(string(i.Node.ID)+"-server", i.Node.Slots, i.Node.Behaviour, backend.WithDialect(f.dialect()))
+	}
+
+	i.Settings.Backend.Address = addressOf(listener)
+
+	var ctx context.Context
+
+	ctx, i.stopServer = context.WithCancel(f.ctx)
+	i.serverDone = make(chan error, 1)
+	done := i.serverDone
+
+	go func() { done <- i.Server.Serve(ctx, listener) }()
+
+	return nil
+}
+
+// startDaemon starts a run of the daemon. A later run has the addresses of the first one.
+func (f *Fleet) startDaemon(i *Instance) error {
+	sockets, err := openSockets(f.ctx, i.Settings.Listen)
+	if err != nil {
+		return err
+	}
+
+	if !i.Settings.Advertise.IsValid() {
+		i.Settings = f.settings(i, sockets)
+	}
+
+	i.store = platform.NewStore(f.Address)
+
+	options := []daemon.Option{
+		daemon.WithLogger(f.logger.With().Str("instance", string(i.Node.ID)).Logger()), daemon.WithSockets(sockets),
+	}
+	if f.observe != nil {
+		options = append(options, daemon.WithObserver(f.observe(i.Node.ID)))
+	}
+
+	if i.Daemon, err = daemon.New(i.Settings, f.platform(i.store), options...); err != nil {
+		return err
+	}
+
+	var ctx context.Context
+
+	ctx, i.stopDaemon = context.WithCancel(f.ctx)
+	i.daemonDone = make(chan error, 1)
+	done, run := i.daemonDone, i.Daemon
+
+	go func() { done <- run.Run(ctx) }()
+
+	f.announce(i)
+
+	return nil
+}
+
+// announce lets a server that announces itself begin to do so.
+func (f *Fleet) announce(i *Instance) {
+	if f.names != settings.PlatformFields {
+		return
+	}
+
+	if i.stopBeats != nil {
+		i.stopBeats()
+	}
+
+	born := time.Now()
+	if i.Announcer != nil {
+		born = i.Announcer.Born
+	}
+
+	i.Announcer = i.Server.NewAnnouncer(backend.Announcer{
+		Control: i.Settings.Listen.Announce, Address: i.Settings.Backend.Address, Service: i.Node.Service,
+		Domain: i.Node.Place.Domain, Interval: announceInterval, Born: born,
+	})
+
+	var ctx context.Context
+
+	ctx, i.stopBeats = context.WithCancel(f.ctx)
+	announcer := i.Announcer
+
+	go announcer.Run(ctx)
+}
+
+// openSockets opens the sockets of a daemon, at the given addresses or, where they are not set, at free ports.
+func openSockets(ctx context.Context, at settings.Listen) (daemon.Sockets, error) {
+	var (
+		sockets daemon.Sockets
+		err     error
+	)
+
+	for _, socket := range []struct {
+		listener *net.Listener
+		address  netip.AddrPort
+	}{
+		{&sockets.Caller, at.Caller},
+		{&sockets.Peer, at.Peer},
+		{&sockets.Ready, at.Ready},
+		{&sockets.Announce, at.Announce},
+		{&sockets.Admin, at.Admin},
+	} {
+		if *socket.listener, err = listen(ctx, socket.address); err != nil {
+			return sockets, err
+		}
+	}
+
+	sockets.Beats, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(addressOf(sockets.Peer)))
+
+	return sockets, errors.Wrap(err, "listen for beats")
+}
+
+func (f *Fleet) settings(i *Instance, sockets daemon.Sockets) settings.Settings {
+	chosen := settings.Settings{
+		ID: i.Node.ID, Service: i.Node.Service, Place: i.Node.Place,
+		Listen: settings.Listen{
+			Caller: addressOf(sockets.Caller), Peer: addressOf(sockets.Peer), Ready: addressOf(sockets.Ready),
+			Announce: addressOf(sockets.Announce), Admin: addressOf(sockets.Admin),
+		},
+		Advertise: addressOf(sockets.Peer), Key: fleetKey, Store: f.Address, Trace: i.Node.Trace, Level: "info",
+		Fields: f.names, Repeat: settings.Repeat{Share: 0.2, Slack: 50, Window: 10 * time.Second}, Grace: grace,
+		Backend: settings.Backend{
+			Address: i.Settings.Backend.Address, Slots: i.Node.Slots, Queue: i.Node.Slots * i.Node.Backlog,
+			Backlog: i.Node.Backlog, Connections: 100,
+			Health: "/health", Interval: 100 * time.Millisecond,
+		},
+	}
+
+	if f.names == settings.PlatformFields {
+		chosen.Backend.Slots = 0
+	}
+
+	return chosen
+}
+
+// Peer is the address at which other daemons reach an instance.
+func (i *Instance) Peer() netip.AddrPort { return i.Settings.Advertise }
+
+// waitDaemon returns when the daemon has ended.
+func (i *Instance) waitDaemon() error {
+	err := <-i.daemonDone
+	i.store.Close()
+
+	return errors.Wrapf(err, "daemon %s", i.Node.ID)
+}
+
+func (i *Instance) endServer() error {
+	if i.stopBeats != nil {
+		i.stopBeats()
+	}
+
+	i.stopServer()
+
+	return errors.Wrapf(<-i.serverDone, "server of %s", i.Node.ID)
+}
+
+// Restart ends the daemon of an instance in order and starts it again; the backend server goes on.
+func (f *Fleet) Restart(i *Instance) error {
+	i.stopDaemon()
+
+	if err := i.waitDaemon(); err != nil {
+		return err
+	}
+
+	return f.startDaemon(i)
+}
+
+// RestartServer starts a backend server again after a crash, under its name and address.
+func (f *Fleet) RestartServer(i *Instance) error {
+	if err := <-i.serverDone; err != nil {
+		return err
+	}
+
+	if err := f.startServer(i); err != nil {
+		return err
+	}
+
+	if i.Announcer != nil {
+		i.Announcer.Born = time.Now()
+		f.announce(i)
+	}
+
+	return nil
+}
+
+// Drain makes the backend server of an instance say that it is about to leave, as a planned shutdown does.
+func (f *Fleet) Drain(ctx context.Context, i *Instance) error {
+	if i.Announcer == nil {
+		behaviour := i.Server.Behaviour()
+		behaviour.Draining = true
+		i.Server.Set(behaviour)
+
+		return nil
+	}
+
+	i.stopBeats()
+
+	return i.Announcer.Announce(ctx, "draining")
+}
+
+// Retire ends an instance, daemon first in order, then the server, and takes it from the list.
+func (f *Fleet) Retire(i *Instance) error {
+	i.stopDaemon()
+
+	err := errors.CombineErrors(i.waitDaemon(), i.endServer())
+
+	for n, other := range f.Instances {
+		if other == i {
+			f.Instances = append(f.Instances[:n:n], f.Instances[n+1:]...)
+		}
+	}
+
+	f.retired = append(f.retired, i)
+
+	return err
+}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -9,9 +9,9 @@
 	"math"
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
-	"github.com/tarragonmill/tarragonmill/internal/v2/admission"
 )
 
 const (
@@ -25,6 +25,9 @@
 	downAfterLost = 2
 )
 
+// noProbes is the pace of a server that must not be probed, which is also the case until the pace is set.
+const noProbes = -1
+
 // Event is something that was learned of the server.
 type Event interface{ isEvent() }
 
@@ -57,14 +60,18 @@
 	Misdirected struct{ ID backend.ID }
 	// Probed is the outcome of a probe.
 	Probed struct {
-		// Answered is set if there was an answer, Healthy if it says that the server takes work.
-		Answered, Healthy bool
-		ID                backend.ID
-		Load              dialect.Load
-		Loaded            bool
+		// Answered is set if there was an answer, Healthy if it says that the server takes work, and Draining if
+		// it says that the server is about to leave.
+		Answered, Healthy, Draining bool
+
+		ID     backend.ID
+		Load   dialect.Load
+		Loaded bool
 	}
 	// Busy says whether somebody wants to know the load soon.
 	Busy struct{ Watched bool }
+	// PaceChanged limits probes to one in each interval; zero for no limit, negative for no probes.
+	PaceChanged struct{ Interval time.Duration }
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -85,6 +92,7 @@
 func (Misdirected) isEvent() {}
 func (Probed) isEvent()      {}
 func (Busy) isEvent()        {}
+func (PaceChanged) isEvent() {}
 func (Tick) isEvent()        {}
 
 func (Probe) isEffect()   {}
@@ -100,14 +108,18 @@
 
 // WithFixedServer is for a server that does not announce itself and has the given number of slots.
 func WithFixedServer(slots int) Option {
-	return func(s *State) { s.known, s.slots = true, slots }
+	return func(s *State) { s.known, s.fixed, s.slots = true, true, slots }
 }
 
 // State is what is known of one address's server. It is not safe for concurrent use.
 type State struct {
 	probeInterval time.Duration
+	// pace is the least time between two probes; negative if there may be none.
+	pace time.Duration
 
-	known    bool
+	known bool
+	// fixed is set for a server that does not announce itself; its probes say whether it drains.
+	fixed    bool
 	id       backend.ID
 	born     time.Time
 	sequence int64
@@ -137,7 +149,7 @@
 
 // New returns a state that knows nothing of the server.
 func New(options ...Option) *State {
-	s := &State{slowness: 1}
+	s := &State{slowness: 1, pace: noProbes}
 	for _, option := range options {
 		option(s)
 	}
@@ -168,6 +180,13 @@
 		s.probedNow(now, e)
 	case Busy:
 		s.watched = e.Watched
+	case PaceChanged:
+		s.pace = e.Interval
+
+		if s.probed.IsZero() && s.pace > 0 {
+			// An earlier run of the daemon may have probed just now.
+			s.probed = now
+		}
 	case Tick:
 	}
 
@@ -244,17 +263,19 @@
 
 // Next is when a probe is due; the zero time if none is.
 func (s *State) Next() time.Time {
-	if !s.probing.IsZero() {
+	if !s.probing.IsZero() || s.pace < 0 {
 		return time.Time{}
 	}
 
+	allowed := s.probed.Add(s.pace)
+
 	switch {
 	case !s.known && s.last == "":
 		return time.Time{}
 	case !s.known || s.down:
-		return s.probed.Add(downProbeInterval)
-	case s.watched && s.probeInterval > 0 && !s.draining:
-		return latest(s.observed, s.probed).Add(s.probeInterval)
+		return latest(allowed, s.probed.Add(downProbeInterval))
+	case s.fixed && s.probeInterval > 0, s.watched && s.probeInterval > 0 && !s.draining:
+		return latest(allowed, latest(s.observed, s.probed).Add(s.probeInterval))
 	default:
 		return time.Time{}
 	}
@@ -393,6 +414,10 @@
 		s.down = false
 	}
 
+	if s.fixed {
+		s.draining = e.Draining
+	}
+
 	if !s.known && e.Healthy && e.ID != "" && e.ID == s.last && e.Load.Slots > 0 {
 		s.reset()
 		s.known, s.id, s.born, s.sequence = true, e.ID, time.Time{}, 0
--- a/internal/health/script_test.go
+++ b/internal/health/script_test.go
@@ -18,7 +18,10 @@
 // Each file in testdata names what it guards against.
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txtar", *update, func() script.Reducer {
-		return &reducer{state: health.New(health.WithProbeInterval(100 * time.Millisecond))}
+		r := &reducer{state: health.New(health.WithProbeInterval(100 * time.Millisecond))}
+		r.state.Apply(time.Time{}, health.PaceChanged{})
+
+		return r
 	})
 }
 
@@ -82,6 +85,8 @@
 		return health.Refused{}
 	case "misdirected":
 		return health.Misdirected{ID: backend.ID(line.Word(0))}
+	case "pace":
+		return health.PaceChanged{Interval: line.Duration("interval", 0)}
 	case "watched":
 		return health.Busy{Watched: true}
 	case "probed":
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -121,7 +121,7 @@
 		}
 
 		if quiet(c.net) {
-			c.reused = true
+			c.reused, c.answered = true, false
 
 			return c, nil
 		}
@@ -161,10 +161,21 @@
 	p.dials.Add(1)
 	limitUnacked(opened)
 
-	return &ClientConn{
-		pool: p, net: opened,
-		reader: bufio.NewReaderSize(opened, bufferSize), writer: bufio.NewWriterSize(opened, bufferSize),
-	}, nil
+	c := &ClientConn{pool: p, net: opened, writer: bufio.NewWriterSize(opened, bufferSize)}
+	c.reader = bufio.NewReaderSize(countingReader{c}, bufferSize)
+
+	return c, nil
+}
+
+// countingReader notes that bytes have arrived.
+type countingReader struct{ conn *ClientConn }
+
+// Read implements io.Reader.
+func (r countingReader) Read(data []byte) (int, error) {
+	n, err := r.conn.net.Read(data)
+	r.conn.answered = r.conn.answered || n > 0
+
+	return n, err
 }
 
 func (p *Pool) put(c *ClientConn) {
@@ -190,6 +201,8 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	reused bool
+	// answered is set once a byte has arrived since the connection was taken from the pool.
+	answered bool
 	// released is when the connection was last given back.
 	released time.Time
 }
@@ -264,5 +277,5 @@
 	}
 }
 
-// Pending reports whether bytes have arrived that were not read.
-func (c *ClientConn) Pending() bool { return c.reader.Buffered() > 0 || !quiet(c.net) }
+// Answered reports whether a byte of an answer has arrived.
+func (c *ClientConn) Answered() bool { return c.answered }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -229,12 +229,19 @@
 	return err == nil
 }
 
-// endIfIdle closes an idle connection in order.
+// firstTimeout is how long a new connection may take to send its request when the server drains.
+const firstTimeout = 500 * time.Millisecond
+
+// endIfIdle closes an idle connection in order. A new one may still send its request.
 func (c *conn) endIfIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	if c.open == 0 {
+	switch {
+	case c.open > 0:
+	case c.last == nil:
+		_ = c.net.SetReadDeadline(time.Now().Add(firstTimeout))
+	default:
 		_ = c.net.SetReadDeadline(time.Now())
 	}
 }
@@ -244,9 +251,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	if c.closing || c.server.stopped.Load() {
-		c.closing = true
-
+	if c.closing {
 		return false
 	}
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -118,14 +118,18 @@
 			}
 
 			return nil
-		case errors.Is(err, net.ErrClosed):
-			return errors.Wrap(err, "accept")
+		case errors.Is(err, net.ErrClosed), err != nil && s.stopped.Load():
+			return errors.Wrap(errors.CombineErrors(err, listener.Close()), "accept")
 		case err != nil:
 			pause(ctx, acceptPause)
 
 			continue
 		}
 
+		if s.stopped.Load() {
+			s.sweep(listener)
+		}
+
 		limitUnacked(accepted)
 
 		c := newConn(s, accepted)
@@ -165,7 +169,11 @@
 	}
 }
 
-// Stop takes no further connection and no further request. What was read is answered.
+// sweepTime is how long the queue of connections has to be empty before the socket closes.
+const sweepTime = 2 * time.Millisecond
+
+// Stop takes no further connections but those that wait in the queue of the socket: the kernel would reset them.
+// What is read from a new connection is answered.
 func (s *Server) Stop() {
 	s.stopped.Store(true)
 	s.Drain()
@@ -174,7 +182,15 @@
 	defer s.mutex.Unlock()
 
 	if s.listener != nil {
-		_ = s.listener.Close()
+		s.sweep(s.listener)
+	}
+}
+
+// sweep lets Accept go on until no connection waits.
+func (s *Server) sweep(listener net.Listener) {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok || tcp.SetDeadline(time.Now().Add(sweepTime)) != nil {
+		_ = listener.Close()
 	}
 }
 
--- a/internal/keys/measure_test.go
+++ b/internal/keys/measure_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
-	"github.com/tarragonmill/tarragonmill/internal/logservice"
+
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
@@ -133,7 +133,7 @@
 			delete(f.batches, domain)
 
 			if !f.down {
-				data, _ := logservice.EncodeGrants(b.record)
+				data := keys.EncodeRecord(b.record)
 				f.records, f.bytes = f.records+1, f.bytes+len(data)
 				f.log = append(f.log, keys.Entry{Offset: uint64(len(f.log)), Record: b.record})
 			}
--- a/internal/v2/membership/beats.go
+++ b/internal/membership/beats.go
@@ -5,9 +5,14 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 )
 
+// beatBytes is what a beat takes on the network, with the headers of a datagram.
+const beatBytes = 130
+
 // beat describes the daemon to another one.
 func (s *State) beat(_ time.Time, watch, greeting bool) Beat {
 	return Beat{From: s.self.Member, Watch: watch, Greeting: greeting, Version: s.version, Report: s.report}
@@ -44,7 +49,7 @@
 
 	// A daemon that was not known before has to learn of this one, too.
 	if b.Greeting || known == nil {
-		p.told, p.pending = now, false
+		p.told, p.pending = now, noNews
 		effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, p.watched, false)})
 	}
 
@@ -52,6 +57,10 @@
 		effects = append(effects, Reported{Report: b.Report})
 	}
 
+	if len(b.Message) > 0 {
+		effects = append(effects, MessageHeard{Message: b.Message})
+	}
+
 	if b.Version > s.version {
 		effects = append(effects, VersionHeard{Version: b.Version, From: p.member})
 	}
@@ -60,21 +69,29 @@
 }
 
 func (s *State) loadChanged(now time.Time, e LoadChanged) []Effect {
+	news := loadNews
+	if e.Report.Open != s.report.Open {
+		news = memberNews
+	}
+
 	s.report, s.version = e.Report, e.Version
 
-	if !e.Urgent {
-		for _, p := range s.order {
-			p.pending = true
-		}
+	return s.tell(now, news)
+}
 
-		return nil
-	}
+// news is what a watcher does not know yet.
+type news uint8
 
-	return s.tell(now, true)
-}
+const (
+	noNews news = iota
+	// loadNews is a changed load, which may be told later if the budget for measuring is spent.
+	loadNews
+	// memberNews is a change after which requests would be sent to a daemon that does not take them.
+	memberNews
+)
 
 // tell sends beats to those who watch this daemon and are due one.
-func (s *State) tell(now time.Time, changed bool) []Effect {
+func (s *State) tell(now time.Time, changed news) []Effect {
 	var effects []Effect
 
 	for _, p := range s.order {
@@ -82,22 +99,40 @@
 			continue
 		}
 
-		p.pending = p.pending || changed
+		p.pending = max(p.pending, changed)
 
 		if now.Before(s.dueTo(p)) {
 			continue
 		}
 
-		p.told, p.pending = now, false
+		early := now.Before(p.told.Add(idleInterval))
+		if early && p.pending == loadNews && !s.budget.AllowN(now, beatBytes) {
+			// The next idle beat tells it.
+			p.pending = noNews
+
+			continue
+		}
+
+		p.told, p.pending = now, noNews
 		effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, false, false)})
 	}
 
 	return effects
 }
 
+func (s *State) budgetChanged(now time.Time, e BudgetChanged) {
+	limit := rate.Limit(e.Bytes)
+	if e.Unlimited {
+		limit = rate.Inf
+	}
+
+	s.budget.SetLimitAt(now, limit)
+	s.budget.SetBurstAt(now, max(beatBytes, int(e.Bytes)))
+}
+
 // dueTo is when the next beat to a watcher is due.
 func (s *State) dueTo(p *peer) time.Time {
-	if p.pending {
+	if p.pending != noNews {
 		return p.told.Add(changeInterval)
 	}
 
@@ -160,7 +195,7 @@
 
 	for _, p := range s.order {
 		if p.watched {
-			p.told, p.pending = now, false
+			p.told, p.pending = now, noNews
 			effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, true, p.heard.IsZero())})
 		}
 	}
@@ -213,7 +248,9 @@
 		effects = append(effects, s.members())
 	}
 
-	return append(effects, s.tell(now, false)...)
+	effects = append(effects, s.sendSpreads(now)...)
+
+	return append(effects, s.tell(now, noNews)...)
 }
 
 // Next is when Tick is due; the zero time if nothing waits.
@@ -238,6 +275,10 @@
 		consider(s.watchAt)
 	}
 
+	for _, sp := range s.spreading {
+		consider(sp.next)
+	}
+
 	for _, p := range s.order {
 		if p.watched && p.member.Status == instance.Alive {
 			consider(latest(p.heard, p.since).Add(silence))
--- a/internal/v2/membership/codec.go
+++ b/internal/membership/codec.go
@@ -38,6 +38,7 @@
 	fieldFailing
 	fieldCold
 	fieldCalls
+	fieldMessage
 )
 
 const (
@@ -78,6 +79,10 @@
 
 	out = appendNumber(out, fieldFlags, flags)
 
+	if len(b.Message) > 0 {
+		out = appendText(out, fieldMessage, string(b.Message))
+	}
+
 	if b.Report.Server == "" {
 		return out
 	}
@@ -168,6 +173,10 @@
 		Watch: flags&flagWatch != 0, Greeting: flags&flagGreeting != 0, Version: numbers[fieldVersion],
 	}
 
+	if text := texts[fieldMessage]; text != "" {
+		beat.Message = []byte(text)
+	}
+
 	if numbers[fieldReport] > 0 {
 		beat.Report = load.Report{
 			Server: beat.From.ID, Incarnation: beat.From.Incarnation, Counter: numbers[fieldReport],
@@ -196,7 +205,7 @@
 	Server  string `json:"server,omitempty"`
 	// Born is in Unix milliseconds.
 	Born int64 `json:"born,omitempty"`
-	Left    bool   `json:"left,omitempty"`
+	Left bool  `json:"left,omitempty"`
 }
 
 // EncodeEntry returns the form of an entry in the store.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,9 +1,9 @@
-// Package membership keeps the table of daemons: who they are, whether they take new work, and which
-// of them read and append the log for others. Tables spread by exchanges with a few neighbours, which
-// also test liveness. The package does no I/O and reads no clock.
+// Package membership knows the daemons of the fleet. It does no I/O and reads no clock.
 //
-// Limits: tables agree eventually and not at any one moment; a member that is reachable from only a
-// part of the fleet counts as reachable. Nothing here authenticates an announcement.
+// Each daemon keeps an entry of its own in a topic of the platform's store. It reads the entries, of which its
+// own tells what an earlier run knew, writes its own, reads the others' once more, and greets every daemon that
+// it found. Of two daemons that start at the same time, at least one therefore finds the other. What changes quickly (whether a daemon lives, its load, its version of the
+// configuration) goes directly from daemon to daemon in beats, and only to those that watch it.
 package membership
 
 import (
@@ -13,366 +13,509 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
 )
 
-// State is the member table of one daemon and its exchanges. It is not safe for concurrent use.
-type State struct {
-	options
-	random *rand.Rand
-	table  table
-	// self is nil before Started.
-	self  *entry
-	links []*link
-	pull  pull
-	// served holds the pulls that are being served, oldest first.
-	served []served
-
-	now       time.Time
-	startedAt time.Time
-	lastTick  time.Time
-	lastSweep time.Time
-	lastPush  time.Time
-	reuniteAt time.Time
-	surveyAt  time.Time
-
-	// pulled is the version of the table when the start was complete. The fleet knows what came before:
-	// it is not passed on, except for this daemon's own entry.
-	pulled     uint64
-	ready      bool
-	superseded bool
-	// stale is set if the neighbours have to be chosen anew.
-	stale bool
-	// urgent is set if a change waits for a push.
-	urgent bool
-	// services are those whose members changed during the present event.
-	services map[string]struct{}
-	effects  []Effect
+const (
+	// watchInterval is the time between two beats that renew a watch.
+	watchInterval = time.Second
+	// watchTime is how long a watch lasts after a beat that asked for it; two such beats may get lost.
+	watchTime = 3500 * time.Millisecond
+	// maxWatched bounds the members that one daemon watches, so that the traffic of a daemon does not grow
+	// with the fleet.
+	maxWatched = 24
+	// idleInterval is the time between beats to a watcher if nothing changes.
+	idleInterval = 400 * time.Millisecond
+	// changeInterval is the least time between beats to a watcher.
+	changeInterval = 15 * time.Millisecond
+	// silence is the time without a beat after which a watched member counts as accused.
+	silence = 1300 * time.Millisecond
+	// rereadInterval is the time between two reads of all entries; a greeting that got lost is made up for.
+	rereadInterval = 30 * time.Second
+	// firstWrite is how long the first write of the own entry waits for the backend server to announce itself,
+	// so that it need not be written again.
+	firstWrite = 400 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed call to the store.
+	retryMin = 150 * time.Millisecond
+	retryMax = 2 * time.Second
+)
+
+// Entry is what a daemon keeps in the store.
+type Entry struct {
+	Member instance.Member
+	// Server is the backend server that announced itself last; empty if none did.
+	Server string
+	// Born is the start of that server, by its own clock; zero if unknown.
+	Born time.Time
+	// Left is set if that server has left or is about to.
+	Left bool
+}
+
+// Beat is a datagram from one daemon to another.
+type Beat struct {
+	From instance.Member
+	// Watch asks for the receiver's beats for some seconds.
+	Watch bool
+	// Greeting asks for one beat in return.
+	Greeting bool
+	// Version of the configuration in force at the sender.
+	Version uint64
+	Report  load.Report
+	// Message to all daemons, or nil. Membership does not know what it says.
+	Message []byte
 }
 
-// New returns a state that waits for Started.
-func New(chosen ...Option) *State {
-	s := &State{
-		options:  defaults(),
-		table:    table{index: map[instance.ID]*entry{}},
-		services: map[string]struct{}{},
+// Event is something that was learned of the fleet.
+type Event interface{ isEvent() }
+
+// Effect is an action that the daemon performs.
+type Effect interface{ isEffect() }
+
+type (
+	// Started begins membership. Seeds are daemons that may be there.
+	Started struct{ Seeds []netip.AddrPort }
+	// EntriesRead brings all entries of the store, or says that they could not be read.
+	EntriesRead struct {
+		Entries []Entry
+		Failed  bool
+	}
+	// EntryWritten is the outcome of WriteEntry.
+	EntryWritten struct{ Failed bool }
+	// BeatHeard brings a beat.
+	BeatHeard struct{ Beat Beat }
+	// SelfChanged brings a change of the daemon's own entry.
+	SelfChanged struct{ Entry Entry }
+	// LoadChanged brings the load of the daemon's own server and the version in force.
+	LoadChanged struct {
+		Report  load.Report
+		Version uint64
 	}
-	for _, option := range chosen {
-		option(&s.options)
+	// BudgetChanged limits what the beats that tell a change of the load may cost.
+	BudgetChanged struct {
+		// Bytes per second.
+		Bytes     float64
+		Unlimited bool
 	}
+	// Used says that this daemon sends requests of a service.
+	Used struct{ Service string }
+	// Spread sends a message to all daemons.
+	Spread struct{ Message []byte }
+	// Resumed reports that the process stood still for some time.
+	Resumed struct{}
+	// Left ends membership: the others are told.
+	Left struct{}
+	// Tick lets time pass.
+	Tick struct{}
+)
 
-	s.random = rand.New(rand.NewPCG(s.seed, 0))
+type (
+	// ReadEntries asks for all entries of the store.
+	ReadEntries struct{}
+	// WriteEntry stores the daemon's own entry.
+	WriteEntry struct{ Entry Entry }
+	// SendBeat sends a datagram.
+	SendBeat struct {
+		To   netip.AddrPort
+		Beat Beat
+	}
+	// MembersChanged brings all members.
+	MembersChanged struct{ Members []instance.Member }
+	// Reported brings the load of a member's server.
+	Reported struct{ Report load.Report }
+	// MessageHeard brings a message to all daemons.
+	MessageHeard struct{ Message []byte }
+	// VersionHeard says that a member has a newer configuration.
+	VersionHeard struct {
+		Version uint64
+		From    instance.Member
+	}
+	// Ready follows the first read of the entries, or the first failure to read them.
+	Ready struct{ Own Entry }
+)
 
-	return s
+func (Started) isEvent()       {}
+func (EntriesRead) isEvent()   {}
+func (EntryWritten) isEvent()  {}
+func (BeatHeard) isEvent()     {}
+func (SelfChanged) isEvent()   {}
+func (LoadChanged) isEvent()   {}
+func (BudgetChanged) isEvent() {}
+func (Used) isEvent()          {}
+func (Spread) isEvent()        {}
+func (Resumed) isEvent()       {}
+func (Left) isEvent()          {}
+func (Tick) isEvent()          {}
+
+func (ReadEntries) isEffect()    {}
+func (WriteEntry) isEffect()     {}
+func (SendBeat) isEffect()       {}
+func (MembersChanged) isEffect() {}
+func (Reported) isEffect()       {}
+func (VersionHeard) isEffect()   {}
+func (MessageHeard) isEffect()   {}
+func (Ready) isEffect()          {}
+
+// State is what one daemon knows of the others. It is not safe for concurrent use.
+type State struct {
+	self    Entry
+	report  load.Report
+	version uint64
+	random  *rand.Rand
+	peers   map[instance.ID]*peer
+	// order lists the peers by ID, so that effects do not depend on map order.
+	order []*peer
+	// services are those that this daemon sends requests of.
+	services map[string]bool
+
+	spreading []*spreading
+	// budget limits the beats that tell a change of the load, in bytes.
+	budget *rate.Limiter
+
+	ready   bool
+	left    bool
+	writing bool
+	// dirty is set while the store does not hold the own entry, stored once it has held one of this run.
+	dirty   bool
+	stored  bool
+	writeAt time.Time
+	reading bool
+	readAt  time.Time
+	retry   time.Duration
+	watchAt time.Time
 }
 
-// Apply changes the state by an event and returns what the daemon has to do. Times must not go back.
-func (s *State) Apply(now time.Time, event Event) []Effect {
-	s.now, s.effects = now, nil
+// peer is another daemon.
+type peer struct {
+	member instance.Member
+	// heard is when its last beat arrived; zero if none did.
+	heard time.Time
+	// watched is set while this daemon watches it, since the given time.
+	watched bool
+	since   time.Time
+	// watcher is until when it watches this daemon.
+	watcher time.Time
+	// told is when it was last sent a beat, and pending what it was not told since.
+	told    time.Time
+	pending news
+}
 
-	if started, ok := event.(Started); ok {
-		s.startUp(started)
-	} else if s.self != nil {
-		s.apply(event)
+// New returns a state that knows only the daemon itself.
+func New(self instance.Member, seed uint64) *State {
+	return &State{
+		self: Entry{Member: self}, random: rand.New(rand.NewPCG(seed, 1)),
+		peers: make(map[instance.ID]*peer), services: make(map[string]bool), retry: retryMin,
+		budget: rate.NewLimiter(0, 0),
 	}
+}
 
-	s.flush()
+// Apply handles one event.
+func (s *State) Apply(now time.Time, event Event) []Effect {
+	switch e := event.(type) {
+	case Started:
+		return s.start(now, e.Seeds)
+	case EntriesRead:
+		return s.entriesRead(now, e)
+	case EntryWritten:
+		return s.entryWritten(now, e)
+	case BeatHeard:
+		return s.beatHeard(now, e.Beat)
+	case SelfChanged:
+		return s.selfChanged(now, e.Entry)
+	case LoadChanged:
+		return s.loadChanged(now, e)
+	case BudgetChanged:
+		s.budgetChanged(now, e)
 
-	return s.effects
+		return nil
+	case Used:
+		return s.used(now, e.Service)
+	case Spread:
+		return s.spread(now, e.Message)
+	case Resumed:
+		return s.resumed(now)
+	case Left:
+		return s.leave(now)
+	case Tick:
+		return s.tick(now)
+	default:
+		return nil
+	}
 }
 
-func (s *State) apply(event Event) {
-	switch e := event.(type) {
-	case ContactsRead:
-		s.pull.add(e.Peers...)
-	case ExchangeReceived:
-		s.exchangeReceived(e)
-	case ExchangeEnded:
-		s.exchangeEnded(e)
-	case ExchangeFailed:
-		s.exchangeFailed(e.To)
-	case PageRequested:
-		s.pageRequested(e)
-	case PageReceived:
-		s.pageReceived(e)
-	case PullFailed:
-		s.pullFailed(e.To)
-	case DrainStarted:
-		if s.self.member.Status == instance.Alive {
-			s.announce(instance.Draining)
-		}
-	case LeaveStarted:
-		if s.self.member.Status != instance.Left {
-			s.announce(instance.Left)
+func (s *State) start(now time.Time, seeds []netip.AddrPort) []Effect {
+	s.writeAt = now.Add(firstWrite)
+	effects := append(s.read(now), s.members())
+
+	for _, seed := range seeds {
+		if seed != s.self.Member.Peer {
+			effects = append(effects, SendBeat{To: seed, Beat: s.beat(now, false, true)})
 		}
-	case PeerObserved:
-		s.observed(e)
-	case Tick:
-		s.tick()
 	}
+
+	return effects
 }
 
-func (s *State) tick() {
-	if s.now.Sub(s.lastTick) > pauseLimit {
-		s.resume()
+// write stores the own entry unless a call is in progress.
+func (s *State) write(now time.Time) []Effect {
+	if s.writing || !s.dirty || now.Before(s.writeAt) {
+		return nil
 	}
 
-	s.lastTick = s.now
+	s.writing, s.dirty = true, false
 
-	s.choose()
-	s.exchangeDue()
+	return []Effect{WriteEntry{Entry: s.self}}
+}
 
-	if s.self.member.Status == instance.Left {
-		// Only the announcement is still to be passed on.
-		return
+func (s *State) read(now time.Time) []Effect {
+	if s.reading || s.left {
+		return nil
 	}
 
-	s.advancePull()
-	s.judgeLinks()
-	s.survey()
-	s.reunite()
+	s.reading = true
+	s.readAt = now.Add(rereadInterval + time.Duration(s.random.Int64N(int64(rereadInterval/3))))
 
-	if s.now.Sub(s.lastSweep) >= sweepInterval {
-		s.lastSweep = s.now
-		s.table.remove(s.now.Add(-s.retention))
-		s.dropLinks()
-	}
+	return []Effect{ReadEntries{}}
 }
 
-// flush emits the effects that an event's changes call for.
-func (s *State) flush() {
-	if s.self == nil {
-		return
-	}
+func (s *State) entryWritten(now time.Time, e EntryWritten) []Effect {
+	s.writing = false
+
+	if e.Failed {
+		s.dirty = true
+		s.writeAt = now.Add(s.pause())
 
-	if s.urgent && s.now.Sub(s.lastPush) >= pushInterval {
-		s.push()
+		return nil
 	}
 
-	for _, service := range sortedKeys(s.services) {
-		s.emit(MembersChanged{Service: service, Members: s.Members(service)})
+	s.retry = retryMin
+	effects := s.write(now)
+
+	if !s.stored {
+		s.stored = true
+		effects = append(effects, s.read(now)...)
 	}
 
-	clear(s.services)
+	return effects
 }
 
-func (s *State) emit(effect Effect) { s.effects = append(s.effects, effect) }
+// pause returns a growing time with jitter.
+func (s *State) pause() time.Duration {
+	period := s.retry/2 + time.Duration(s.random.Int64N(int64(s.retry)))
+	s.retry = min(2*s.retry, retryMax)
 
-// announce changes this daemon's own status and tells its neighbours at once.
-func (s *State) announce(status instance.Status) {
-	s.store(s.self.member.WithStatus(status, s.self.member.Counter+1), s.self.member.ID)
-	// Not delayed by an earlier push: a daemon that leaves ends soon after.
-	s.push()
+	return period
 }
 
-// store puts a changed announcement into the table.
-func (s *State) store(member instance.Member, source instance.ID) {
-	old := s.table.index[member.ID]
+func (s *State) entriesRead(now time.Time, e EntriesRead) []Effect {
+	s.reading = false
+
+	if e.Failed {
+		s.readAt = now.Add(s.pause())
 
-	var before instance.Member
-	if old != nil {
-		before = old.member
+		return s.becomeReady(Entry{})
 	}
 
-	s.table.put(s.now, member, source)
+	var own Entry
 
-	visible := member
-	visible.Counter = before.Counter
+	changed := false
+	listed := make(map[instance.ID]bool, len(e.Entries))
+	effects := make([]Effect, 0, len(e.Entries))
 
-	if old == nil || before != visible {
-		s.stale = true
-		s.services[member.Service] = struct{}{}
-	}
+	for _, entry := range e.Entries {
+		if entry.Member.ID == s.self.Member.ID {
+			own = entry
+
+			continue
+		}
+
+		listed[entry.Member.ID] = true
+
+		if s.learn(entry.Member) {
+			changed = true
 
-	if old != nil && before.Service != member.Service {
-		s.services[before.Service] = struct{}{}
+			effects = append(effects, SendBeat{To: entry.Member.Peer, Beat: s.beat(now, false, true)})
+		}
 	}
 
-	if old != nil && before.Incarnation != member.Incarnation {
-		s.resetLink(member.ID)
+	changed = s.dropUnlisted(now, listed) || changed
+
+	if changed {
+		s.watch(now)
+
+		effects = append(effects, s.members())
 	}
+
+	return append(s.becomeReady(own), effects...)
 }
 
-// merge compares an announcement from a peer with the table.
-func (s *State) merge(member instance.Member, source instance.ID) {
-	if member.ID == s.self.member.ID {
-		s.mergeSelf(member, source)
+// dropUnlisted forgets peers without an entry that are not heard either.
+func (s *State) dropUnlisted(now time.Time, listed map[instance.ID]bool) bool {
+	dropped := false
 
-		return
-	}
+	for _, p := range slices.Clone(s.order) {
+		if !listed[p.member.ID] && now.Sub(p.heard) > rereadInterval {
+			s.forget(p)
 
-	member, ok := s.table.complete(member)
-	if !ok {
-		// The digest shows that an entry is missing.
-		return
+			dropped = true
+		}
 	}
 
-	known := s.table.index[member.ID]
-	if known != nil && !s.later(member, known.member) {
-		if compare(known.member, member) > 0 {
-			// The peer's entry is out of date.
-			s.correct(source, member.ID)
-		}
+	return dropped
+}
 
-		return
+func (s *State) becomeReady(own Entry) []Effect {
+	if s.ready {
+		return nil
 	}
 
-	s.store(member, source)
+	s.ready, s.dirty = true, true
 
-	// New work has to stop everywhere within 2 s; other changes can wait for the next exchange.
-	if member.Status == instance.Draining || member.Status == instance.Left {
-		s.urgent = true
-	}
+	return []Effect{Ready{Own: own}}
 }
 
-// later reports whether an announcement replaces another one.
-func (s *State) later(announced, known instance.Member) bool {
-	if s.unguarded && announced.Incarnation != known.Incarnation {
+// learn stores a member and reports whether something is new.
+func (s *State) learn(member instance.Member) bool {
+	if member.ID == s.self.Member.ID {
+		return false
+	}
+
+	p := s.peers[member.ID]
+	if p == nil {
+		if member.Status == instance.Left {
+			return false
+		}
+
+		s.replaceAt(member)
+
+		p = &peer{member: member}
+		s.peers[member.ID] = p
+		s.order = append(s.order, p)
+		slices.SortFunc(s.order, func(a, b *peer) int { return cmp.Compare(a.member.ID, b.member.ID) })
+
 		return true
 	}
 
-	return compare(announced, known) > 0
+	if !supersedes(member, p.member) {
+		return false
+	}
+
+	p.member = member
+
+	if member.Status == instance.Left {
+		s.forget(p)
+	}
+
+	return true
 }
 
-// mergeSelf refutes what others say about this daemon.
-func (s *State) mergeSelf(heard instance.Member, source instance.ID) {
-	own := s.self.member
-
-	switch {
-	case heard.Incarnation > own.Incarnation && !s.ready:
-		// The clock went back since the last run. Nothing depends on this run's number yet.
-		own.Incarnation, own.Counter = heard.Incarnation+1, 0
-		s.store(own, own.ID)
-		s.urgent = true
-	case heard.Incarnation > own.Incarnation:
-		if !s.superseded {
-			s.superseded = true
-			s.emit(Superseded{By: heard})
+// replaceAt forgets earlier members at the address of a new one: an address may be used again.
+func (s *State) replaceAt(member instance.Member) {
+	for _, p := range slices.Clone(s.order) {
+		if p.member.Peer == member.Peer && p.member.Incarnation < member.Incarnation {
+			s.forget(p)
 		}
-	case compare(heard, own) > 0:
-		s.store(own.WithStatus(own.Status, heard.Counter+1), own.ID)
-		s.urgent = true
-	case compare(heard, own) < 0:
-		s.correct(source, own.ID)
 	}
 }
 
-// Self returns this daemon's own entry. The incarnation may grow until Ready, if an earlier run had a
-// higher one.
-func (s *State) Self() instance.Member {
-	if s.self == nil {
-		return instance.Member{}
+// supersedes reports whether a is a later statement of the same member than b.
+func supersedes(a, b instance.Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
 	}
 
-	return s.self.member
+	return a.Counter > b.Counter
 }
 
-// All returns the members that are neither dead nor left, sorted by ID.
-func (s *State) All() []instance.Member {
-	members, _ := s.table.page("", len(s.table.entries))
-
-	return members
+func (s *State) forget(p *peer) {
+	delete(s.peers, p.member.ID)
+	s.order = slices.DeleteFunc(s.order, func(other *peer) bool { return other == p })
 }
 
-// Members returns the members of a service that are neither dead nor left, sorted by ID.
-func (s *State) Members(service string) []instance.Member {
-	var members []instance.Member
+// members tells all members with the status that follows from their beats.
+func (s *State) members() Effect { return MembersChanged{Members: s.List()} }
 
-	for _, e := range s.table.entries {
-		if e.live() && e.member.Service == service {
-			members = append(members, e.member)
-		}
-	}
+func (s *State) selfChanged(now time.Time, entry Entry) []Effect {
+	entry.Member.Counter = s.self.Member.Counter + 1
+	s.self = entry
+	s.dirty = s.ready
 
-	return members
-}
+	// The first write waits for nothing else than this.
+	if entry.Server != "" && !s.stored {
+		s.writeAt = now
+	}
 
-// Neighbours returns the members that this daemon contacts, sorted by ID.
-func (s *State) Neighbours() []instance.Member {
-	var members []instance.Member
+	effects := s.write(now)
 
-	for _, l := range s.links {
-		if e := s.table.index[l.id]; l.out && e != nil {
-			members = append(members, e.member)
-		}
-	}
+	effects = append(effects, s.members())
 
-	return members
+	return append(effects, s.tell(now, memberNews)...)
 }
 
-// Relay reports whether this daemon reads the log for a region. Two or none for a while are harmless.
-func (s *State) Relay(region string) bool {
-	return s.leads("relay "+region, func(m instance.Member) bool { return m.Place.Region == region })
-}
+// resumed treats all that was known of others as old.
+func (s *State) resumed(now time.Time) []Effect {
+	for _, p := range s.order {
+		p.since = now
+	}
 
-// Combiner reports whether this daemon appends to the log for a failure domain.
-func (s *State) Combiner(domain string) bool {
-	return s.leads("combiner "+domain, func(m instance.Member) bool { return m.Place.Domain == domain })
-}
+	s.watchAt = now
 
-func (s *State) leads(role string, eligible func(instance.Member) bool) bool {
-	return s.self != nil && leader(s.table.entries, role, eligible) == s.self
+	return append(s.read(now), s.tick(now)...)
 }
 
-// Contacts returns a few peer addresses of this daemon's failure domain for a contact record.
-func (s *State) Contacts() []netip.AddrPort {
-	if s.self == nil {
-		return nil
-	}
+// leave tells the others. The entry stays in the store: the next run of this daemon learns from it which server
+// it has, and if there is none, the others drop it after a time.
+func (s *State) leave(now time.Time) []Effect {
+	s.left, s.dirty = true, false
+	s.self.Member = s.self.Member.WithStatus(instance.Left, s.self.Member.Counter+1)
 
-	var peers []netip.AddrPort
+	var effects []Effect
 
-	mates := newLayout(s.table.entries).regions[s.self.member.Place.Region][s.self.member.Place.Domain]
-	for _, e := range gates(mates, "contact "+s.self.member.Place.Domain, contactLimit) {
-		if e.member.Status == instance.Alive {
-			peers = append(peers, e.member.Peer)
+	for _, p := range s.order {
+		if p.watched || now.Before(p.watcher) {
+			effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, false, false)})
 		}
 	}
 
-	return peers
+	return effects
 }
 
-// Dump is the state for operators.
-type Dump struct {
-	Self    instance.Member
-	Ready   bool
-	Digest  uint64
-	Members []instance.Member
-	Links   []LinkDump
-}
+// Members returns the number of members, this daemon included.
+func (s *State) Members() int { return len(s.order) + 1 }
 
-// LinkDump is a peer that is exchanged with.
-type LinkDump struct {
-	ID instance.ID
-	// Neighbour is set if this daemon starts the exchanges.
-	Neighbour bool
-	Contact   time.Time
-	// Behind is the number of table versions that the peer has not confirmed.
-	Behind uint64
-}
+// List returns all members, sorted by ID.
+func (s *State) List() []instance.Member {
+	all := make([]instance.Member, 0, len(s.order)+1)
+	all = append(all, s.self.Member)
+
+	for _, p := range s.order {
+		all = append(all, p.member)
+	}
+
+	slices.SortFunc(all, func(a, b instance.Member) int { return cmp.Compare(a.ID, b.ID) })
 
-// Dump returns the state. Members include dead and left ones.
-func (s *State) Dump() Dump {
-	dump := Dump{Self: s.Self(), Ready: s.ready, Digest: s.table.digest}
+	return all
+}
 
-	for _, e := range s.table.entries {
-		dump.Members = append(dump.Members, e.member)
+// Member returns a member by its ID.
+func (s *State) Member(id instance.ID) (instance.Member, bool) {
+	if id == s.self.Member.ID {
+		return s.self.Member, true
 	}
 
-	for _, l := range s.links {
-		dump.Links = append(dump.Links, LinkDump{
-			ID: l.id, Neighbour: l.out, Contact: l.contact, Behind: s.table.seq - l.acked,
-		})
+	if p := s.peers[id]; p != nil {
+		return p.member, true
 	}
 
-	return dump
+	return instance.Member{}, false
 }
 
-func (s *State) find(id instance.ID) *link {
-	at, found := slices.BinarySearchFunc(s.links, id, func(l *link, id instance.ID) int { return cmp.Compare(l.id, id) })
-	if !found {
-		return nil
-	}
+// Self returns the daemon's own entry.
+func (s *State) Self() Entry { return s.self }
 
-	return s.links[at]
+// Watched reports whether another daemon wants to know the load of this daemon's server.
+func (s *State) Watched(now time.Time) bool {
+	return slices.ContainsFunc(s.order, func(p *peer) bool { return now.Before(p.watcher) })
 }
--- a/internal/v2/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/script"
-	"github.com/tarragonmill/tarragonmill/internal/v2/membership"
 )
 
 var update = flag.Bool("update", false, "rewrite the effects in testdata")
@@ -20,7 +20,10 @@
 // beats that nobody wants. Each file in testdata names what it guards against.
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txtar", *update, func() script.Reducer {
-		return &reducer{state: membership.New(newMember("me", 1, 5), 1)}
+		r := &reducer{state: membership.New(newMember("me", 1, 5), 1)}
+		r.state.Apply(time.Time{}, membership.BudgetChanged{Unlimited: true})
+
+		return r
 	})
 }
 
@@ -51,7 +54,9 @@
 
 func (r *reducer) Next() time.Time { return r.state.Next() }
 
-func (r *reducer) Tick(now time.Time) []string { return describe(r.state.Apply(now, membership.Tick{})) }
+func (r *reducer) Tick(now time.Time) []string {
+	return describe(r.state.Apply(now, membership.Tick{}))
+}
 
 func (r *reducer) Apply(now time.Time, line script.Line) []string {
 	return describe(r.state.Apply(now, newEvent(line)))
@@ -75,8 +80,10 @@
 	case "load":
 		return membership.LoadChanged{
 			Report:  load.Report{Server: "me", Running: line.Int("running", 0), Counter: uint64(line.Int("running", 0))},
-			Version: uint64(line.Int("version", 0)), Urgent: true,
+			Version: uint64(line.Int("version", 0)),
 		}
+	case "budget":
+		return membership.BudgetChanged{Bytes: line.Float("bytes", 0)}
 	case "use":
 		return membership.Used{Service: line.Word(0)}
 	case "resume":
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -1,174 +1,158 @@
 package routing
 
-import "time"
+import (
+	"time"
+)
 
 const (
-	// samples is the number of servers that are compared for one choice.
-	samples = 3
-	// ownWeight is the weight of one sample in the mean of this entry's requests at a server.
-	ownWeight = 0.01
-	// tries bounds the draws for one choice, so that its cost does not depend on the number of
-	// servers.
-	tries = 12
-	// domainCost is the round trip between failure domains, which is 1 to 2 ms today.
-	domainCost = time.Millisecond
-	// distanceDefault is the round trip between regions, used until it was observed.
-	distanceDefault = 40 * time.Millisecond
-	// spillPressure is the share of refusals beyond the link above which nothing is sent there.
-	spillPressure = 0.1
-	// refusalsToSpill is the number of full servers after which the region counts as exhausted. Looking
-	// at more of them would take longer than the wait in a queue.
-	refusalsToSpill = 2
-	// pressureCost is added for a region that refuses every attempt; it is the longest wait there.
-	pressureCost = 50 * time.Millisecond
+	// nearFull is the share of its slots beyond which a server is expected to work slower.
+	nearFull       = 0.8
+	nearFullFactor = 1.25
+	// failureCost is added for a server that fails every request.
+	failureCost = 2 * time.Second
+	// similar is how much a server may cost more than the best one and still be chosen, so that daemons that
+	// know the same do not all choose the same server.
+	similar = 1.08
+
+	// domainRate and regionRate are the bytes that weigh as much as one second of a caller's time if they
+	// leave the failure domain or the region, because that traffic is billed.
+	domainRate = 160_000
+	regionRate = 40_000
+	// headBytes is added to what a request and its response carry.
+	headBytes = 700
 )
 
-// choose returns the best of a few random servers that the flight has not tried, or nil. It leaves the
-// region only if the region is exhausted for this request, or has no server that can be reached, and a
-// server beyond the link is expected to answer sooner in spite of the distance.
-func (s *State) choose(now time.Time, f *flight, hedge bool) *server {
-	svc := f.service
-	local, localCost := s.sample(now, &svc.local, f)
+// cost compares servers, in seconds.
+type cost struct {
+	// time that a request is expected to take at the server.
+	time float64
+	// total adds what its failures and the bytes of the request weigh.
+	total float64
+}
 
-	leave := local == nil || f.exhausted(svc) && svc.maySpill(now, f)
+func (s *State) cost(now time.Time, f *flight, srv *server) cost {
+	work := f.estimate.workOrDefault().Seconds()
+	slow := srv.slowness(now)
+	slots := srv.slots()
+	ahead := srv.ahead(now)
 
-	if hedge || !leave {
-		return local
+	run := min(work*slow, work+spell.Seconds())
+	if float64(ahead+1) > nearFull*float64(slots) {
+		run *= nearFullFactor
 	}
 
-	paid := svc.spill.has(now, svc.transfer(f))
-	if paid {
-		remote, remoteCost := s.sample(now, &svc.remote, f)
-		if remote != nil && (local == nil || remoteCost+svc.distance() < localCost) {
-			return remote
-		}
-	}
+	total := run + srv.distance.trip().Seconds()
 
-	if local == nil {
-		// If no server seems reachable, the fault may be here: one that is due for a trial later is
-		// better than none.
-		last, _ := s.sample(now, &svc.unreachable, f)
-		if last != nil && (last.local || paid) {
-			return last
-		}
+	if ahead >= slots {
+		usual := srv.service.work.workOrDefault().Seconds() * slow
+		total += usual * float64(ahead-slots+1) / float64(slots)
 	}
 
-	return local
-}
-
-// maySpill reports whether a request may cross the region link although its region has servers: within
-// the byte rate, and not while the servers beyond the link refuse, too.
-func (svc *service) maySpill(now time.Time, f *flight) bool {
-	return svc.remote.pressure.share(now, returnTime) < spillPressure && svc.spill.has(now, svc.transfer(f))
-}
+	c := cost{time: total, total: total + srv.report.Failing*failureCost.Seconds()}
+	bytes := f.bytes()
 
-// distance is the additional time, in seconds, that answers from beyond the region link take.
-func (svc *service) distance() float64 {
-	if svc.remote.latency.at.IsZero() {
-		return distanceDefault.Seconds()
+	switch srv.distance {
+	case sameRegion:
+		c.total += bytes / domainRate
+	case otherRegion:
+		c.total += bytes / regionRate
+	case sameInstance, sameDomain:
 	}
 
-	return max(0, svc.remote.latency.value-svc.local.latency.value)
+	return c
 }
 
-// exhausted reports whether the region's servers refused the request: one that could have queued it, or
-// several that were full.
-func (f *flight) exhausted(svc *service) bool {
-	return f.queueFull || f.refusals >= min(refusalsToSpill, len(svc.local.items))
+// bytes is what the request and its response are expected to take on the network.
+func (f *flight) bytes() float64 { return f.estimate.bytes + float64(f.request.Size) + headBytes }
+
+// mayReach reports whether the budget of the link between regions allows an attempt.
+func (svc *service) mayReach(now time.Time, srv *server) bool {
+	return srv.distance != otherRegion || svc.spill.free(now)
 }
 
-// transfer estimates the bytes of an attempt and its answer.
-func (svc *service) transfer(f *flight) float64 {
-	return float64(f.request.Size) + headerBytes + svc.answers.value
+// choice is the outcome of a comparison of servers.
+type choice struct {
+	server *server
+	// cost of the server, and the total of the next best one.
+	cost cost
+	next float64
+	// others is set if there is a next best one.
+	others bool
+	// candidates is the number of servers that were compared.
+	candidates int
 }
 
-func (s *State) sample(now time.Time, from *tier, f *flight) (*server, float64) {
+// choose returns a server with the least cost among those that the flight may use, or none.
+func (s *State) choose(now time.Time, f *flight) choice {
 	var (
-		best      *server
-		bestScore float64
-		drawn     [samples]*server
-		count     int
+		best  choice
+		costs = s.costs[:0]
 	)
 
-	n := len(from.items)
-	if n == 0 {
-		return nil, 0
-	}
+	svc := f.service
 
-draws:
-	for range tries {
-		srv := from.items[s.random.IntN(n)]
-		for _, other := range drawn[:count] {
-			if srv == other {
-				continue draws
-			}
-		}
+	for _, srv := range svc.servers {
+		if !srv.open(now) || f.excludes(now, srv) || !svc.mayReach(now, srv) {
+			costs = append(costs, -1)
 
-		if f.tried(srv) {
 			continue
 		}
 
-		drawn[count] = srv
-		from.own.add(now, float64(srv.inFlight), ownWeight)
-		count++
-
-		if score := s.score(now, srv); best == nil || score < bestScore {
-			best, bestScore = srv, score
-		}
+		cost := s.cost(now, f, srv)
+		costs = append(costs, cost.total)
+		best.candidates++
 
-		if count == min(samples, n) {
-			break
+		if best.server == nil || cost.total < best.cost.total {
+			best.server, best.cost = srv, cost
 		}
 	}
 
-	if best == nil {
-		best = firstUntried(from, f, s.random.IntN(n))
-	}
+	s.costs = costs
 
-	return best, bestScore
-}
-
-// firstUntried looks at a bounded number of neighbours, for the case that draws only hit tried servers.
-func firstUntried(from *tier, f *flight, start int) *server {
-	n := len(from.items)
-	for i := range min(n, tries) {
-		if srv := from.items[(start+i)%n]; !f.tried(srv) {
-			return srv
-		}
+	if best.server == nil {
+		return best
 	}
 
-	return nil
+	best.server = s.pick(f, costs, best.cost.total)
+	best.cost = s.cost(now, f, best.server)
+	best.next, best.others = nextCost(f, costs, best.server)
+
+	return best
 }
 
-// score is the expected time, in seconds, until the server would answer another request. If most servers
-// fail, failures say nothing about a single server and do not count.
-func (s *State) score(now time.Time, srv *server) float64 {
-	svc, t := srv.service, srv.tier()
-	limit := float64(srv.slots())
-	ahead := s.load(now, srv) + 1
-	slowness := 1.0
+// pick draws one of the servers that cost about as much as the best one.
+func (s *State) pick(f *flight, costs []float64, least float64) *server {
+	var (
+		chosen *server
+		count  int
+	)
 
-	if s.uses(StragglerWeight) {
-		slowness = srv.slowness(now)
-	}
+	for i, srv := range f.service.servers {
+		if costs[i] < 0 || costs[i] > least*similar {
+			continue
+		}
 
-	if age := now.Sub(srv.since); s.uses(ColdRamp) && age < rampTime {
-		slowness += (rampFactor - 1) * float64(rampTime-age) / float64(rampTime)
+		count++
+		if s.random.IntN(count) == 0 {
+			chosen = srv
+		}
 	}
 
-	queue := max(0, ahead-limit) / limit
-	cost := svc.local.latency.value * (ahead/limit + slowness*(1+queue))
+	return chosen
+}
 
-	if s.uses(FailureWeight) && srv.failing && 2*t.failing <= len(t.items) {
-		excess := srv.failures.share(now, failureReturn) - failureIgnored
-		cost += max(0, excess) * failurePenalty.Seconds()
-	}
+func nextCost(f *flight, costs []float64, chosen *server) (float64, bool) {
+	next, found := 0.0, false
 
-	cost += t.pressure.share(now, returnTime) * pressureCost.Seconds()
+	for i, srv := range f.service.servers {
+		if costs[i] < 0 || srv == chosen {
+			continue
+		}
 
-	if s.uses(NearDomain) && !srv.near {
-		cost += domainCost.Seconds()
+		if !found || costs[i] < next {
+			next, found = costs[i], true
+		}
 	}
 
-	return cost
+	return next, found
 }
--- a/internal/routing/dump.go
+++ b/internal/routing/dump.go
@@ -1,7 +1,8 @@
 package routing
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
@@ -11,19 +12,18 @@
 type Counts struct {
 	Requests  uint64
 	Attempts  uint64
-	Retries   uint64
+	Repeats   uint64
 	Hedges    uint64
-	Probes    uint64
 	Delivered uint64
-	// Unpaid counts load hints that arrived although they were not asked for.
-	Unpaid  uint64
-	GivenUp uint64
+	GivenUp   uint64
 }
 
 // Dump holds the state for the state dump, sorted by ID.
 type Dump struct {
 	Flights int
 	Servers []DumpServer
+	// Budgets is the number of repeats left for each service.
+	Budgets map[string]float64
 	Counts  Counts
 }
 
@@ -31,22 +31,41 @@
 type DumpServer struct {
 	ID       instance.ID
 	Service  string
-	InFlight int
-	Latency  time.Duration
-	Closed   bool
+	Open     bool
+	Ahead    int
+	Slots    int
+	Slowness float64
+	Failing  float64
+	// Age of the last report; negative if there is none.
+	Age   time.Duration
+	Avoid time.Duration
 }
 
 // Dump returns plain values.
-func (s *State) Dump() Dump {
-	d := Dump{Flights: len(s.flights), Counts: s.counts}
+func (s *State) Dump(now time.Time) Dump {
+	d := Dump{Flights: len(s.flights), Counts: s.counts, Budgets: make(map[string]float64, len(s.services))}
+
+	for name, svc := range s.services {
+		d.Budgets[name] = svc.budget.left(now, s.repeats, s.daemons)
+	}
 
 	for id, srv := range s.servers {
+		age := time.Duration(-1)
+		if !srv.heard.IsZero() {
+			age = now.Sub(srv.heard)
+		}
+
 		d.Servers = append(d.Servers, DumpServer{
-			ID: id, Service: srv.service.name, InFlight: srv.inFlight, Latency: time.Duration(srv.latency.value * float64(time.Second)), Closed: srv.closed,
+			ID: id, Service: srv.service.name, Open: srv.open(now), Ahead: srv.ahead(now), Slots: srv.slots(),
+			Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: age,
+			Avoid: max(0, srv.avoidUntil.Sub(now)),
 		})
 	}
 
-	sort.Slice(d.Servers, func(i, j int) bool { return d.Servers[i].ID < d.Servers[j].ID })
+	slices.SortFunc(d.Servers, func(a, b DumpServer) int { return cmp.Compare(a.ID, b.ID) })
 
 	return d
 }
+
+// Counts returns the totals since the start.
+func (s *State) Counts() Counts { return s.counts }
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -1,70 +1,91 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
-// attemptsDefault applies to services whose manifest is not known yet.
-const attemptsDefault = 3
-
-// bindLatePressure is the share of refused attempts above which late binding pauses: if most servers are
-// full, going from one to the next costs time and retries and finds no free slot.
-const bindLatePressure = 0.05
-
-// retryFloor is the shortest Retry-After.
-const retryFloor = 100 * time.Millisecond
+const (
+	// acceptTimeout is how long the daemon beside a server may take, beyond the round trip, to say that it
+	// has read an attempt. It reads within a millisecond unless it is overloaded, stopped or cut off.
+	acceptTimeout = 80 * time.Millisecond
+	// queueWait is the longest time that an attempt waits for a slot before the choice is made anew.
+	queueWait = 120 * time.Millisecond
+	// refusalPeriod is how long a server that refused a request is not asked again for it.
+	refusalPeriod = 60 * time.Millisecond
+	// parkPeriod is the pause after which a request that no server takes is tried again.
+	parkPeriod = 20 * time.Millisecond
+	// parkLimit bounds the pauses in a row; then the request is refused.
+	parkLimit = 5
+	// deadlineGrace is how long a response may arrive after the deadline, at which the server itself
+	// answers, before the request is given up.
+	deadlineGrace = 30 * time.Millisecond
+	// minRetryAfter keeps refused callers from coming back before anything has changed.
+	minRetryAfter = 100 * time.Millisecond
+)
 
-// flight is a request in progress. It is kept until all its attempts have ended, because they count as
-// load until then.
+// flight is a request in progress.
 type flight struct {
 	request  request.Request
 	service  *service
-	attempts []attempt
-	// ran is set once an attempt may have run.
-	ran bool
-	// over is set once the request was delivered or given up.
-	over bool
-	// queueFull is set once a server of the region refused although the attempt could have waited;
-	// refusals counts all that the region's servers refused.
-	queueFull bool
-	refusals  int
-	// hedgeAt is when a second attempt may be sent; zero if none is.
-	hedgeAt time.Time
-	// failed is the number of an attempt whose answer reports an error, or -1.
-	failed int
-	// backlog is the longest wait that a refusal reported.
-	backlog time.Duration
+	estimate *estimate
+	arrived  time.Time
+	attempts []*attempt
+	// runs is the number of servers that run the request or may have run it.
+	runs int
+	// reached is the number of servers that the request has reached, also if they refused to run it.
+	reached int
+	// refusals holds when a server refused the request.
+	refusals map[*server]time.Time
+	// parked is when the next choice is due while no server takes the request; zero if an attempt is live.
+	parked time.Time
+	parks  int
+	// fallback is the number of an attempt with a response that is delivered if nothing better comes.
+	fallback int
+	// lost is set if an attempt may have run and brought no usable response.
+	lost bool
+	done bool
+	// ending is the reason for giving the request up once its attempts have ended; empty if it goes on.
+	ending Reason
 }
 
+// attempt is one sending of a request.
 type attempt struct {
-	target *server
-	live   bool
-	hedge  bool
-	noWait bool
-	// hint is set if a load hint was paid for.
-	hint bool
-	// charged is what was taken from the budget for the region link, in bytes.
-	charged float64
+	flight *flight
+	number int
+	server *server
+	sent   time.Time
+	// accepted is set once the daemon beside the server has read it, running once the server runs it.
+	accepted bool
+	running  bool
+	// progress is the work done at usual speed up to the time `advanced`, for a running attempt.
+	progress time.Duration
+	advanced time.Time
+	ended    bool
+	// withdrawn is set after CancelAttempt.
+	withdrawn bool
+	// silent is set if the daemon beside the server has not acknowledged it in time.
+	silent bool
 }
 
-func (f *flight) tried(srv *server) bool {
-	for i := range f.attempts {
-		if f.attempts[i].target == srv {
-			return true
-		}
+// advance adds the work done since the last call.
+func (a *attempt) advance(now time.Time, srv *server) {
+	if a.running {
+		a.progress += time.Duration(float64(now.Sub(a.advanced)) / srv.slowness(a.advanced))
 	}
 
-	return false
+	a.advanced = now
 }
 
-func (f *flight) live() int {
+// pending is the number of attempts that have not ended, withdrawn ones included.
+func (f *flight) pending() int {
 	count := 0
 
-	for i := range f.attempts {
-		if f.attempts[i].live {
+	for _, a := range f.attempts {
+		if !a.ended {
 			count++
 		}
 	}
@@ -72,333 +93,436 @@
 	return count
 }
 
-func (f *flight) attemptLimit() int {
-	if limit := f.service.policy.Retry.Attempts; limit > 0 {
-		return limit
+// mayRun is the number of servers that run the request, may have run it, or may be about to.
+func (f *flight) mayRun() int {
+	count := f.runs
+
+	for _, a := range f.attempts {
+		if !a.ended && !a.running {
+			count++
+		}
 	}
 
-	return attemptsDefault
+	return count
 }
 
-func (s *State) arrived(now time.Time, r request.Request) []Effect {
-	if _, ok := s.flights[r.ID]; ok {
-		return nil
-	}
+func (f *flight) live() int {
+	count := 0
 
-	svc, ok := s.services[r.Service]
-	if !ok {
-		// Nothing is kept for a name that only a request mentions.
-		return []Effect{GiveUp{ID: r.ID, Verdict: verdict.NotRun, Reason: NoServers, RetryAfter: retryFloor}}
+	for _, a := range f.attempts {
+		if !a.ended && !a.withdrawn {
+			count++
+		}
 	}
 
-	svc.retries.earn(svc.policy.Retry.Share)
-	svc.hedges.earn(svc.policy.Hedge.Share)
-	s.counts.Requests++
+	return count
+}
 
-	f := &flight{request: r, service: svc, failed: -1}
-	s.flights[r.ID] = f
+// limit is the number of servers that may run the request.
+func (f *flight) limit() int {
+	if f.request.Attempts > 0 {
+		return f.request.Attempts
+	}
 
-	if !now.Before(r.Deadline) {
-		return s.giveUp(f, DeadlinePassed)
+	return f.service.attempts
+}
+
+// excludes reports whether the request must not go to the server now.
+func (f *flight) excludes(now time.Time, srv *server) bool {
+	if at, refused := f.refusals[srv]; refused && now.Sub(at) < refusalPeriod {
+		return true
 	}
 
-	effects := s.send(now, f, false)
-	if !f.over {
-		effects = append(effects, s.startTimer(now, f))
+	return slices.ContainsFunc(f.attempts, func(a *attempt) bool {
+		return a.server == srv && (a.running || !a.ended)
+	})
+}
+
+func (s *State) arrived(now time.Time, e Arrived) []Effect {
+	svc := s.service(e.Request.Service)
+	f := &flight{
+		request: e.Request, service: svc, estimate: s.estimateOf(e.Request.Route),
+		arrived: now, refusals: make(map[*server]time.Time), fallback: -1,
 	}
+	s.flights[e.Request.ID] = f
+	s.counts.Requests++
+	svc.budget.addRequest(now, s.repeats)
+	svc.hedges.addRequest(now, s.repeats)
+	svc.budget.addRepeats(now, s.repeats, e.Repeated)
+
+	effects := s.send(now, f, First)
+	s.forget(f)
 
-	return append(effects, s.probe(now, svc)...)
+	return effects
 }
 
-// send starts the next attempt, or gives the request up if there is no server.
-func (s *State) send(now time.Time, f *flight, hedge bool) []Effect {
-	target := s.choose(now, f, hedge)
-	if target == nil {
-		if hedge {
+// send starts an attempt at the best server, parks the request or gives it up.
+func (s *State) send(now time.Time, f *flight, why Reason) []Effect {
+	if f.reached > 0 && (f.reached > f.limit() || f.service.budget.left(now, s.repeats, s.daemons) < 1) {
+		if f.live() > 0 {
 			return nil
 		}
 
-		reason := NoServers
-		if f.backlog > 0 {
-			reason = Overloaded
-		}
-
-		return s.giveUp(f, reason)
+		return s.giveUp(now, f, Exhausted)
 	}
 
-	// An attempt that must not wait in the server's queue needs a retry for the case that it is
-	// refused. The retry is paid for now and refunded if it is not needed.
-	number := len(f.attempts)
-	noWait := hedge || target.local && s.bindLate(now, f)
-	a := attempt{target: target, live: true, hedge: hedge, noWait: noWait}
-	a.hint = s.uses(Hints) && f.service.measuring.takeHint(now, target)
+	chosen := s.choose(now, f)
+	left := f.request.Deadline.Sub(now)
 
-	if !target.local {
-		a.charged = f.service.transfer(f)
-		f.service.spill.settle(a.charged)
+	if chosen.server == nil || chosen.cost.time > left.Seconds() {
+		return s.park(now, f, chosen)
 	}
 
+	a := &attempt{flight: f, number: len(f.attempts), server: chosen.server, sent: now, advanced: now}
 	f.attempts = append(f.attempts, a)
-	target.inFlight++
-	target.hint.uses++
-	s.counts.Attempts++
+	f.parked = time.Time{}
+	chosen.server.live = append(chosen.server.live, a)
+	chosen.server.unreported++
 
-	if hedge {
-		s.counts.Hedges++
+	if chosen.server.distance == otherRegion {
+		f.service.spill.use(now, f.bytes())
 	}
 
+	s.counts.Attempts++
+
 	return []Effect{Attempt{
-		Request: f.request, Number: number, Target: target.member, Hedge: hedge, NoWait: noWait,
-		Hint: a.hint,
+		Request: f.request, Number: a.number, Target: chosen.server.member,
+		Wait: min(queueWait, left), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
 
-// bindLate decides whether the next attempt is refused instead of queued at a full server.
-func (s *State) bindLate(now time.Time, f *flight) bool {
-	retries := &f.service.retries
+func (s *State) basis(now time.Time, f *flight, chosen choice) Basis {
+	srv := chosen.server
+	b := Basis{
+		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now) - 1, Slots: srv.slots(),
+		Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: -1, Candidates: chosen.candidates,
+		Budget: f.service.budget.left(now, s.repeats, s.daemons),
+	}
 
-	if f.service.local.pressure.share(now, returnTime) > bindLatePressure {
-		return false
+	if !srv.heard.IsZero() {
+		b.Age = now.Sub(srv.heard)
 	}
 
-	return s.uses(LateBinding) && len(f.attempts)+1 < f.attemptLimit() && !f.request.Alone && retries.plenty() && retries.spend()
+	return b
 }
 
-func (s *State) attemptEnded(now time.Time, e AttemptEnded) []Effect {
-	f, ok := s.flights[e.ID]
-	if !ok || e.Number < 0 || e.Number >= len(f.attempts) || !f.attempts[e.Number].live {
-		return nil
-	}
-
-	a := &f.attempts[e.Number]
-	a.live = false
-	a.target.inFlight--
-	f.ran = f.ran || e.Verdict != verdict.NotRun
+func seconds(number float64) time.Duration { return time.Duration(number * float64(time.Second)) }
 
-	s.observe(now, f, a, e)
+const (
+	// slowestMin is the slowness that is never a reason to refuse.
+	slowestMin = 1.6
+	// slowestRefusals is the number of refusals after which a request takes any server.
+	slowestRefusals = 2
+)
 
-	if a.noWait && !a.hedge && e.Outcome != Refused {
-		f.service.retries.refund()
+// slowest is the slowness above which the next best server is the better choice.
+func (s *State) slowest(f *flight, chosen choice) float64 {
+	if !chosen.others || len(f.refusals) >= slowestRefusals {
+		return 0
 	}
 
-	if f.over {
-		s.forget(f)
+	return max(slowestMin, chosen.next/f.estimate.workOrDefault().Seconds())
+}
 
+// park keeps a request that no server can take for a moment, or gives it up.
+func (s *State) park(now time.Time, f *flight, chosen choice) []Effect {
+	if f.live() > 0 {
 		return nil
 	}
 
-	switch e.Outcome {
-	case Succeeded:
-		return s.deliver(f, e.Number)
-	case Failed:
-		if e.Verdict == verdict.Answered {
-			f.failed = e.Number
-		}
-	case Refused, Unreachable, Lost, TimedOut, Aborted:
+	f.parks++
+
+	switch {
+	case f.fallback >= 0 && f.parks > 1:
+		return s.giveUp(now, f, Exhausted)
+	case len(f.service.servers) == 0:
+		return s.giveUp(now, f, NoServers)
+	case chosen.server != nil || f.parks > parkLimit:
+		return s.giveUp(now, f, Overloaded)
 	}
 
-	if f.live() > 0 {
-		return nil
+	f.parked = now.Add(parkPeriod)
+
+	return nil
+}
+
+func (s *State) accepted(now time.Time, e Accepted) {
+	a := s.find(e.ID, e.Number)
+	if a == nil || a.ended {
+		return
 	}
 
-	if f.failed >= 0 {
-		return s.deliver(f, f.failed)
+	a.server.answered()
+	a.accepted = true
+
+	if e.Running && !a.running {
+		s.started(now, a)
 	}
+}
+
+// started counts an attempt that has reached its server.
+func (s *State) started(now time.Time, a *attempt) {
+	a.running, a.advanced = true, now
+	a.flight.runs++
+	a.flight.reached++
 
-	return s.retry(now, f, a, e)
+	if a.flight.reached > 1 {
+		a.flight.service.budget.addRepeats(now, s.repeats, 1+a.server.report.Calls)
+		s.counts.Repeats++
+	}
 }
 
-// observe updates what is known of the attempt's server.
-func (s *State) observe(now time.Time, f *flight, a *attempt, e AttemptEnded) {
-	srv := a.target
+func (s *State) find(id request.ID, number int) *attempt {
+	f := s.flights[id]
+	if f == nil || number >= len(f.attempts) {
+		return nil
+	}
 
-	if e.Hinted {
-		srv.learn(now, e.Hint)
+	return f.attempts[number]
+}
+
+func (s *State) ended(now time.Time, e Ended) []Effect {
+	a := s.find(e.ID, e.Number)
+	if a == nil || a.ended {
+		return nil
 	}
 
-	if e.Hinted && !a.hint {
-		s.counts.Unpaid++
+	f := a.flight
+	s.leave(now, a, e)
+
+	if e.Outcome == Answered && !e.Failure {
+		if a.running {
+			f.estimate.add(a.progress, e.Bytes)
+			f.service.work.add(a.progress, e.Bytes)
+		}
 	}
 
-	switch e.Outcome {
-	case Succeeded:
-		srv.succeeded(now, e.Elapsed)
-		f.service.answers.add(now, float64(e.Bytes), latencyFall)
-	case Refused:
-		s.refused(now, f, a, e)
-	case Unreachable:
-		srv.unreachable(now)
-	case Failed, Lost, TimedOut:
-		srv.failed(now)
-	case Aborted:
-		srv.cancelled(now, e.Elapsed)
+	if f.done {
+		s.forget(f)
+
+		return nil
 	}
 
-	if a.charged > 0 {
-		// The answer's size was not known before.
-		f.service.spill.settle(float64(e.Bytes) - a.charged)
+	var effects []Effect
+	if f.ending != "" {
+		effects = s.conclude(now, f)
+	} else {
+		effects = s.decide(now, a, e)
 	}
+
+	s.forget(f)
+
+	return effects
 }
 
-// refused records what a refusal says about the region's load.
-func (s *State) refused(now time.Time, f *flight, a *attempt, e AttemptEnded) {
-	srv := a.target
+// leave takes an attempt from the books of its server.
+func (s *State) leave(now time.Time, a *attempt, e Ended) {
+	srv := a.server
+	a.advance(now, srv)
+	a.ended = true
+	srv.live = slices.DeleteFunc(srv.live, func(other *attempt) bool { return other == a })
 
-	if e.Draining || e.Hinted && e.Hint.Draining {
-		srv.unreachable(now)
+	if srv.unreported > 0 || a.accepted {
+		srv.unreported--
+	}
 
-		return
+	ran := e.Verdict != verdict.NotRun
+	if ran && !a.running && (e.Outcome == Answered || e.Outcome == Broken) {
+		s.started(now, a)
 	}
 
-	wait := f.service.local.latency.value
-	if e.Hinted && e.Hint.Limit > 0 {
-		wait = e.Hint.Latency.Seconds() * float64(e.Hint.InFlight+e.Hint.Queue) / float64(e.Hint.Limit)
+	if !ran {
+		if a.running {
+			// The server refused a request that had a slot; it has not run and made no calls.
+			a.flight.runs--
+
+			if a.flight.reached > 1 {
+				a.flight.service.budget.addRepeats(now, s.repeats, -srv.report.Calls)
+			}
+		}
+
+		a.running = false
 	}
 
-	f.backlog = max(f.backlog, time.Duration(wait*float64(time.Second)), 1)
-	srv.tier().pressure.mark(now, true, latencyFall, returnTime)
+	if ran && (e.Outcome == Broken || e.Outcome == Aborted) {
+		a.flight.lost = true
+	}
 
-	if srv.local && !a.hedge {
-		f.refusals++
-		f.queueFull = f.queueFull || !a.noWait
+	switch e.Outcome {
+	case Unreachable:
+		srv.missed(now)
+	case Answered, Refused:
+		srv.answered()
+	case Broken, Aborted:
 	}
 }
 
-// retry sends another attempt if the verdict, the deadline and the budgets allow it.
-func (s *State) retry(now time.Time, f *flight, a *attempt, e AttemptEnded) []Effect {
-	switch {
-	case !e.Verdict.MayRepeat(f.request.Idempotent()) || f.ran && !f.request.Idempotent():
-		return s.giveUp(f, ConnectionLost)
-	case !now.Before(f.request.Deadline):
-		return s.giveUp(f, DeadlinePassed)
-	case len(f.attempts) >= f.attemptLimit():
-		if e.Outcome == Refused {
-			return s.giveUp(f, Overloaded)
-		}
+// decide says what follows the end of an attempt.
+func (s *State) decide(now time.Time, a *attempt, e Ended) []Effect {
+	f := a.flight
 
-		return s.giveUp(f, AttemptsSpent)
-	case a.noWait && !a.hedge && e.Outcome == Refused:
-		// The retry was paid for when the attempt was sent.
-	case !f.service.retries.spend():
-		if e.Outcome == Refused {
-			return s.giveUp(f, Overloaded)
+	switch e.Outcome {
+	case Answered:
+		if e.Failure && s.mayRepeat(now, f) {
+			f.fallback = a.number
+
+			return s.resend(now, f, Retry)
 		}
 
-		return s.giveUp(f, RetryBudget)
-	}
+		return s.deliver(f, a.number)
+	case Refused, Unreachable:
+		f.refusals[a.server] = now
 
-	s.counts.Retries++
+		return s.resend(now, f, Retry)
+	case Broken:
+		if e.Verdict.MayRepeat(f.request.Idempotent()) && (e.Verdict == verdict.NotRun || s.mayRepeat(now, f)) {
+			f.refusals[a.server] = now
 
-	return s.send(now, f, false)
-}
+			return s.resend(now, f, Retry)
+		}
 
-func (s *State) deliver(f *flight, number int) []Effect {
-	effects := s.cancelLive(f)
-	f.over = true
-	s.forget(f)
-	s.counts.Delivered++
+		if f.live() > 0 {
+			return nil
+		}
+
+		return s.giveUp(now, f, Lost)
+	default:
+		// An attempt that was withdrawn because it was silent.
+		if f.live() > 0 {
+			return nil
+		}
 
-	return append([]Effect{Deliver{ID: f.request.ID, Number: number}}, effects...)
+		if e.Verdict == verdict.NotRun || s.mayRepeat(now, f) {
+			return s.resend(now, f, Moved)
+		}
+
+		return s.giveUp(now, f, Lost)
+	}
 }
 
-func (s *State) giveUp(f *flight, reason Reason) []Effect {
-	v := verdict.NotRun
-	if f.ran || f.live() > 0 {
-		v = verdict.MayHaveRun
+// resend tries another server unless an attempt is still live.
+func (s *State) resend(now time.Time, f *flight, why Reason) []Effect {
+	if f.live() > 0 {
+		return nil
 	}
 
-	effects := s.cancelLive(f)
-	f.over = true
-	s.forget(f)
-	s.counts.GivenUp++
+	if now.After(f.request.Deadline) {
+		return s.giveUp(now, f, Deadline)
+	}
 
-	return append([]Effect{GiveUp{
-		ID: f.request.ID, Verdict: v, Reason: reason, RetryAfter: s.retryAfter(f),
-	}}, effects...)
+	return s.send(now, f, why)
 }
 
-// retryAfter is the expected time until the backlog is served, with jitter so that callers that were
-// refused together do not return together.
-func (s *State) retryAfter(f *flight) time.Duration {
-	base := max(retryFloor, 2*f.backlog)
+// mayRepeat reports whether the request may be run by one more server.
+func (s *State) mayRepeat(now time.Time, f *flight) bool {
+	return f.request.Idempotent() && f.mayRun() < f.limit() &&
+		f.service.budget.left(now, s.repeats, s.daemons) >= 1
+}
 
-	return base + time.Duration(s.random.Float64()*float64(base))
+// deliver ends a request with the response of an attempt.
+func (s *State) deliver(f *flight, number int) []Effect {
+	effects := s.withdraw(f, number, Superseded)
+	f.done = true
+	s.counts.Delivered++
+
+	return append(effects, Deliver{ID: f.request.ID, Number: number})
 }
 
-func (s *State) cancelLive(f *flight) []Effect {
-	var effects []Effect
+// giveUp ends a request without a response, or with one that a server gave for its own failure.
+func (s *State) giveUp(now time.Time, f *flight, reason Reason) []Effect {
+	if f.ending != "" {
+		return nil
+	}
 
-	for number := range f.attempts {
-		if f.attempts[number].live {
-			effects = append(effects, CancelAttempt{ID: f.request.ID, Number: number})
-		}
+	if f.fallback >= 0 {
+		return s.deliver(f, f.fallback)
 	}
 
-	return effects
+	f.ending = reason
+
+	return append(s.withdraw(f, -1, reason), s.conclude(now, f)...)
 }
 
-func (s *State) cancelled(id request.ID) []Effect {
-	f, ok := s.flights[id]
-	if !ok || f.over {
+// conclude ends a request that is given up when the last of its attempts has ended: only then it is known
+// whether it may have run.
+func (s *State) conclude(now time.Time, f *flight) []Effect {
+	if f.pending() > 0 {
 		return nil
 	}
 
-	return s.giveUp(f, CallerCancelled)
+	judged := verdict.NotRun
+	if f.runs > 0 || f.lost {
+		judged = verdict.MayHaveRun
+	}
+
+	f.done = true
+	s.counts.GivenUp++
+
+	return []Effect{GiveUp{
+		ID: f.request.ID, Verdict: judged, Reason: f.ending, RetryAfter: s.retryAfter(now, f),
+	}}
 }
 
-// unknownHedgePart is the part of the time left after which a second attempt is sent while the latency
-// distribution is unknown.
-const unknownHedgePart = 4
-
-// startTimer asks to be woken for the hedge or else for the deadline.
-func (s *State) startTimer(now time.Time, f *flight) Effect {
-	at := f.request.Deadline
-	policy := f.service.policy.Hedge
-
-	if f.request.Idempotent() && !f.request.Alone && policy.Share > 0 && s.uses(Hedging) && len(f.attempts) > 0 {
-		delay := f.service.spread.quantile(policy.Quantile)
-		if delay == 0 {
-			// Nothing is known of the latency yet; without a second attempt the first requests of a
-			// service would wait for a frozen server until their deadline.
-			delay = at.Sub(now) / unknownHedgePart
-		}
+// retryAfter is when a server of the service is expected to have room.
+func (s *State) retryAfter(now time.Time, f *flight) time.Duration {
+	shortest := time.Duration(0)
+
+	for _, srv := range f.service.servers {
+		excess := srv.ahead(now) - srv.slots() + 1
+		work := f.service.work.workOrDefault().Seconds() * srv.slowness(now)
+		wait := time.Duration(work * float64(max(0, excess)) / float64(srv.slots()) * float64(time.Second))
 
-		if delay > 0 && now.Add(delay).Before(at) {
-			f.hedgeAt = now.Add(delay)
-			at = f.hedgeAt
+		if shortest == 0 || wait < shortest {
+			shortest = wait
 		}
 	}
 
-	return StartTimer{ID: f.request.ID, After: at.Sub(now)}
+	// Callers that were refused together come back spread over as long again.
+	base := max(minRetryAfter, shortest)
+
+	return base + time.Duration(s.random.Int64N(int64(base)))
 }
 
-func (s *State) timerFired(now time.Time, id request.ID) []Effect {
-	f, ok := s.flights[id]
-	if !ok || f.over {
-		return nil
-	}
+// withdraw cancels the live attempts of a request but one.
+func (s *State) withdraw(f *flight, keep int, why Reason) []Effect {
+	var effects []Effect
 
-	if !now.Before(f.request.Deadline) {
-		return s.giveUp(f, DeadlinePassed)
-	}
+	for _, a := range f.attempts {
+		if !a.ended && !a.withdrawn && a.number != keep {
+			a.withdrawn = true
 
-	if f.hedgeAt.IsZero() || now.Before(f.hedgeAt) {
-		return nil
+			effects = append(effects, CancelAttempt{ID: f.request.ID, Number: a.number, Why: why})
+		}
 	}
 
-	f.hedgeAt = time.Time{}
+	return effects
+}
 
-	effects := []Effect{StartTimer{ID: id, After: f.request.Deadline.Sub(now)}}
-	if f.live() == 1 && len(f.attempts) < f.attemptLimit() && f.service.hedges.spend() {
-		effects = append(effects, s.send(now, f, true)...)
+func (s *State) cancelled(e Cancelled) []Effect {
+	f := s.flights[e.ID]
+	if f == nil || f.done {
+		return nil
 	}
 
+	f.ending = ""
+	effects := s.withdraw(f, -1, CallerLeft)
+	f.done = true
+	s.forget(f)
+
 	return effects
 }
 
-// forget drops the flight once nothing can refer to it.
+// forget drops a request that is done and has no attempt in progress.
 func (s *State) forget(f *flight) {
-	if f.over && f.live() == 0 {
-		delete(s.flights, f.request.ID)
+	if !f.done {
+		return
 	}
+
+	for _, a := range f.attempts {
+		if !a.ended {
+			return
+		}
+	}
+
+	delete(s.flights, f.request.ID)
 }
--- a/internal/v2/routing/hedge.go
+++ b/internal/routing/hedge.go
@@ -25,7 +25,7 @@
 func (s *State) hedgeOne(now time.Time, a *attempt) []Effect {
 	f := a.flight
 	if f.live() > 1 || !s.mayRepeat(now, f) ||
-		f.service.budget.left(now, s.repeats, s.daemons) < hedgeReserve {
+		f.service.budget.left(now, s.repeats, s.daemons) < hedgeReserve || !s.mayHedge(now, f.service) {
 		return nil
 	}
 
@@ -54,10 +54,18 @@
 	}
 
 	s.counts.Hedges++
+	f.service.hedges.addRepeats(now, s.repeats, 1)
 
 	return s.send(now, f, Hedge)
 }
 
+// mayHedge reports whether the service's limit on hedged attempts leaves room for one more.
+func (s *State) mayHedge(now time.Time, svc *service) bool {
+	requests, hedges := svc.hedges.counted(now, s.repeats)
+
+	return hedges+1 <= svc.hedgeShare*float64(requests)
+}
+
 // remaining is the time that a running attempt is expected to need further. An attempt that has taken much
 // longer than usual is expected to take as long again, because it may be lost.
 func (a *attempt) remaining(now time.Time) time.Duration {
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -10,71 +10,68 @@
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
-// Event is something that happened to a request, a member or the configuration.
+// Event is something that happened to a request or to a server.
 type Event interface{ isEvent() }
 
 // Effect is an action that the daemon performs.
 type Effect interface{ isEffect() }
 
-// Outcome says how an attempt ended.
+// Outcome is how an attempt ended.
 type Outcome uint8
 
 const (
-	// Succeeded attempts have an answer that can be delivered.
-	Succeeded Outcome = iota
-	// Refused attempts were turned down by the daemon beside the server, with a load hint.
+	// Answered attempts brought a whole response of a backend server.
+	Answered Outcome = iota
+	// Refused attempts were turned away and not run.
 	Refused
-	// Failed attempts have an answer that reports a server error.
-	Failed
-	// Unreachable attempts never connected to the daemon beside the server.
+	// Unreachable attempts did not reach the daemon beside the server and were not run.
 	Unreachable
-	// Lost attempts broke after the request may have been sent.
-	Lost
-	// TimedOut attempts reached their deadline.
-	TimedOut
-	// Aborted attempts were cancelled by CancelAttempt.
+	// Broken attempts were sent and brought no usable response.
+	Broken
+	// Aborted attempts were cancelled by this daemon.
 	Aborted
 )
 
+// String returns the name used in logs and dumps.
+func (o Outcome) String() string {
+	return [...]string{"answered", "refused", "unreachable", "broken", "aborted"}[o]
+}
+
 type (
-	// Arrived starts routing a request.
-	Arrived struct{ Request request.Request }
-	// AttemptEnded reports the end of an attempt.
-	AttemptEnded struct {
+	// Arrived brings a request of a caller. Its service is already chosen.
+	Arrived struct {
+		Request request.Request
+		// Repeated is the probability that the request is a call of one that was sent once more.
+		Repeated float64
+	}
+	// Accepted reports that the daemon beside the server has read an attempt, and whether it runs.
+	Accepted struct {
+		ID      request.ID
+		Number  int
+		Running bool
+	}
+	// Ended reports the end of an attempt; there is one for each Attempt.
+	Ended struct {
 		ID      request.ID
 		Number  int
-		Target  instance.ID
-		Verdict verdict.Verdict
 		Outcome Outcome
-		// Hint is valid if Hinted is set.
-		Hint   load.Hint
-		Hinted bool
-		// Draining is set if the refusal said that the server takes no new work.
-		Draining bool
-		Elapsed  time.Duration
-		// Bytes sent and received, including headers, for the budgets of the region link.
+		Verdict verdict.Verdict
+		// Failure is set if the response is one of a server that could not do its work.
+		Failure bool
+		// Unusable is set if the server will take no other attempt either until it says so.
+		Unusable bool
+		// Bytes of the response's body.
 		Bytes int64
 	}
-	// Cancelled reports that the caller has gone away.
+	// Cancelled reports that the caller has left.
 	Cancelled struct{ ID request.ID }
-	// TimerFired follows StartTimer.
-	TimerFired struct{ ID request.ID }
-	// MembersChanged replaces the members of a service, sorted by ID.
-	MembersChanged struct {
-		Service string
-		Members []instance.Member
-	}
-	// PolicyChanged replaces the configuration of all services.
+	// Reported brings the load of a server.
+	Reported struct{ Report load.Report }
+	// MembersChanged brings all members that may take work.
+	MembersChanged struct{ Members []instance.Member }
+	// PolicyChanged brings the services of the manifest in force.
 	PolicyChanged struct{ Services []manifest.Service }
-	// ProbeEnded reports a probe's result; Hint is valid if OK is set.
-	ProbeEnded struct {
-		Target  instance.ID
-		Hint    load.Hint
-		OK      bool
-		Elapsed time.Duration
-		Bytes   int64
-	}
-	// Tick lets time pass; sent every TickInterval.
+	// Tick lets time pass.
 	Tick struct{}
 )
 
@@ -84,65 +81,81 @@
 		Request request.Request
 		Number  int
 		Target  instance.Member
-		Hedge   bool
-		// NoWait asks the daemon beside the server to refuse the attempt if it would have to wait.
-		NoWait bool
-		// Hint is set if a load hint on the answer has been paid for. Without it, the daemon beside
-		// the server attaches none.
-		Hint bool
+		// Wait is the longest time that the attempt may wait for a slot there.
+		Wait time.Duration
+		// Slowest is the slowness of the server above which it is to refuse the attempt; zero for any.
+		Slowest float64
+		// Repeat is set if the request may have reached another server before.
+		Repeat bool
+		Why    Reason
+		Basis  Basis
 	}
-	// CancelAttempt cancels an attempt; the server is told.
+	// CancelAttempt withdraws an attempt.
 	CancelAttempt struct {
 		ID     request.ID
 		Number int
+		Why    Reason
 	}
-	// Deliver passes the answer of an attempt to the caller.
+	// Deliver passes the response of an attempt to the caller. Other attempts are withdrawn before it.
 	Deliver struct {
 		ID     request.ID
 		Number int
 	}
-	// GiveUp ends a request without an answer from a server.
+	// GiveUp ends a request without a response.
 	GiveUp struct {
-		ID         request.ID
-		Verdict    verdict.Verdict
-		Reason     Reason
+		ID      request.ID
+		Verdict verdict.Verdict
+		Reason  Reason
+		// RetryAfter is when another try makes sense; zero if it makes none.
 		RetryAfter time.Duration
 	}
-	// StartTimer asks for TimerFired.
-	StartTimer struct {
-		ID    request.ID
-		After time.Duration
-	}
-	// Probe asks the daemon beside a server for its load. It has been paid for.
-	Probe struct{ Target instance.Member }
 )
 
-// Reason says why a request was given up.
+// Basis is what the choice of a server rests on.
+type Basis struct {
+	// Expected is the time that the request is expected to take there, Next the cost of the next best server.
+	Expected, Next time.Duration
+	// Ahead is the number of requests that run or wait there.
+	Ahead, Slots int
+	Slowness     float64
+	Failing      float64
+	// Age of the report that the figures rest on; negative if there is none.
+	Age time.Duration
+	// Candidates is the number of servers that were compared.
+	Candidates int
+	// Budget is the number of repeats that were left for the service.
+	Budget float64
+}
+
+// Reason says why a decision was made.
 type Reason string
 
-// Reasons for GiveUp.
+// Reasons of attempts, withdrawals and final refusals.
 const (
-	NoServers       Reason = "no-servers"
-	Overloaded      Reason = "overloaded"
-	DeadlinePassed  Reason = "deadline"
-	AttemptsSpent   Reason = "attempts"
-	RetryBudget     Reason = "retry-budget"
-	ConnectionLost  Reason = "connection-lost"
-	CallerCancelled Reason = "cancelled"
+	First      Reason = "first"
+	Retry      Reason = "retry"
+	Hedge      Reason = "hedge"
+	Moved      Reason = "moved"
+	Silent     Reason = "silent"
+	Superseded Reason = "superseded"
+	CallerLeft Reason = "caller-left"
+	Deadline   Reason = "deadline"
+	NoServers  Reason = "no-servers"
+	Overloaded Reason = "overloaded"
+	Lost       Reason = "connection-lost"
+	Exhausted  Reason = "attempts-exhausted"
 )
 
 func (Arrived) isEvent()        {}
-func (AttemptEnded) isEvent()   {}
+func (Accepted) isEvent()       {}
+func (Ended) isEvent()          {}
 func (Cancelled) isEvent()      {}
-func (TimerFired) isEvent()     {}
+func (Reported) isEvent()       {}
 func (MembersChanged) isEvent() {}
 func (PolicyChanged) isEvent()  {}
-func (ProbeEnded) isEvent()     {}
 func (Tick) isEvent()           {}
 
 func (Attempt) isEffect()       {}
 func (CancelAttempt) isEffect() {}
 func (Deliver) isEffect()       {}
 func (GiveUp) isEffect()        {}
-func (StartTimer) isEffect()    {}
-func (Probe) isEffect()         {}
--- a/internal/v2/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -11,7 +11,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/request"
-	"github.com/tarragonmill/tarragonmill/internal/v2/routing"
+	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
@@ -215,10 +215,9 @@
 				routing.WithRepeats(routing.Repeats{Share: 1, Slack: 1000, Window: 10 * time.Second})),
 		}
 
-		members := []instance.Member{self}
-		for _, id := range []string{"a", "b", "c"} {
-			members = append(members, instance.Member{ID: instance.ID(id), Incarnation: 1, Service: "stock", Place: self.Place, Slots: 4})
-		}
+		member := instance.Member{Incarnation: 1, Service: "stock", Place: self.Place, Slots: 4}
+		members := []instance.Member{self, member, member, member}
+		members[1].ID, members[2].ID, members[3].ID = "a", "b", "c"
 
 		w.apply(routing.MembersChanged{Members: members})
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,14 +1,16 @@
-// Package routing decides at the entry daemon which backend server runs a request, and what happens
-// after each attempt. It does no I/O and reads no clock.
+// Package routing decides at the entry daemon to which backend server a request goes, when it is sent once
+// more, and when it is given up. It does no I/O and reads no clock.
 //
-// Each Attempt effect is followed by exactly one AttemptEnded, also after CancelAttempt and after the
-// request was given up; each Probe effect by exactly one ProbeEnded. The daemon keeps the answer of an
-// attempt until Deliver names it or the request ends.
+// Servers are compared by the time that a request is expected to take there: the usual work of its route,
+// how slow the server works at present, and the requests ahead of it. The daemons beside the servers report
+// both; a report is wrong a few milliseconds later, so an attempt says under which conditions it is to be
+// refused, and a refusal leads to the next choice.
 package routing
 
 import (
-	"math"
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
@@ -16,49 +18,66 @@
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
-// TickInterval is the period of Tick events.
-const TickInterval = 50 * time.Millisecond
+// Defaults apply until settings and manifest are known.
+const (
+	defaultAttempts = 2
+	defaultShare    = 0.1
+	defaultSlack    = 10
+	defaultWindow   = 10 * time.Second
+)
 
 // Option configures New.
 type Option func(*State)
 
-// WithSeed seeds the random choices.
+// WithSelf says which member the daemon itself is.
+func WithSelf(self instance.Member) Option { return func(s *State) { s.self = self } }
+
+// WithSeed seeds random choices.
 func WithSeed(seed uint64) Option {
-	return func(s *State) { s.random = rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)) }
+	return func(s *State) { s.random = rand.New(rand.NewPCG(seed, 0)) }
 }
 
-// WithPlace sets where the daemon runs; nearer servers are preferred.
-func WithPlace(place instance.Place) Option {
-	return func(s *State) { s.place = place }
-}
+// WithRepeats limits how often requests are sent once more.
+func WithRepeats(repeats Repeats) Option { return func(s *State) { s.repeats = repeats } }
 
-// State is the routing state of one entry daemon. It is not safe for concurrent use.
+// State is what an entry daemon knows of servers and of requests in progress. It is not safe for concurrent
+// use.
 type State struct {
-	random *rand.Rand
-	place  instance.Place
-	// off has a bit for each mechanism that is turned off.
-	off uint
-	// started is the time of the first event about members or policies; divisor is the number of daemons
-	// among which the budgets are divided at present.
-	started  time.Time
-	divisor  float64
-	services map[string]*service
-	// order lists the services in the order in which they became known.
-	order   []*service
-	servers map[instance.ID]*server
-	flights map[request.ID]*flight
-	counts  Counts
+	self      instance.Member
+	random    *rand.Rand
+	repeats   Repeats
+	services  map[string]*service
+	servers   map[instance.ID]*server
+	flights   map[request.ID]*flight
+	estimates map[string]*estimate
+	// daemons is the number of daemons known, among which the slack of a budget is divided.
+	daemons  int
+	policies []manifest.Service
+	costs    []float64
+	counts   Counts
 }
 
-// New returns a state that knows no services and no members.
+// service is a group of servers that answer the same requests.
+type service struct {
+	name     string
+	servers  []*server
+	attempts int
+	budget   budget
+	// hedges counts hedged attempts, of which there may be hedgeShare per request.
+	hedges     budget
+	hedgeShare float64
+	spill      link
+	work       estimate
+}
+
+// New returns a state without servers.
 func New(options ...Option) *State {
 	s := &State{
-		services: make(map[string]*service),
-		servers:  make(map[instance.ID]*server),
-		flights:  make(map[request.ID]*flight),
+		random:   rand.New(rand.NewPCG(0, 0)),
+		repeats:  Repeats{Share: defaultShare, Slack: defaultSlack, Window: defaultWindow},
+		services: make(map[string]*service), servers: make(map[instance.ID]*server),
+		flights: make(map[request.ID]*flight), estimates: make(map[string]*estimate),
 	}
-	WithSeed(1)(s)
-
 	for _, option := range options {
 		option(s)
 	}
@@ -70,169 +89,129 @@
 func (s *State) Apply(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Arrived:
-		return s.arrived(now, e.Request)
-	case AttemptEnded:
-		return s.attemptEnded(now, e)
+		return s.arrived(now, e)
+	case Accepted:
+		s.accepted(now, e)
+	case Ended:
+		return s.ended(now, e)
 	case Cancelled:
-		return s.cancelled(e.ID)
-	case TimerFired:
-		return s.timerFired(now, e.ID)
+		return s.cancelled(e)
+	case Reported:
+		return s.reported(now, e)
 	case MembersChanged:
-		s.membersChanged(now, e)
+		s.membersChanged(now, e.Members)
 	case PolicyChanged:
 		s.policyChanged(now, e.Services)
-	case ProbeEnded:
-		s.probeEnded(now, e)
 	case Tick:
-		s.tick(now)
+		return s.tick(now)
 	}
 
 	return nil
 }
 
-// service is what the entry knows of one service.
-type service struct {
-	name   string
-	policy manifest.Service
-	// local are the servers of the daemon's region that can be chosen, remote the others.
-	local  tier
-	remote tier
-	// unreachable are the servers that wait for their next trial.
-	unreachable tier
-	members     int
-	retries     share
-	hedges      share
-	measuring   measuring
-	// spill pays for requests and answers that cross the region link.
-	spill bucket
-
-	// answers is the mean size of an answer in bytes.
-	answers average
-	// spread is the distribution of latencies, from which the delay before hedging is taken.
-	spread distribution
-}
-
 func (s *State) service(name string) *service {
-	svc, ok := s.services[name]
-	if !ok {
-		svc = &service{name: name, retries: newShare(), hedges: newShare()}
+	svc := s.services[name]
+	if svc == nil {
+		svc = &service{name: name, attempts: defaultAttempts}
 		s.services[name] = svc
-		s.order = append(s.order, svc)
 	}
 
 	return svc
 }
 
-func (s *State) policyChanged(now time.Time, services []manifest.Service) {
-	for _, svc := range s.order {
-		svc.policy = manifest.Service{Name: svc.name}
+func (s *State) estimateOf(route string) *estimate {
+	known := s.estimates[route]
+	if known == nil {
+		known = &estimate{}
+		s.estimates[route] = known
 	}
 
-	for _, policy := range services {
-		s.service(policy.Name).policy = policy
-	}
-
-	s.divideBudgets(now)
+	return known
 }
 
-const (
-	// fleetFirst is the number of daemons that a new one assumes. It knows few others yet; if it took
-	// their number for that of the fleet, a mass restart would spend a multiple of the budgets.
-	fleetFirst = 1024
-	// fleetHalving is the time in which the assumed number halves. A new daemon has the whole member
-	// table after a few exchanges, which happen once a second.
-	fleetHalving = time.Second
-)
+func (s *State) policyChanged(now time.Time, services []manifest.Service) {
+	for _, policy := range services {
+		svc := s.service(policy.Name)
+		svc.hedgeShare = policy.Hedge.Share
 
-// fleet is the number of daemons among which the budgets are divided: any of them can be an entry.
-func (s *State) fleet(now time.Time) float64 {
-	known := 0
-	for _, svc := range s.order {
-		known += svc.members
-	}
+		if policy.Retry.Attempts > 0 {
+			svc.attempts = policy.Retry.Attempts
+		}
 
-	if s.started.IsZero() {
-		s.started = now
+		svc.spill.limit(now, policy.Budget, s.daemons)
 	}
 
-	assumed := fleetFirst * math.Exp2(-float64(now.Sub(s.started))/float64(fleetHalving))
-
-	return max(float64(known), assumed, 1)
+	s.policies = services
 }
 
-// divideBudgets gives this entry its share of each service's budgets.
-func (s *State) divideBudgets(now time.Time) {
-	s.divisor = s.fleet(now)
-	part := 1 / s.divisor
-
-	for _, svc := range s.order {
-		budget := svc.policy.Budget
-		svc.measuring.probes.setRate(now, budget.Probes*part, 1)
-		svc.measuring.bytes.setRate(now, float64(budget.Bytes)*part, ProbeBytes)
-		svc.measuring.cross.setRate(now, float64(budget.Cross)*part, ProbeBytes)
-		svc.spill.setRate(now, float64(budget.Spill)*part, spillUnit)
+func (s *State) membersChanged(now time.Time, members []instance.Member) {
+	if s.daemons != len(members) {
+		s.daemons = len(members)
+		s.policyChanged(now, s.policies)
 	}
-}
 
-// membersChanged applies a new member list. What was learned of a server stays if it is the same
-// incarnation.
-func (s *State) membersChanged(now time.Time, e MembersChanged) {
-	svc := s.service(e.Service)
-	listed := make(map[instance.ID]bool, len(e.Members))
-	svc.members = 0
+	known := make(map[instance.ID]bool, len(members))
 
-	for _, member := range e.Members {
-		listed[member.ID] = true
+	for _, member := range members {
+		known[member.ID] = true
+		s.memberChanged(member)
+	}
 
-		if member.Status != instance.Dead && member.Status != instance.Left {
-			svc.members++
+	for id, srv := range s.servers {
+		if !known[id] {
+			s.remove(srv)
 		}
+	}
+}
 
-		srv, ok := s.servers[member.ID]
-		if ok && srv.service != svc {
-			srv.leave()
-
-			ok = false
+func (s *State) memberChanged(member instance.Member) {
+	srv := s.servers[member.ID]
+	if srv != nil && srv.member.Service == member.Service {
+		if srv.member.Incarnation != member.Incarnation {
+			srv.avoidUntil, srv.misses = time.Time{}, 0
 		}
 
-		if !ok {
-			srv = &server{service: svc, position: -1}
-			s.servers[member.ID] = srv
-		}
+		srv.member = member
 
-		srv.setFailing(false)
-		srv.update(now, member, s.place)
-		svc.place(srv)
-		srv.judge(now)
+		return
 	}
 
-	// The sets are changed in their own order, because the order of their servers decides which one is
-	// drawn; the order of the map does not matter for what is only deleted.
-	for _, list := range [][]*server{svc.local.items, svc.remote.items, svc.unreachable.items} {
-		for _, srv := range append([]*server(nil), list...) {
-			if !listed[srv.member.ID] {
-				srv.leave()
-			}
-		}
+	if srv != nil {
+		s.remove(srv)
 	}
 
-	for id, srv := range s.servers {
-		if srv.service == svc && !listed[id] {
-			delete(s.servers, id)
-		}
-	}
+	svc := s.service(member.Service)
+	srv = &server{member: member, service: svc, distance: s.distanceTo(member)}
+	s.servers[member.ID] = srv
+	svc.servers = append(svc.servers, srv)
+	// A fixed order makes equal events give equal effects.
+	slices.SortFunc(svc.servers, func(a, b *server) int { return cmp.Compare(a.member.ID, b.member.ID) })
+}
 
-	s.divideBudgets(now)
+func (s *State) remove(srv *server) {
+	delete(s.servers, srv.member.ID)
+	srv.service.servers = slices.DeleteFunc(srv.service.servers, func(other *server) bool { return other == srv })
 }
 
-func (s *State) tick(now time.Time) {
-	if s.divisor != s.fleet(now) {
-		s.divideBudgets(now)
+func (s *State) distanceTo(member instance.Member) distance {
+	switch {
+	case member.ID == s.self.ID:
+		return sameInstance
+	case member.Place == s.self.Place:
+		return sameDomain
+	case member.Place.Region == s.self.Place.Region:
+		return sameRegion
+	default:
+		return otherRegion
 	}
+}
 
-	for _, svc := range s.order {
-		svc.reopen(now)
-		svc.local.judge(now)
-		svc.remote.judge(now)
+// reported stores a report and moves what it makes better off elsewhere.
+func (s *State) reported(now time.Time, e Reported) []Effect {
+	srv := s.servers[e.Report.Server]
+	if srv == nil || !srv.take(now, e.Report) {
+		return nil
 	}
+
+	return s.hedge(now, srv)
 }
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -107,14 +108,13 @@
 		Backend: Backend{
 			Address:     ini.Required(backend, "address", reachable),
 			Slots:       slots(listen, backend),
-			Queue:       ini.Optional(backend, "queue", 0, ini.Range(ini.Whole, 0, maxQueue)),
+			Queue:       queue(listen, backend),
 			Backlog:     ini.Optional(backend, "backlog", defaultBacklog, ini.Range(ini.Whole, 0, maxBacklog)),
 			Connections: ini.Optional(backend, "connections", defaultConnections, ini.Range(ini.Whole, 1, maxConnections)),
 			Health:      ini.Optional(backend, "health", "", path),
 			Interval:    ini.Optional(backend, "interval", defaultInterval, ini.Range(ini.Duration, minInterval, maxInterval)),
 		},
-		Log:   logURL(log),
-		Store: ini.Optional(log, "address", netip.AddrPort{}, ini.Address),
+		Store: storeAddress(log),
 		Trace: Trace{
 			File:  ini.Optional(trace, "file", "", ini.Text),
 			Limit: ini.Optional(trace, "limit", defaultLimit, ini.Range(ini.Size, minLimit, maxLimit)),
@@ -148,13 +148,47 @@
 	return ini.Required(backend, "slots", within)
 }
 
-// logURL reads the base URL of the log service, which is not needed on a platform with a store.
-func logURL(log *ini.Section) string {
-	if ini.Optional(log, "address", netip.AddrPort{}, ini.Address).IsValid() {
-		return ini.Optional(log, "url", "", ini.URL)
+// queue reads how many requests may wait. For a server that announces its slots, the backlog says it.
+func queue(listen, backend *ini.Section) int {
+	within := ini.Range(ini.Whole, 0, maxQueue)
+
+	if ini.Optional(listen, "announce", netip.AddrPort{}, ini.Address).IsValid() {
+		return ini.Optional(backend, "queue", 0, within)
+	}
+
+	return ini.Required(backend, "queue", within)
+}
+
+// storeAddress reads where the platform's log service is: its address, or its base URL.
+func storeAddress(log *ini.Section) netip.AddrPort {
+	if address := ini.Optional(log, "address", netip.AddrPort{}, ini.Address); address.IsValid() {
+		return address
+	}
+
+	return ini.Required(log, "url", func(text string) (netip.AddrPort, error) {
+		base, err := ini.URL(text)
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+
+		return StoreAddress(base)
+	})
+}
+
+// StoreAddress returns the address that a base URL names.
+func StoreAddress(base string) (netip.AddrPort, error) {
+	location, err := url.Parse(base)
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "base URL")
+	}
+
+	if location.Scheme == "" || location.Host == "" {
+		return netip.AddrPort{}, errors.Newf("base URL %q: scheme or host is missing", base)
 	}
 
-	return ini.Required(log, "url", ini.URL)
+	address, err := netip.ParseAddrPort(location.Host)
+
+	return address, errors.Wrapf(err, "%q is not a base URL with an IP address and a port", base)
 }
 
 // fleetKey reads the fleet's key. A missing key is a fault unless the network itself is trusted.
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -34,7 +34,7 @@
 			Address: address("127.0.0.1:7000"), Slots: 6, Queue: 0, Connections: 100,
 			Health: "/health", Interval: 250 * time.Millisecond, Backlog: 2,
 		},
-		Log:   "http://10.0.0.9:9000/logs",
+		Store: address("10.0.0.9:9000"),
 		Trace: settings.Trace{File: "trace.jsonl", Limit: 10 << 20},
 		Level: "debug",
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,9 +18,7 @@
 	// Advertise is the peer address that other daemons use.
 	Advertise netip.AddrPort
 	Backend   Backend
-	// Log is the base URL of the log service.
-	Log string
-	// Store is the address of the platform's store.
+	// Store is the address of the platform's log service.
 	Store netip.AddrPort
 	// Seeds are peer addresses to start from.
 	Seeds []netip.AddrPort
@@ -61,9 +59,9 @@
 	Address netip.AddrPort
 	// Slots is the number of requests that it runs at once; zero if the server announces it.
 	Slots int
-	// Queue is the number of requests that may wait for a slot.
+	// Queue is the number of requests that may wait for a slot, for a server with a set number of slots.
 	Queue int
-	// Backlog is the number of requests that may wait for each slot.
+	// Backlog is the number of requests that may wait for each slot, for a server that announces its slots.
 	Backlog int
 	// Connections is the largest number of connections to it.
 	Connections int
@@ -87,6 +85,6 @@
 // those of the backend server and the store.
 func SameIdentity(a, b Settings) bool {
 	return a.ID == b.ID && a.Service == b.Service && a.Place == b.Place && a.Listen == b.Listen &&
-		a.Advertise == b.Advertise && a.Backend == b.Backend && a.Log == b.Log && a.Store == b.Store &&
+		a.Advertise == b.Advertise && a.Backend == b.Backend && a.Store == b.Store &&
 		a.Key == b.Key && a.Fields == b.Fields
 }
--- /dev/null
+++ b/internal/standin/backend/answer.go
@@ -0,0 +1,112 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"time"
+)
+
+// extraDelay is how long after a response its second copy arrives.
+const extraDelay = 5 * time.Millisecond
+
+// answer writes the response to a request that ran, rightly or wrongly.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, next http.HandlerFunc, fault Fault) {
+	switch fault {
+	case None, Shed, Reset:
+		s.seal(w.Header(), r)
+		next(w, r)
+
+		return
+	case LoseAnswer:
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-r.Context().Done()
+
+		return
+	case Extra, Unframed, CutShort, Unsealed, Garbage:
+	}
+
+	recorded := httptest.NewRecorder()
+	if fault != Unsealed {
+		s.seal(recorded.Header(), r)
+	}
+
+	next(recorded, r)
+
+	connection, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+
+	s.answerWrongly(connection, buffer, recorded, fault)
+}
+
+// answerWrongly takes the connection over, so that the response need not be a proper one.
+func (s *Server) answerWrongly(
+	connection net.Conn, buffer *bufio.ReadWriter, recorded *httptest.ResponseRecorder, fault Fault,
+) {
+	defer func() { _ = connection.Close() }()
+
+	body := recorded.Body.Bytes()
+	length := strconv.Itoa(len(body))
+
+	switch fault {
+	case Garbage:
+		_, _ = buffer.WriteString("\x00\x01 this is no response\r\n")
+	case Unframed:
+		writeRaw(buffer, recorded, "", body)
+	case CutShort:
+		writeRaw(buffer, recorded, length, body[:len(body)/2])
+	case Extra:
+		writeRaw(buffer, recorded, length, body)
+
+		_ = buffer.Flush()
+
+		// The second copy arrives where the response to the next request is expected.
+		time.Sleep(extraDelay)
+		writeRaw(buffer, recorded, length, body)
+
+		_ = buffer.Flush()
+
+		s.serveOn(connection, buffer)
+
+		return
+	default:
+		writeRaw(buffer, recorded, length, body)
+	}
+
+	_ = buffer.Flush()
+}
+
+// writeRaw writes a response. Without a length, it ends with the connection.
+func writeRaw(buffer *bufio.ReadWriter, recorded *httptest.ResponseRecorder, length string, body []byte) {
+	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 %d %s\r\n", recorded.Code, http.StatusText(recorded.Code))
+	_ = recorded.Header().Write(buffer)
+
+	if length != "" {
+		_, _ = fmt.Fprintf(buffer, "Content-Length: %s\r\n", length)
+	}
+
+	_, _ = buffer.WriteString("\r\n")
+	_, _ = buffer.Write(body)
+}
+
+// serveOn answers one more request on a connection that was taken over.
+func (s *Server) serveOn(connection net.Conn, buffer *bufio.ReadWriter) {
+	_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second))
+
+	r, err := http.ReadRequest(buffer.Reader)
+	if err != nil {
+		return
+	}
+
+	recorded := httptest.NewRecorder()
+	s.handler().ServeHTTP(recorded, r)
+	writeRaw(buffer, recorded, strconv.Itoa(recorded.Body.Len()), recorded.Body.Bytes())
+
+	_ = buffer.Flush()
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -1,5 +1,5 @@
-// Package backend stands in for a backend server: it has slots, counts executions per idempotency
-// key, and can be slow, drain, refuse, fail fast or crash.
+// Package backend stands in for a backend server: it has slots, counts how often each request ran, reports its
+// load, announces itself, and can be slow, drain, refuse, fail, crash or answer wrongly.
 //
 // Paths: GET /stock/{id} is a lookup, POST /orders an order, GET /label/{size} a download of size
 // bytes with a strong validator, POST /crash kills the server. A crash closes the listener and all
@@ -19,44 +19,99 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tarragonmill/tarragonmill/internal/backend"
-	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
 )
 
 // Behaviour is how the server treats requests. Values are immutable.
 type Behaviour struct {
-	// Service is the time that a request holds a slot.
+	// Service is the time that a request holds a slot at usual speed.
 	Service time.Duration
+	// Slowness multiplies it; zero is one.
+	Slowness float64
 	// Failing makes every request fail at once with status 500.
 	Failing bool
 	// Draining makes the server refuse new work and state so.
 	Draining bool
+	// Ill makes the health path answer 503, whatever the server does.
+	Ill bool
 	// Truncate breaks off downloads after this many bytes; zero for never.
 	Truncate int64
 	// Poison is a substring of request bodies that crash the server.
 	Poison string
+	// Fault befalls each request whose number is a multiple of Every; zero for none.
+	Fault Fault
+	Every int
+}
+
+// Fault is a way of answering wrongly.
+type Fault uint8
+
+// Faults.
+const (
+	None Fault = iota
+	// Shed refuses to run a request although there is room.
+	Shed
+	// Reset closes the connection before the request runs.
+	Reset
+	// LoseAnswer runs a request and closes the connection.
+	LoseAnswer
+	// Hang runs a request and never answers.
+	Hang
+	// Extra answers twice.
+	Extra
+	// Unframed answers without a length.
+	Unframed
+	// CutShort answers with less than the stated length.
+	CutShort
+	// Unsealed answers a success that is not marked as one of the server.
+	Unsealed
+	// Garbage answers bytes that are no response.
+	Garbage
+)
+
+// Run is what is known of one request that ran.
+type Run struct {
+	Count  int
+	Origin string
+	Body   string
+	// Timeout is the time that the last sending of the request stated, in milliseconds.
+	Timeout string
 }
 
 // Server is one backend server.
 type Server struct {
-	name  string
-	slots chan struct{}
+	name    string
+	dialect dialect.Dialect
+	slots   chan struct{}
 
 	mutex      sync.Mutex
 	behaviour  Behaviour
 	executions map[string]int
+	runs       map[string]Run
+	number     int
 	served     int
 	last       time.Time
 	server     *http.Server
 	crashed    bool
 }
 
-// New returns a server that runs up to slots requests at once.
-func New(name string, slots int, behaviour Behaviour) *Server {
-	return &Server{
-		name: name, slots: make(chan struct{}, slots), behaviour: behaviour,
-		executions: make(map[string]int),
+// Option configures a Server.
+type Option func(*Server)
+
+// WithDialect sets the header fields that the server speaks.
+func WithDialect(d dialect.Dialect) Option { return func(s *Server) { s.dialect = d } }
+
+// New returns a server that runs up to slots requests at once. The name is its identity, too.
+func New(name string, slots int, behaviour Behaviour, options ...Option) *Server {
+	s := &Server{
+		name: name, slots: make(chan struct{}, slots), behaviour: behaviour, dialect: dialect.Default(),
+		executions: make(map[string]int), runs: make(map[string]Run),
+	}
+	for _, option := range options {
+		option(s)
 	}
+
+	return s
 }
 
 // Serve answers requests until ctx is done or the server crashes.
@@ -77,6 +132,9 @@
 	return nil
 }
 
+// Name is the identity of the server.
+func (s *Server) Name() string { return s.name }
+
 // Set changes the behaviour.
 func (s *Server) Set(behaviour Behaviour) {
 	s.mutex.Lock()
@@ -113,7 +171,7 @@
 	return s.crashed
 }
 
-// Executions returns how often each key ran.
+// Executions returns how often each order ran, by its key.
 func (s *Server) Executions() map[string]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -126,6 +184,19 @@
 	return counts
 }
 
+// Runs returns the requests that ran, by the identifier of their sending.
+func (s *Server) Runs() map[string]Run {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	runs := make(map[string]Run, len(s.runs))
+	for id, run := range s.runs {
+		runs[id] = run
+	}
+
+	return runs
+}
+
 // Served returns the number of requests that ran and when the last one started.
 func (s *Server) Served() (int, time.Time) {
 	s.mutex.Lock()
@@ -148,11 +219,30 @@
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	if s.Behaviour().Draining {
-		w.Header().Set(backend.StateHeader, backend.StateDraining)
+	behaviour := s.Behaviour()
+
+	dialect.Set(w.Header(), s.dialect.Instance, s.name)
+	s.setLoad(w.Header())
+
+	if behaviour.Draining {
+		dialect.Set(w.Header(), s.dialect.State, dialect.Draining)
+	}
+
+	if behaviour.Ill || behaviour.Draining && s.dialect.State == "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// setLoad states the requests that run and wait, the slots, and the slowness in percent.
+func (s *Server) setLoad(header http.Header) {
+	slowness := s.Behaviour().Slowness
+	if slowness == 0 {
+		slowness = 1
+	}
+
+	dialect.Set(header, s.dialect.Load, fmt.Sprintf("%d,0,%d,%d", len(s.slots), cap(s.slots), int(100*slowness)))
+}
+
 func (s *Server) listExecutions(w http.ResponseWriter, _ *http.Request) {
 	for key, count := range s.Executions() {
 		_, _ = fmt.Fprintln(w, key, count)
@@ -198,16 +288,9 @@
 func (s *Server) run(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		behaviour := s.Behaviour()
-		if behaviour.Draining {
-			w.Header().Set(backend.VerdictHeader, verdict.NotRun.String())
-			http.Error(w, "draining", http.StatusServiceUnavailable)
-
-			return
-		}
-
-		if behaviour.Failing {
-			http.Error(w, "failing", http.StatusInternalServerError)
+		fault := s.nextFault(behaviour)
 
+		if s.refuses(w, r, behaviour, fault) {
 			return
 		}
 
@@ -219,26 +302,124 @@
 
 		defer func() { <-s.slots }()
 
-		s.record(r.Header.Get("Idempotency-Key"))
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+
+		if poison := behaviour.Poison; poison != "" && strings.Contains(string(body), poison) {
+			s.Crash()
 
-		select {
-		case <-time.After(behaviour.Service):
-			next(w, r)
-		case <-r.Context().Done():
+			return
 		}
+
+		s.record(r, string(body))
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+
+		if work(r.Context(), behaviour) {
+			s.answer(w, r, next, fault)
+		}
+	}
+}
+
+// work lets the service time pass. It returns false if the caller has left.
+func work(ctx context.Context, behaviour Behaviour) bool {
+	period := behaviour.Service
+	if behaviour.Slowness > 0 {
+		period = time.Duration(float64(period) * behaviour.Slowness)
+	}
+
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) nextFault(behaviour Behaviour) Fault {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.number++
+
+	if behaviour.Every > 0 && s.number%behaviour.Every == 0 {
+		return behaviour.Fault
+	}
+
+	return None
+}
+
+// refuses answers requests that do not run.
+func (s *Server) refuses(w http.ResponseWriter, r *http.Request, behaviour Behaviour, fault Fault) bool {
+	expected := ""
+	if s.dialect.Expected != "" {
+		expected = r.Header.Get(s.dialect.Expected)
+	}
+
+	switch {
+	case expected != "" && expected != s.name:
+		dialect.Set(w.Header(), s.dialect.Instance, s.name)
+		http.Error(w, "another server", http.StatusMisdirectedRequest)
+	case behaviour.Draining, fault == Shed:
+		dialect.Set(w.Header(), s.dialect.NotRun, s.notRunValue())
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+	case fault == Reset:
+		panic(http.ErrAbortHandler)
+	case behaviour.Failing:
+		s.seal(w.Header(), r)
+		http.Error(w, "failing", http.StatusInternalServerError)
+	default:
+		return false
+	}
+
+	return true
+}
+
+func (s *Server) notRunValue() string {
+	if s.dialect.NotRunValue != "" {
+		return s.dialect.NotRunValue
 	}
+
+	return "1"
+}
+
+// seal marks a response as one of the server to the request.
+func (s *Server) seal(header http.Header, r *http.Request) {
+	dialect.Set(header, s.dialect.Seal, "seal-of-"+s.name)
+	dialect.Set(header, s.dialect.Attempt, s.dialect.AttemptOf(r.Header))
+	s.setLoad(header)
 }
 
-func (s *Server) record(key string) {
+func (s *Server) record(r *http.Request, body string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
 	s.served++
 	s.last = time.Now()
 
-	if key != "" {
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		s.executions[key]++
 	}
+
+	if id := s.dialect.AttemptOf(r.Header); id != "" {
+		run := s.runs[id]
+		run.Count++
+		run.Body = body
+
+		if s.dialect.Origin != "" {
+			run.Origin = r.Header.Get(s.dialect.Origin)
+		}
+
+		if s.dialect.Timeout != "" {
+			run.Timeout = r.Header.Get(s.dialect.Timeout)
+		}
+
+		s.runs[id] = run
+	}
 }
 
 func (s *Server) stock(w http.ResponseWriter, r *http.Request) {
@@ -246,17 +427,6 @@
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-
-	if poison := s.Behaviour().Poison; poison != "" && strings.Contains(string(body), poison) {
-		s.Crash()
-
-		return
-	}
-
 	w.WriteHeader(http.StatusCreated)
 	_, _ = fmt.Fprintf(w, "order %s taken by %s\n", r.Header.Get("Idempotency-Key"), s.name)
 }
