--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -2,8 +2,8 @@
 // a wait for the next one, and listed by the newest record of each key.
 //
 // It speaks the published calls of the store, and it can be slow, down, lose answers, perform calls late, give
-// old answers and forget its history. Groups, commits and conditional appends are left out, because
-// tarragonmill does not use them.
+// old answers and forget its history. Groups and commits are left out, because tarragonmill does not
+// use them.
 package store
 
 import (
@@ -216,26 +216,38 @@
 	s.mutex.Unlock()
 
 	if faults.Late > 0 {
-		name := r.URL.Query().Get("topic")
+		query := r.URL.Query()
 
-		time.AfterFunc(faults.Late, func() { s.perform(name, contents) })
+		time.AfterFunc(faults.Late, func() { s.performAt(query.Get("topic"), query.Get("timestamp"), contents) })
 		abort()
 	}
 
-	offset := s.perform(r.URL.Query().Get("topic"), contents)
+	offset, ok := s.performAt(r.URL.Query().Get("topic"), r.URL.Query().Get("timestamp"), contents)
 
 	if faults.LoseAnswers {
 		abort()
 	}
 
+	if !ok {
+		w.WriteHeader(http.StatusPreconditionFailed)
+
+		return
+	}
+
 	respond(w, map[string]int64{"offset": offset, "end": offset + int64(len(contents))})
 }
 
-func (s *Store) perform(name string, contents [][]byte) int64 {
+// performAt appends if the topic ends at the wanted offset, or if none is wanted.
+func (s *Store) performAt(name, wanted string, contents [][]byte) (int64, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return s.topic(name).append(time.Now(), contents)
+	t := s.topic(name)
+	if wanted != "" && wanted != strconv.FormatInt(t.end(), 10) {
+		return 0, false
+	}
+
+	return t.append(time.Now(), contents), true
 }
 
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -260,10 +272,12 @@
 	}
 
 	page, gone := t.page(from)
+	first := t.first
 	s.mutex.Unlock()
 
 	if gone {
 		w.WriteHeader(http.StatusGone)
+		respond(w, map[string]int64{"first": first})
 
 		return
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,12 +3,25 @@
 package store
 
 import (
+	"fmt"
+
 	"github.com/cockroachdb/errors"
 )
 
+// ExpiredError is returned by a read from an offset whose records the log no longer has.
+type ExpiredError struct {
+	// First is the oldest offset that the topic has.
+	First int64
+}
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("records have expired, the first one left is %d", e.First)
+}
+
 var (
-	// ErrExpired is returned by a read from an offset whose records the log no longer has.
-	ErrExpired = errors.New("records at this offset have expired")
+	// ErrConflict is returned by a conditional append if the topic does not end where it should.
+	ErrConflict = errors.New("topic has changed")
 	// ErrRejected is returned if the log states that it did not perform a call. After any other error, the
 	// call may have been performed or may be performed later.
 	ErrRejected = errors.New("log did not perform the call")
--- /dev/null
+++ b/internal/suspects/codec.go
@@ -0,0 +1,58 @@
+package suspects
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/request"
+)
+
+// wireReport is the form in which reports go from daemon to daemon. Times left are sent rather than times, because
+// clocks differ.
+type wireReport struct {
+	Service     string `json:"service"`
+	Fingerprint uint64 `json:"print,string"`
+	Source      string `json:"source"`
+	Alone       bool   `json:"alone,omitempty"`
+	Cleared     bool   `json:"cleared,omitempty"`
+	// Left is in milliseconds.
+	Left int64 `json:"left"`
+}
+
+// Encode returns reports for other daemons.
+func Encode(now time.Time, reports []Report) []byte {
+	wire := make([]wireReport, 0, len(reports))
+
+	for _, r := range reports {
+		wire = append(wire, wireReport{
+			Service: r.Service, Fingerprint: uint64(r.Fingerprint), Source: r.Source, Alone: r.Alone,
+			Cleared: r.Cleared, Left: r.Expires.Sub(now).Milliseconds(),
+		})
+	}
+
+	// Structs of texts and numbers can always be encoded.
+	data, _ := json.Marshal(wire)
+
+	return data
+}
+
+// Decode reads the reports of another daemon.
+func Decode(now time.Time, data []byte) ([]Report, error) {
+	var wire []wireReport
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return nil, errors.Wrap(err, "decode suspects")
+	}
+
+	reports := make([]Report, 0, len(wire))
+
+	for _, w := range wire {
+		reports = append(reports, Report{
+			Service: w.Service, Fingerprint: request.Fingerprint(w.Fingerprint), Source: w.Source, Alone: w.Alone,
+			Cleared: w.Cleared, Expires: now.Add(time.Duration(w.Left) * time.Millisecond),
+		})
+	}
+
+	return reports, nil
+}
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -76,6 +76,8 @@
 
 // Budget limits what a service spends on measuring its servers.
 type Budget struct {
+	// Unlimited lifts all limits. It is for operators that state none; a manifest file always states them.
+	Unlimited bool
 	// Probes per second, for the whole service.
 	Probes float64
 	// Bytes per second for probes and load hints, for the whole service.
