--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -192,30 +192,15 @@
 	return uint64(max(0, now.Sub(s.options.Self.Started).Microseconds())) + 1
 }
 
-const (
-	// slownessStep is the relative change of the slowness that others are told.
-	slownessStep = 1.15
-	// failingStep is the change of the share of failures that others are told.
-	failingStep = 0.08
-)
-
 // significant reports whether a change of the load matters to those who choose a server. How many of its
 // slots are taken does not matter while half of them are free.
 func significant(before, after load.Report) bool {
-	if before.Server == "" || before.Open != after.Open || before.Slots != after.Slots ||
-		before.Incarnation != after.Incarnation {
-		return true
-	}
-
-	if after.Slowness > before.Slowness*slownessStep || after.Slowness*slownessStep < before.Slowness {
-		return true
-	}
-
-	if diff := after.Failing - before.Failing; diff > failingStep || diff < -failingStep {
+	if before.Server == "" || before.Open != after.Open || before.Incarnation != after.Incarnation ||
+		after.PaceDiffers(before) {
 		return true
 	}
 
-	was, is := before.Running+before.Waiting, after.Running+after.Waiting
+	was, is := before.Busy(), after.Busy()
 
 	return was != is && 2*max(was, is) >= after.Slots
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -1,3 +1,4 @@
+// Package load describes the load of a backend server as the daemon beside it observes it.
 package load
 
 import (
@@ -35,3 +36,29 @@
 
 	return r.Counter > other.Counter
 }
+
+// Busy is the number of requests at the server, those that wait included.
+func (r Report) Busy() int { return r.Running + r.Waiting }
+
+const (
+	// slownessStep is the relative change of the slowness that matters to a choice between servers.
+	slownessStep = 1.15
+	// failingStep is the change of the share of failures that matters.
+	failingStep = 0.08
+)
+
+// PaceDiffers reports whether the server works differently from what another report says, whatever the number of
+// its requests.
+func (r Report) PaceDiffers(other Report) bool {
+	if r.Slots != other.Slots {
+		return true
+	}
+
+	if r.Slowness > other.Slowness*slownessStep || r.Slowness*slownessStep < other.Slowness {
+		return true
+	}
+
+	diff := r.Failing - other.Failing
+
+	return diff > failingStep || diff < -failingStep
+}
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -1,18 +1,28 @@
 package membership
 
 import (
-	"cmp"
-	"slices"
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
 )
 
 // beatBytes is what a beat takes on the network, with the headers of a datagram.
 const beatBytes = 130
 
+// sendTo sends a beat to a peer. It renews the watch if the peer is watched.
+func (s *State) sendTo(now time.Time, p *peer, greeting bool) Effect {
+	p.told, p.pending, p.toldBusy = now, noNews, s.report.Busy()
+	if p.watched {
+		p.asked = now
+	}
+
+	return SendBeat{To: p.member.Peer, Beat: s.beat(now, p.watched, greeting)}
+}
+
 // beat describes the daemon to another one.
 func (s *State) beat(_ time.Time, watch, greeting bool) Beat {
 	return Beat{From: s.self.Member, Watch: watch, Greeting: greeting, Version: s.version, Report: s.report}
@@ -49,8 +59,7 @@
 
 	// A daemon that was not known before has to learn of this one, too.
 	if b.Greeting || known == nil {
-		p.told, p.pending = now, noNews
-		effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, p.watched, false)})
+		effects = append(effects, s.sendTo(now, p, false))
 	}
 
 	if b.Report.Server == b.From.ID {
@@ -69,13 +78,13 @@
 }
 
 func (s *State) loadChanged(now time.Time, e LoadChanged) []Effect {
-	news := loadNews
-	if e.Report.Open != s.report.Open {
-		news = memberNews
-	}
-
+	news := newsOf(s.stated, e.Report)
 	s.report, s.version = e.Report, e.Version
 
+	if news > busyNews {
+		s.stated = e.Report
+	}
+
 	return s.tell(now, news)
 }
 
@@ -84,12 +93,26 @@
 
 const (
 	noNews news = iota
-	// loadNews is a changed load, which may be told later if the budget for measuring is spent.
+	// busyNews is a changed number of requests at the server.
+	busyNews
+	// loadNews is another change of the load. Like busyNews, it waits if the budget for measuring is spent.
 	loadNews
 	// memberNews is a change after which requests would be sent to a daemon that does not take them.
 	memberNews
 )
 
+// newsOf says what a change of the report means to a watcher.
+func newsOf(before, after load.Report) news {
+	switch {
+	case before.Open != after.Open:
+		return memberNews
+	case after.PaceDiffers(before):
+		return loadNews
+	default:
+		return busyNews
+	}
+}
+
 // tell sends beats to those who watch this daemon and are due one.
 func (s *State) tell(now time.Time, changed news) []Effect {
 	var effects []Effect
@@ -100,26 +123,36 @@
 		}
 
 		p.pending = max(p.pending, changed)
+		if p.pending == busyNews && !s.worthTelling(p) {
+			p.pending = noNews
+		}
 
 		if now.Before(s.dueTo(p)) {
 			continue
 		}
 
 		early := now.Before(p.told.Add(idleInterval))
-		if early && p.pending == loadNews && !s.budget.AllowN(now, beatBytes) {
+		if early && p.pending < memberNews && !s.budget.AllowN(now, beatBytes) {
 			// The next idle beat tells it.
 			p.pending = noNews
 
 			continue
 		}
 
-		p.told, p.pending = now, noNews
-		effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, false, false)})
+		effects = append(effects, s.sendTo(now, p, false))
 	}
 
 	return effects
 }
 
+// worthTelling reports whether the number of requests at the server differs enough from what a peer was told.
+func (s *State) worthTelling(p *peer) bool {
+	step := int(math.Ceil(busyStep * float64(max(1, s.report.Slots))))
+	diff := s.report.Busy() - p.toldBusy
+
+	return diff >= step || diff <= -step
+}
+
 func (s *State) budgetChanged(now time.Time, e BudgetChanged) {
 	limit := rate.Limit(e.Bytes)
 	if e.Unlimited {
@@ -132,11 +165,14 @@
 
 // dueTo is when the next beat to a watcher is due.
 func (s *State) dueTo(p *peer) time.Time {
-	if p.pending != noNews {
+	switch p.pending {
+	case noNews:
+		return p.told.Add(idleInterval)
+	case busyNews:
+		return p.told.Add(busyInterval)
+	default:
 		return p.told.Add(changeInterval)
 	}
-
-	return p.told.Add(idleInterval)
 }
 
 func (s *State) used(now time.Time, service string) []Effect {
@@ -150,53 +186,15 @@
 	return s.renew(now)
 }
 
-// watch chooses the members to watch: those whose servers this daemon sends requests to, the near ones
-// first.
-func (s *State) watch(now time.Time) {
-	var wanted []*peer
-
-	for _, p := range s.order {
-		if s.services[p.member.Service] && p.member.Place.Region == s.self.Member.Place.Region {
-			wanted = append(wanted, p)
-		}
-	}
-
-	own := s.self.Member.Place
-	slices.SortStableFunc(wanted, func(a, b *peer) int {
-		return cmp.Compare(rank(a.member.Place, own), rank(b.member.Place, own))
-	})
-
-	wanted = wanted[:min(len(wanted), maxWatched)]
-
-	for _, p := range s.order {
-		chosen := slices.Contains(wanted, p)
-		if chosen && !p.watched {
-			p.since = now
-			s.watchAt = now
-		}
-
-		p.watched = chosen
-	}
-}
-
-func rank(place, own instance.Place) int {
-	if place == own {
-		return 0
-	}
-
-	return 1
-}
-
-// renew asks the watched members for their beats.
+// renew asks those watched members for their beats that no other beat has asked for some time.
 func (s *State) renew(now time.Time) []Effect {
 	var effects []Effect
 
 	s.watchAt = now.Add(watchInterval)
 
 	for _, p := range s.order {
-		if p.watched {
-			p.told, p.pending = now, noNews
-			effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, true, p.heard.IsZero())})
+		if p.watched && now.Sub(p.asked) >= watchInterval {
+			effects = append(effects, s.sendTo(now, p, p.heard.IsZero()))
 		}
 	}
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -24,15 +24,21 @@
 	watchInterval = time.Second
 	// watchTime is how long a watch lasts after a beat that asked for it; two such beats may get lost.
 	watchTime = 3500 * time.Millisecond
-	// maxWatched bounds the members that one daemon watches, so that the traffic of a daemon does not grow
-	// with the fleet.
-	maxWatched = 24
+	// maxWatched bounds the members that one daemon watches, and maxPerService those of one service, so that
+	// the traffic of a daemon does not grow with the fleet. A request rarely needs more servers to choose from.
+	maxWatched    = 24
+	maxPerService = 12
 	// idleInterval is the time between beats to a watcher if nothing changes.
-	idleInterval = 400 * time.Millisecond
-	// changeInterval is the least time between beats to a watcher.
+	idleInterval = 600 * time.Millisecond
+	// changeInterval is the least time between beats to a watcher that tell a change, busyInterval if only the
+	// number of requests at the server has changed.
 	changeInterval = 15 * time.Millisecond
+	busyInterval   = 150 * time.Millisecond
+	// busyStep is the share of the slots by which the number of requests has to differ from what a watcher was
+	// told.
+	busyStep = 0.3
 	// silence is the time without a beat after which a watched member counts as accused.
-	silence = 1300 * time.Millisecond
+	silence = 2 * time.Second
 	// rereadInterval is the time between two reads of all entries; a greeting that got lost is made up for.
 	rereadInterval = 30 * time.Second
 	// firstWrite is how long the first write of the own entry waits for the backend server to announce itself,
@@ -160,8 +166,10 @@
 
 // State is what one daemon knows of the others. It is not safe for concurrent use.
 type State struct {
-	self    Entry
-	report  load.Report
+	self   Entry
+	report load.Report
+	// stated is the report with the last change that was not just one of the number of requests.
+	stated  load.Report
 	version uint64
 	random  *rand.Rand
 	peers   map[instance.ID]*peer
@@ -200,6 +208,10 @@
 	// told is when it was last sent a beat, and pending what it was not told since.
 	told    time.Time
 	pending news
+	// toldBusy is the number of requests at the own server that it was told.
+	toldBusy int
+	// asked is when it was last asked for its beats.
+	asked time.Time
 }
 
 // New returns a state that knows only the daemon itself.
@@ -475,7 +487,7 @@
 
 	for _, p := range s.order {
 		if p.watched || now.Before(p.watcher) {
-			effects = append(effects, SendBeat{To: p.member.Peer, Beat: s.beat(now, false, false)})
+			effects = append(effects, s.sendTo(now, p, false))
 		}
 	}
 
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -79,7 +79,10 @@
 		return membership.SelfChanged{Entry: membership.Entry{Member: newMember("me", 1, 5), Server: line.Word(0)}}
 	case "load":
 		return membership.LoadChanged{
-			Report:  load.Report{Server: "me", Running: line.Int("running", 0), Counter: uint64(line.Int("running", 0))},
+			Report: load.Report{
+				Server: "me", Running: line.Int("running", 0), Counter: uint64(line.Int("running", 0)),
+				Slots: line.Int("slots", 0), Slowness: line.Float("slowness", 1),
+			},
 			Version: uint64(line.Int("version", 0)),
 		}
 	case "budget":
