daemon: longer pauses between calls to a store that refuses them

Calls are billed also if refused. Change: the pause grows to 3 s instead of 0.8 s once a configuration is in force, and ends as soon as another daemon has a newer one.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -15,9 +15,11 @@
 const (
 	// configWait is how long one read waits for a new configuration.
 	configWait = 25 * time.Second
-	// followMin and followMax bound the pause after a failed read.
-	followMin = 50 * time.Millisecond
-	followMax = 800 * time.Millisecond
+	// followMin and followMax bound the pause after a failed read. Calls are billed, also those that fail.
+	followMin = 150 * time.Millisecond
+	followMax = 3 * time.Second
+	// firstMax bounds it until a configuration is in force, without which nothing is served.
+	firstMax = 800 * time.Millisecond
 )
 
 // followConfiguration reads the operator's configuration and every later one until ctx ends.
@@ -57,14 +59,30 @@
 		f.listed = false
 	default:
 		f.report(err)
-		sleep(ctx, f.pause/2+rand.N(f.pause))
-
-		f.pause = min(2*f.pause, followMax)
+		f.wait(ctx)
 		// What was missed is found faster among the newest records.
 		f.listed = false
 	}
 }
 
+// wait pauses after a failed read, until another daemon has a newer configuration at most.
+func (f *follower) wait(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, f.pause/2+rand.N(f.pause))
+	defer cancel()
+
+	select {
+	case <-f.daemon.reread:
+	case <-ctx.Done():
+	}
+
+	longest := followMax
+	if f.daemon.version.Load() == 0 {
+		longest = firstMax
+	}
+
+	f.pause = min(2*f.pause, longest)
+}
+
 // errReread ends a read because another daemon has a newer configuration.
 var errReread = errors.New("a newer configuration was heard of")
 
