routing, health: offers in turn to more servers, acceptance timeouts that adapt, a breaker

Change: an attempt waits 600 ms divided by the number of candidates, 30 to 120 ms, and no longer than it can still respond in time; the acceptance timeout follows mean and deviation (RFC 6298), 80 to 500 ms; a server that serves none of about 12 requests in a row gets one trial at a time; a nested call goes on to its deadline; an entry is stored only if its stored content changes.

--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -79,6 +79,7 @@
 	TooSlow        Reason = "too-slow"
 	IsDraining     Reason = "draining"
 	ServerDown     Reason = "server-down"
+	ServerFailing  Reason = "server-failing"
 	ServerUnknown  Reason = "server-unknown"
 	Busy           Reason = "busy"
 )
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -61,6 +61,8 @@
 		Attempt admission.Attempt
 		// Ran is set if it has reached the server, Failed if the server could not or would not do its work.
 		Ran, Failed bool
+		// Unserved is set if the server did not respond, or only to refuse it.
+		Unserved bool
 	}
 	// ServerCrashed reports that the backend server has died.
 	ServerCrashed struct{}
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -103,7 +103,7 @@
 	if e.Ran {
 		s.calls.addRun()
 
-		effects = append(effects, s.toHealth(now, health.Ran{Failed: e.Failed})...)
+		effects = append(effects, s.toHealth(now, health.Ran{Failed: e.Failed, Unserved: e.Unserved})...)
 	}
 
 	return effects
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -221,7 +221,7 @@
 	}
 
 	switch admission.Reason(reason) {
-	case admission.IsDraining, admission.ServerDown, admission.ServerUnknown:
+	case admission.IsDraining, admission.ServerDown, admission.ServerFailing, admission.ServerUnknown:
 		return true
 	default:
 		return false
@@ -335,7 +335,7 @@
 		d.apply(health.Misdirected{ID: response.Instance})
 	}
 
-	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: true})
+	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: true, Unserved: true})
 
 	return d.refusal(call, verdict.NotRun, serverShed)
 }
@@ -361,7 +361,10 @@
 	}
 
 	d.logServeFailed(call, reply, begun, err)
-	d.apply(core.AttemptServed{Attempt: id, Ran: !gone && judged != verdict.NotRun, Failed: true})
+	// An attempt that its entry withdrew says nothing of the server; one that met its deadline does.
+	timeout := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+	ran := timeout || !gone && judged != verdict.NotRun
+	d.apply(core.AttemptServed{Attempt: id, Ran: ran, Failed: true, Unserved: ran})
 	cancel()
 
 	return attempt.Answer{Reply: d.reply(call, reply)}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -53,7 +53,12 @@
 	// Observed brings the load that a response carried.
 	Observed struct{ Load dialect.Load }
 	// Ran reports the end of a request at the server.
-	Ran struct{ Failed bool }
+	Ran struct {
+		// Failed is set if it got no usable response.
+		Failed bool
+		// Unserved is set if the server did not respond to it, or only to refuse it.
+		Unserved bool
+	}
 	// Refused reports that a connection to the server was refused or could not be made.
 	Refused struct{}
 	// Misdirected reports that another server is at the address.
@@ -137,6 +142,7 @@
 	observed  time.Time
 	coldUntil time.Time
 	failing   float64
+	breaker   breaker
 	failedAt  time.Time
 	watched   bool
 	probing   time.Time
@@ -172,6 +178,7 @@
 		s.observe(now, e.Load)
 	case Ran:
 		s.ran(now, e.Failed)
+		s.breaker.ran(now, e.Unserved)
 	case Refused:
 		s.down = true
 	case Misdirected:
@@ -190,13 +197,15 @@
 	case Tick:
 	}
 
+	s.breaker.tick(now)
+
 	var effects []Effect
 
 	if s.standing() != before {
 		effects = append(effects, Changed{})
 	}
 
-	if at := s.Next(); !at.IsZero() && !now.Before(at) {
+	if at := s.nextProbe(); !at.IsZero() && !now.Before(at) {
 		s.probing, s.probed = now, now
 		s.counts.Probes++
 
@@ -214,7 +223,7 @@
 }
 
 func (s *State) standing() standing {
-	return standing{id: s.id, closed: s.Closed(), slots: s.slots}
+	return standing{id: s.id, closed: s.Closed(), slots: s.Slots()}
 }
 
 // Closed is the reason for refusing all attempts, or empty.
@@ -226,6 +235,8 @@
 		return admission.IsDraining
 	case s.down:
 		return admission.ServerDown
+	case s.breaker.open:
+		return admission.ServerFailing
 	default:
 		return ""
 	}
@@ -243,8 +254,14 @@
 // Draining reports whether the server is about to leave.
 func (s *State) Draining() bool { return s.draining }
 
-// Slots is the number of requests that the server runs at once.
-func (s *State) Slots() int { return max(1, s.slots) }
+// Slots is the number of requests that the server may run at once.
+func (s *State) Slots() int {
+	if s.breaker.trial {
+		return 1
+	}
+
+	return max(1, s.slots)
+}
 
 // Slowness is how long work takes relative to the usual time.
 func (s *State) Slowness() float64 { return s.slowness }
@@ -261,8 +278,18 @@
 // ColdFor is how much longer the server is slow after its start.
 func (s *State) ColdFor(now time.Time) time.Duration { return max(0, s.coldUntil.Sub(now)) }
 
-// Next is when a probe is due; the zero time if none is.
+// Next is when Tick is due; the zero time if nothing waits.
 func (s *State) Next() time.Time {
+	probe, trial := s.nextProbe(), s.breaker.next()
+	if probe.IsZero() || !trial.IsZero() && trial.Before(probe) {
+		return trial
+	}
+
+	return probe
+}
+
+// nextProbe is when a probe is due; the zero time if none is.
+func (s *State) nextProbe() time.Time {
 	if !s.probing.IsZero() || s.pace < 0 {
 		return time.Time{}
 	}
@@ -336,6 +363,7 @@
 // reset forgets what was seen of an earlier run.
 func (s *State) reset() {
 	s.failing, s.lost, s.slowness = 0, 0, 1
+	s.breaker = breaker{}
 	s.observed = time.Time{}
 	s.draining, s.down = false, false
 }
--- a/internal/health/script_test.go
+++ b/internal/health/script_test.go
@@ -80,7 +80,7 @@
 	case "observe":
 		return health.Observed{Load: dialect.Load{Slots: line.Int("slots", 6), Slowness: line.Float("slowness", 1)}}
 	case "ran":
-		return health.Ran{Failed: line.Has("failed")}
+		return health.Ran{Failed: line.Has("failed") || line.Has("unserved"), Unserved: line.Has("unserved")}
 	case "refused":
 		return health.Refused{}
 	case "misdirected":
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -60,6 +60,13 @@
 	Left bool
 }
 
+// storedAs reports whether the store need not be told of e if it holds other. Slots go with the beats.
+func (e Entry) storedAs(other Entry) bool {
+	e.Member.Counter, e.Member.Slots = other.Member.Counter, other.Member.Slots
+
+	return e == other
+}
+
 // Beat is a datagram from one daemon to another.
 type Beat struct {
 	From instance.Member
@@ -451,8 +458,8 @@
 
 func (s *State) selfChanged(now time.Time, entry Entry) []Effect {
 	entry.Member.Counter = s.self.Member.Counter + 1
+	s.dirty = s.dirty || s.ready && !entry.storedAs(s.self)
 	s.self = entry
-	s.dirty = s.ready
 
 	// The first write waits for nothing else than this.
 	if entry.Server != "" && !s.stored {
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -24,8 +24,8 @@
 
 // cost compares servers, in seconds.
 type cost struct {
-	// time that a request is expected to take at the server.
-	time float64
+	// time that a request is expected to take at the server, of which run is the time that it runs.
+	time, run float64
 	// total adds what its failures and the bytes of the request weigh.
 	total float64
 }
@@ -48,7 +48,7 @@
 		total += usual * float64(ahead-slots+1) / float64(slots)
 	}
 
-	c := cost{time: total, total: total + srv.report.Failing*failureCost.Seconds()}
+	c := cost{time: total, run: run, total: total + srv.report.Failing*failureCost.Seconds()}
 	bytes := f.bytes()
 
 	switch srv.distance {
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -9,16 +9,18 @@
 )
 
 const (
-	// acceptTimeout is how long the daemon beside a server may take, beyond the round trip, to say that it
-	// has read an attempt. It reads within a millisecond unless it is overloaded, stopped or cut off.
-	acceptTimeout = 80 * time.Millisecond
-	// queueWait is the longest time that an attempt waits for a slot before the choice is made anew.
-	queueWait = 120 * time.Millisecond
+	// roundTime is the time in which a request that waits is offered to all servers. The load of servers changes
+	// faster than a request runs, so the more there are, the sooner another one has a free slot.
+	roundTime = 600 * time.Millisecond
+	// waitMin and waitMax bound the time that an attempt waits for a slot before the choice is made anew.
+	waitMin = 30 * time.Millisecond
+	waitMax = 120 * time.Millisecond
 	// refusalPeriod is how long a server that refused a request is not asked again for it.
 	refusalPeriod = 60 * time.Millisecond
 	// parkPeriod is the pause after which a request that no server takes is tried again.
 	parkPeriod = 20 * time.Millisecond
-	// parkLimit bounds the pauses in a row; then the request is refused.
+	// parkLimit bounds the pauses in a row; then the request is refused. A nested call goes on to its deadline,
+	// because the work of its parent would be lost.
 	parkLimit = 5
 	// deadlineGrace is how long a response may arrive after the deadline, at which the server itself
 	// answers, before the request is given up.
@@ -187,10 +189,25 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: a.number, Target: chosen.server.member,
-		Wait: min(queueWait, left), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
+		Wait: s.longestWait(now, f, chosen), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
 
+// longestWait is how long an attempt may wait for a slot: while it can still respond in time, which is the target
+// if that can be met at all.
+func (s *State) longestWait(now time.Time, f *flight, chosen choice) time.Duration {
+	run := seconds(chosen.cost.run)
+	until := f.request.Deadline
+
+	if target := f.request.Target; !target.IsZero() && !now.Add(seconds(chosen.cost.time)).After(target) {
+		until = target
+	}
+
+	wait := min(max(roundTime/time.Duration(max(1, chosen.candidates)), waitMin), waitMax)
+
+	return max(0, min(wait, until.Sub(now)-run))
+}
+
 func (s *State) basis(now time.Time, f *flight, chosen choice) Basis {
 	srv := chosen.server
 	b := Basis{
@@ -237,7 +254,7 @@
 		return s.giveUp(now, f, Exhausted)
 	case len(f.service.servers) == 0:
 		return s.giveUp(now, f, NoServers)
-	case chosen.server != nil || f.parks > parkLimit:
+	case chosen.server != nil || f.parks > parkLimit && !f.request.Nested():
 		return s.giveUp(now, f, Overloaded)
 	}
 
@@ -253,6 +270,12 @@
 	}
 
 	a.server.answered()
+
+	if !a.accepted && a.server.distance != sameInstance {
+		s.acceptance.add(now.Sub(a.sent))
+		a.server.acceptance.add(now.Sub(a.sent))
+	}
+
 	a.accepted = true
 
 	if e.Running && !a.running {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -53,8 +53,10 @@
 	// daemons is the number of daemons known, among which the slack of a budget is divided.
 	daemons  int
 	policies []manifest.Service
-	costs    []float64
-	counts   Counts
+	// acceptance is that of all servers, for what slows this daemon itself down.
+	acceptance acceptance
+	costs      []float64
+	counts     Counts
 }
 
 // service is a group of servers that answer the same requests.
--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -138,6 +138,10 @@
 		Size: int64(line.Int("size", 0)),
 	}
 
+	if line.Has("nested") {
+		r.Depth = 1
+	}
+
 	if line.Has("once") {
 		r.Kind = manifest.NonIdempotent
 	}
@@ -178,7 +182,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case routing.Attempt:
-			lines = append(lines, fmt.Sprintf("send %s/%d to %s: %s", e.Request.ID, e.Number, e.Target.ID, e.Why))
+			lines = append(lines, fmt.Sprintf("send %s/%d to %s: %s, wait %s", e.Request.ID, e.Number, e.Target.ID, e.Why, e.Wait))
 		case routing.CancelAttempt:
 			lines = append(lines, fmt.Sprintf("withdraw %s/%d: %s", e.ID, e.Number, e.Why))
 		case routing.Deliver:
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -52,6 +52,7 @@
 	live []*attempt
 	// avoidUntil keeps new attempts away after one that got no answer.
 	avoidUntil time.Time
+	acceptance acceptance
 	// misses counts the attempts in a row that got no answer.
 	misses int
 }
--- a/internal/routing/timers.go
+++ b/internal/routing/timers.go
@@ -7,7 +7,7 @@
 )
 
 // due is when something has to be decided for the flight without another event.
-func (f *flight) due() time.Time {
+func (s *State) due(f *flight) time.Time {
 	at := f.request.Deadline.Add(deadlineGrace)
 	if !f.parked.IsZero() {
 		at = earlier(at, f.parked)
@@ -15,7 +15,7 @@
 
 	for _, a := range f.attempts {
 		if a.awaitsAcceptance() {
-			at = earlier(at, a.silentAt())
+			at = earlier(at, s.silentAt(a))
 		}
 	}
 
@@ -29,8 +29,10 @@
 }
 
 // silentAt is when an attempt without a sign of life counts as silent. A new connection takes a round trip more.
-func (a *attempt) silentAt() time.Time {
-	return a.sent.Add(acceptTimeout + 2*a.server.distance.trip())
+func (s *State) silentAt(a *attempt) time.Time {
+	usual := max(s.acceptance.timeout(), a.server.acceptance.timeout())
+
+	return a.sent.Add(usual + 2*a.server.distance.trip())
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -50,7 +52,7 @@
 			continue
 		}
 
-		if at := f.due(); next.IsZero() || at.Before(next) {
+		if at := s.due(f); next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
@@ -63,7 +65,7 @@
 	var pending []*flight
 
 	for _, f := range s.flights {
-		if !f.done && f.ending == "" && !now.Before(f.due()) {
+		if !f.done && f.ending == "" && !now.Before(s.due(f)) {
 			pending = append(pending, f)
 		}
 	}
@@ -88,7 +90,7 @@
 	var effects []Effect
 
 	for _, a := range f.attempts {
-		if a.awaitsAcceptance() && !now.Before(a.silentAt()) {
+		if a.awaitsAcceptance() && !now.Before(s.silentAt(a)) {
 			effects = append(effects, s.silent(now, a)...)
 		}
 	}
