platform, daemon: a large configuration is read to its end

Reads that took over 2 s in all were given up and begun anew, and reads that had begun were broken off after 400 ms because another daemon had the version; 77 daemons kept their links busy with downloads that never ended.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,7 +40,9 @@
 // Configuration is the topic of the platform's store in which the operator publishes.
 type Configuration interface {
 	Newest(ctx context.Context) (store.Page, error)
-	Read(ctx context.Context, from int64, wait time.Duration) (store.Page, error)
+	// Await reads from an offset on, and waits for a record if there is none. It stops waiting when the second
+	// context ends, but reads an answer that has begun.
+	Await(ctx, waiting context.Context, from int64, wait time.Duration) (store.Page, error)
 }
 
 // Announcements takes what the backend server says of itself. An error means that nothing was accepted.
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -96,7 +96,7 @@
 		return page, err
 	}
 
-	ctx, cancel := context.WithCancelCause(ctx)
+	waiting, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 
 	stop := make(chan struct{})
@@ -110,10 +110,10 @@
 		}
 	}()
 
-	page, err := f.daemon.platform.Configuration.Read(ctx, f.from, configWait)
+	page, err := f.daemon.platform.Configuration.Await(ctx, waiting, f.from, configWait)
 	if err == nil {
 		f.from = page.Next(f.from)
-	} else if errors.Is(context.Cause(ctx), errReread) {
+	} else if errors.Is(context.Cause(waiting), errReread) {
 		return page, errReread
 	}
 
