routing: a request whose target is out of reach takes free slots only

Change: such a request does not wait at a server, and is refused after three servers without a free slot. Nested calls are exempt, because the work of their parents would be lost.

--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -17,6 +17,9 @@
 	waitMax = 120 * time.Millisecond
 	// refusalPeriod is how long a server that refused a request is not asked again for it.
 	refusalPeriod = 60 * time.Millisecond
+	// lateTries is the number of servers that are asked for a free slot once a request can no longer respond within
+	// its target. Its place in a queue would make another request late.
+	lateTries = 3
 	// parkPeriod is the pause after which a request that no server takes is tried again.
 	parkPeriod = 20 * time.Millisecond
 	// parkLimit bounds the pauses in a row; then the request is refused. A nested call goes on to its deadline,
@@ -52,6 +55,8 @@
 	done bool
 	// ending is the reason for giving the request up once its attempts have ended; empty if it goes on.
 	ending Reason
+	// late is the number of servers that had no slot for the request after its target was out of reach.
+	late int
 }
 
 // attempt is one sending of a request.
@@ -69,6 +74,8 @@
 	ended    bool
 	// withdrawn is set after CancelAttempt.
 	withdrawn bool
+	// late is set if it was not expected to respond within the target.
+	late bool
 	// silent is set if the daemon beside the server has not acknowledged it in time.
 	silent bool
 }
@@ -175,7 +182,9 @@
 		return s.park(now, f, chosen)
 	}
 
-	a := &attempt{flight: f, number: len(f.attempts), server: chosen.server, sent: now, advanced: now}
+	a := &attempt{
+		flight: f, number: len(f.attempts), server: chosen.server, sent: now, advanced: now, late: f.isLate(now, chosen),
+	}
 	f.attempts = append(f.attempts, a)
 	f.parked = time.Time{}
 	chosen.server.live = append(chosen.server.live, a)
@@ -189,23 +198,32 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: a.number, Target: chosen.server.member,
-		Wait: s.longestWait(now, f, chosen), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
+		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
 
-// longestWait is how long an attempt may wait for a slot: while it can still respond in time, which is the target
-// if that can be met at all.
-func (s *State) longestWait(now time.Time, f *flight, chosen choice) time.Duration {
-	run := seconds(chosen.cost.run)
-	until := f.request.Deadline
+// isLate reports whether a response is expected after the target. A nested call is never late, because the work of
+// its parent would be lost.
+func (f *flight) isLate(now time.Time, chosen choice) bool {
+	target := f.request.Target
+
+	return !target.IsZero() && !f.request.Nested() && now.Add(seconds(chosen.cost.time)).After(target)
+}
+
+// longestWait is how long an attempt may wait for a slot: while it can still respond in time.
+func (a *attempt) longestWait(now time.Time, chosen choice) time.Duration {
+	if a.late {
+		return 0
+	}
 
-	if target := f.request.Target; !target.IsZero() && !now.Add(seconds(chosen.cost.time)).After(target) {
+	until := a.flight.request.Deadline
+	if target := a.flight.request.Target; !target.IsZero() && !a.flight.request.Nested() {
 		until = target
 	}
 
 	wait := min(max(roundTime/time.Duration(max(1, chosen.candidates)), waitMin), waitMax)
 
-	return max(0, min(wait, until.Sub(now)-run))
+	return max(0, min(wait, until.Sub(now)-seconds(chosen.cost.run)))
 }
 
 func (s *State) basis(now time.Time, f *flight, chosen choice) Basis {
@@ -396,6 +414,14 @@
 	case Refused, Unreachable:
 		f.refusals[a.server] = now
 
+		if a.late {
+			f.late++
+		}
+
+		if f.late >= lateTries && f.live() == 0 {
+			return s.giveUp(now, f, Overloaded)
+		}
+
 		return s.resend(now, f, Retry)
 	case Broken:
 		if e.Verdict.MayRepeat(f.request.Idempotent()) && (e.Verdict == verdict.NotRun || s.mayRepeat(now, f)) {
