--- a/internal/command/docs_test.go
+++ b/internal/command/docs_test.go
@@ -17,7 +17,7 @@
 	block := regexp.MustCompile("(?s)```ini\n(.*?)```")
 	checked := 0
 
-	for _, path := range []string{"../../README.md", "../../docs/operators.md"} {
+	for _, path := range []string{"../../README.md", "../../docs/OPERATIONS.md"} {
 		page, err := os.ReadFile(path)
 		require.NoError(t, err)
 
