attempt: tests of the protocol between daemons

Change: round trip of calls and replies, foreign replies, calls that are withdrawn or refused before they are committed, bodies that break off, wrong keys, unreachable daemons, withdrawal while the server works.

--- /dev/null
+++ b/internal/attempt/attempt_test.go
@@ -0,0 +1,279 @@
+package attempt_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/attempt"
+	"github.com/tarragonmill/tarragonmill/internal/http1"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+const fleetKey = "0123456789abcdef"
+
+// serve starts a daemon's peer interface that serves calls with a function.
+func serve(t *testing.T, run attempt.Serve) netip.AddrPort {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	server := http1.NewServer(attempt.NewHandler(fleetKey, run, run, func([]byte) error { return nil }))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+
+	go func() { ended <- server.Serve(ctx, listener) }()
+
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func newClient(t *testing.T, key string) *attempt.Client {
+	t.Helper()
+
+	client := attempt.NewClient(key)
+	t.Cleanup(client.Close)
+
+	return client
+}
+
+func newCall(kind manifest.Kind) attempt.Call {
+	return attempt.Call{
+		Request: request.Request{
+			ID: "r-1", Service: "stock", Route: "stock/items", Kind: kind, Key: "k-1", Fingerprint: 0xfeedface12345678,
+			Priority: 2, Depth: 3, Origin: "orders",
+		},
+		Number: 4, Wait: 30 * time.Millisecond, Slowest: 1.5, Repeat: true, Timeout: time.Second, From: "a", To: "b",
+		Method: http.MethodPost, Target: "/items?x=1&y=%20", Host: "stock.example",
+		Header: http.Header{"X-Trace": {"7"}}, Body: []byte("order"),
+	}
+}
+
+func always(bool) bool { return true }
+
+// answerTo returns a whole reply to a call.
+func answerTo(call attempt.Call) attempt.Answer {
+	return attempt.Answer{
+		Reply: attempt.Reply{
+			ID: call.Request.ID, Number: call.Number, Verdict: verdict.Answered, Delivery: verdict.Answered, Status: 201,
+			Report: load.Report{Server: "b", Incarnation: 9, Counter: 5, Open: true, Running: 2, Waiting: 1, Slots: 6, Slowness: 1.25},
+		},
+		Header: http.Header{"X-Answer": {"yes"}}, Body: io.NopCloser(strings.NewReader("done")), Length: 4,
+	}
+}
+
+// Guards against a call or reply that arrives changed: a request of another kind, deadline or key, or a load report
+// of another server.
+func TestRoundTrip(t *testing.T) {
+	for _, kind := range []manifest.Kind{manifest.Idempotent, manifest.NonIdempotent} {
+		sent := newCall(kind)
+		received := make(chan attempt.Call, 1)
+
+		peer := serve(t, func(_ context.Context, call attempt.Call, in attempt.Incoming) attempt.Answer {
+			if err := in.Running(); err != nil {
+				return attempt.Answer{}
+			}
+
+			body, err := in.Body()
+			if err != nil {
+				return attempt.Answer{}
+			}
+
+			call.Body = body
+			received <- call
+
+			return answerTo(call)
+		})
+
+		response, err := newClient(t, fleetKey).Do(t.Context(), peer, sent, always)
+		require.NoError(t, err)
+
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, "done", string(body))
+		require.Equal(t, answerTo(sent).Reply, response.Reply)
+		require.Equal(t, "yes", response.Header.Get("X-Answer"))
+
+		call := <-received
+		require.Equal(t, "7", call.Header.Get("X-Trace"))
+
+		call.Header = sent.Header
+		require.Equal(t, sent, call)
+	}
+}
+
+// Guards against a response that is handed to the caller of another request.
+func TestForeignReply(t *testing.T) {
+	peer := serve(t, func(_ context.Context, call attempt.Call, in attempt.Incoming) attempt.Answer {
+		_, _ = in.Body()
+		call.Number++
+
+		return answerTo(call)
+	})
+
+	_, err := newClient(t, fleetKey).Do(t.Context(), peer, newCall(manifest.Idempotent), always)
+	require.True(t, errors.Is(err, attempt.ErrForeign))
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+}
+
+// Guards against a request that must not run twice and runs although its entry daemon no longer wants it and reports
+// it as not run.
+func TestWithdrawnIsNotCommitted(t *testing.T) {
+	bodies := make(chan error, 1)
+	peer := serve(t, func(_ context.Context, _ attempt.Call, in attempt.Incoming) attempt.Answer {
+		if err := in.Queued(); err != nil {
+			bodies <- err
+
+			return attempt.Answer{}
+		}
+
+		if err := in.Running(); err != nil {
+			bodies <- err
+
+			return attempt.Answer{}
+		}
+
+		_, err := in.Body()
+		bodies <- err
+
+		return attempt.Answer{}
+	})
+
+	said := make([]bool, 0, 2)
+	_, err := newClient(t, fleetKey).Do(t.Context(), peer, newCall(manifest.NonIdempotent), func(running bool) bool {
+		said = append(said, running)
+
+		return !running
+	})
+	require.True(t, errors.Is(err, attempt.ErrWithdrawn))
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Equal(t, []bool{false, true}, said)
+	require.Error(t, <-bodies)
+}
+
+// Guards against a refusal that counts as "may have run", or for which the body was sent.
+func TestRefusalBeforeBody(t *testing.T) {
+	peer := serve(t, func(_ context.Context, call attempt.Call, _ attempt.Incoming) attempt.Answer {
+		return attempt.Answer{Reply: attempt.Reply{
+			ID: call.Request.ID, Number: call.Number, Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: "queue-full",
+		}}
+	})
+
+	response, err := newClient(t, fleetKey).Do(t.Context(), peer, newCall(manifest.NonIdempotent), func(bool) bool {
+		t.Error("a refused call made progress")
+
+		return true
+	})
+	require.NoError(t, err)
+	require.Equal(t, verdict.NotRun, response.Reply.Verdict)
+	require.Equal(t, "queue-full", response.Reply.Reason)
+	require.Zero(t, response.Reply.Status)
+}
+
+// broken is a body that ends early.
+type broken struct{ sent bool }
+
+func (b *broken) Read(data []byte) (int, error) {
+	if b.sent {
+		return 0, errors.New("backend server broke off")
+	}
+
+	b.sent = true
+
+	return copy(data, "do"), nil
+}
+
+func (b *broken) Close() error { return nil }
+
+// Guards against a response that broke off and looks whole to the entry daemon, with and without a stated length.
+func TestIncompleteBody(t *testing.T) {
+	for _, length := range []int64{4, http1.UnknownLength} {
+		peer := serve(t, func(_ context.Context, call attempt.Call, in attempt.Incoming) attempt.Answer {
+			_, _ = in.Body()
+			answer := answerTo(call)
+			answer.Body, answer.Length = &broken{}, length
+
+			return answer
+		})
+
+		response, err := newClient(t, fleetKey).Do(t.Context(), peer, newCall(manifest.Idempotent), always)
+		if err != nil {
+			// The connection ended before the header was sent.
+			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+
+			continue
+		}
+
+		_, err = io.ReadAll(response.Body)
+		require.Error(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+}
+
+// Guards against calls from outside of the fleet, and against a verdict that keeps the refused request from being sent
+// elsewhere.
+func TestWrongKey(t *testing.T) {
+	peer := serve(t, func(context.Context, attempt.Call, attempt.Incoming) attempt.Answer {
+		t.Error("a call with a wrong key was served")
+
+		return attempt.Answer{}
+	})
+
+	_, err := newClient(t, "another key of the size").Do(t.Context(), peer, newCall(manifest.NonIdempotent), always)
+	require.Error(t, err)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+}
+
+// Guards against a request that counts as "may have run" although no connection was made.
+func TestUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	peer := netip.MustParseAddrPort(listener.Addr().String())
+	require.NoError(t, listener.Close())
+
+	_, err = newClient(t, fleetKey).Do(t.Context(), peer, newCall(manifest.Idempotent), always)
+	require.Error(t, err)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+}
+
+// Guards against calls that go on at the server after the entry daemon has withdrawn them.
+func TestWithdrawalEndsTheCall(t *testing.T) {
+	ended := make(chan struct{})
+	peer := serve(t, func(ctx context.Context, call attempt.Call, in attempt.Incoming) attempt.Answer {
+		_, _ = in.Body()
+		<-ctx.Done()
+		close(ended)
+
+		return answerTo(call)
+	})
+
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+
+	_, err := newClient(t, fleetKey).Do(ctx, peer, newCall(manifest.Idempotent), always)
+	require.Error(t, err)
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the withdrawn call still runs")
+	}
+}
