--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -165,122 +165,6 @@
 	return effects
 }
 
-// send starts an attempt at the best server, parks the request or gives it up.
-func (s *State) send(now time.Time, f *flight, why Reason) []Effect {
-	if f.reached > 0 && (f.reached > f.limit() || f.service.budget.left(now, s.repeats, s.daemons) < 1) {
-		if f.live() > 0 {
-			return nil
-		}
-
-		return s.giveUp(now, f, Exhausted)
-	}
-
-	chosen := s.choose(now, f)
-	left := f.request.Deadline.Sub(now)
-
-	if chosen.server == nil || chosen.cost.time > left.Seconds() {
-		return s.park(now, f, chosen)
-	}
-
-	a := &attempt{
-		flight: f, number: len(f.attempts), server: chosen.server, sent: now, advanced: now, late: f.isLate(now, chosen),
-	}
-	f.attempts = append(f.attempts, a)
-	f.parked = time.Time{}
-	chosen.server.live = append(chosen.server.live, a)
-	chosen.server.unreported++
-
-	if chosen.server.distance == otherRegion {
-		f.service.spill.use(now, f.bytes())
-	}
-
-	s.counts.Attempts++
-
-	return []Effect{Attempt{
-		Request: f.request, Number: a.number, Target: chosen.server.member,
-		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
-	}}
-}
-
-// isLate reports whether a response is expected after the target. A nested call is never late, because the work of
-// its parent would be lost.
-func (f *flight) isLate(now time.Time, chosen choice) bool {
-	target := f.request.Target
-
-	return !target.IsZero() && !f.request.Nested() && now.Add(seconds(chosen.cost.time)).After(target)
-}
-
-// longestWait is how long an attempt may wait for a slot: while it can still respond in time.
-func (a *attempt) longestWait(now time.Time, chosen choice) time.Duration {
-	if a.late {
-		return 0
-	}
-
-	until := a.flight.request.Deadline
-	if target := a.flight.request.Target; !target.IsZero() && !a.flight.request.Nested() {
-		until = target
-	}
-
-	wait := min(max(roundTime/time.Duration(max(1, chosen.candidates)), waitMin), waitMax)
-
-	return max(0, min(wait, until.Sub(now)-seconds(chosen.cost.run)))
-}
-
-func (s *State) basis(now time.Time, f *flight, chosen choice) Basis {
-	srv := chosen.server
-	b := Basis{
-		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now) - 1, Slots: srv.slots(),
-		Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: -1, Candidates: chosen.candidates,
-		Budget: f.service.budget.left(now, s.repeats, s.daemons),
-	}
-
-	if !srv.heard.IsZero() {
-		b.Age = now.Sub(srv.heard)
-	}
-
-	return b
-}
-
-func seconds(number float64) time.Duration { return time.Duration(number * float64(time.Second)) }
-
-const (
-	// slowestMin is the slowness that is never a reason to refuse.
-	slowestMin = 1.6
-	// slowestRefusals is the number of refusals after which a request takes any server.
-	slowestRefusals = 2
-)
-
-// slowest is the slowness above which the next best server is the better choice.
-func (s *State) slowest(f *flight, chosen choice) float64 {
-	if !chosen.others || len(f.refusals) >= slowestRefusals {
-		return 0
-	}
-
-	return max(slowestMin, chosen.next/f.estimate.workOrDefault().Seconds())
-}
-
-// park keeps a request that no server can take for a moment, or gives it up.
-func (s *State) park(now time.Time, f *flight, chosen choice) []Effect {
-	if f.live() > 0 {
-		return nil
-	}
-
-	f.parks++
-
-	switch {
-	case f.fallback >= 0 && f.parks > 1:
-		return s.giveUp(now, f, Exhausted)
-	case len(f.service.servers) == 0:
-		return s.giveUp(now, f, NoServers)
-	case chosen.server != nil || f.parks > parkLimit && !f.request.Nested():
-		return s.giveUp(now, f, Overloaded)
-	}
-
-	f.parked = now.Add(parkPeriod)
-
-	return nil
-}
-
 func (s *State) accepted(now time.Time, e Accepted) {
 	a := s.find(e.ID, e.Number)
 	if a == nil || a.ended {
@@ -424,17 +308,7 @@
 
 		return s.resend(now, f, Retry)
 	case Broken:
-		if e.Verdict.MayRepeat(f.request.Idempotent()) && (e.Verdict == verdict.NotRun || s.mayRepeat(now, f)) {
-			f.refusals[a.server] = now
-
-			return s.resend(now, f, Retry)
-		}
-
-		if f.live() > 0 {
-			return nil
-		}
-
-		return s.giveUp(now, f, Lost)
+		return s.broken(now, a, e.Verdict)
 	default:
 		// An attempt that was withdrawn because it was silent.
 		if f.live() > 0 {
@@ -449,6 +323,26 @@
 	}
 }
 
+// broken decides after an attempt whose server or daemon broke off.
+func (s *State) broken(now time.Time, a *attempt, judged verdict.Verdict) []Effect {
+	f := a.flight
+
+	if judged.MayRepeat(f.request.Idempotent()) && (judged == verdict.NotRun || s.mayRepeat(now, f)) {
+		f.refusals[a.server] = now
+
+		return s.resend(now, f, Retry)
+	}
+
+	switch {
+	case f.live() > 0:
+		return nil
+	case !now.Before(f.request.Deadline):
+		return s.giveUp(now, f, Deadline)
+	default:
+		return s.giveUp(now, f, Lost)
+	}
+}
+
 // resend tries another server unless an attempt is still live.
 func (s *State) resend(now time.Time, f *flight, why Reason) []Effect {
 	if f.live() > 0 {
@@ -467,111 +361,3 @@
 	return f.request.Idempotent() && f.mayRun() < f.limit() &&
 		f.service.budget.left(now, s.repeats, s.daemons) >= 1
 }
-
-// deliver ends a request with the response of an attempt.
-func (s *State) deliver(f *flight, number int) []Effect {
-	effects := s.withdraw(f, number, Superseded)
-	f.done = true
-	s.counts.Delivered++
-
-	return append(effects, Deliver{ID: f.request.ID, Number: number})
-}
-
-// giveUp ends a request without a response, or with one that a server gave for its own failure.
-func (s *State) giveUp(now time.Time, f *flight, reason Reason) []Effect {
-	if f.ending != "" {
-		return nil
-	}
-
-	if f.fallback >= 0 {
-		return s.deliver(f, f.fallback)
-	}
-
-	f.ending = reason
-
-	return append(s.withdraw(f, -1, reason), s.conclude(now, f)...)
-}
-
-// conclude ends a request that is given up when the last of its attempts has ended: only then it is known
-// whether it may have run.
-func (s *State) conclude(now time.Time, f *flight) []Effect {
-	if f.pending() > 0 {
-		return nil
-	}
-
-	judged := verdict.NotRun
-	if f.runs > 0 || f.lost {
-		judged = verdict.MayHaveRun
-	}
-
-	f.done = true
-	s.counts.GivenUp++
-
-	return []Effect{GiveUp{
-		ID: f.request.ID, Verdict: judged, Reason: f.ending, RetryAfter: s.retryAfter(now, f),
-	}}
-}
-
-// retryAfter is when a server of the service is expected to have room.
-func (s *State) retryAfter(now time.Time, f *flight) time.Duration {
-	shortest := time.Duration(0)
-
-	for _, srv := range f.service.servers {
-		excess := srv.ahead(now) - srv.slots() + 1
-		work := f.service.work.workOrDefault().Seconds() * srv.slowness(now)
-		wait := time.Duration(work * float64(max(0, excess)) / float64(srv.slots()) * float64(time.Second))
-
-		if shortest == 0 || wait < shortest {
-			shortest = wait
-		}
-	}
-
-	// Callers that were refused together come back spread over as long again.
-	base := max(minRetryAfter, shortest)
-
-	return base + time.Duration(s.random.Int64N(int64(base)))
-}
-
-// withdraw cancels the live attempts of a request but one.
-func (s *State) withdraw(f *flight, keep int, why Reason) []Effect {
-	var effects []Effect
-
-	for _, a := range f.attempts {
-		if !a.ended && !a.withdrawn && a.number != keep {
-			a.withdrawn = true
-
-			effects = append(effects, CancelAttempt{ID: f.request.ID, Number: a.number, Why: why})
-		}
-	}
-
-	return effects
-}
-
-func (s *State) cancelled(e Cancelled) []Effect {
-	f := s.flights[e.ID]
-	if f == nil || f.done {
-		return nil
-	}
-
-	f.ending = ""
-	effects := s.withdraw(f, -1, CallerLeft)
-	f.done = true
-	s.forget(f)
-
-	return effects
-}
-
-// forget drops a request that is done and has no attempt in progress.
-func (s *State) forget(f *flight) {
-	if !f.done {
-		return
-	}
-
-	for _, a := range f.attempts {
-		if !a.ended {
-			return
-		}
-	}
-
-	delete(s.flights, f.request.ID)
-}
--- /dev/null
+++ b/internal/routing/sending.go
@@ -0,0 +1,119 @@
+package routing
+
+import "time"
+
+// send starts an attempt at the best server, parks the request or gives it up.
+func (s *State) send(now time.Time, f *flight, why Reason) []Effect {
+	if f.reached > 0 && (f.reached > f.limit() || f.service.budget.left(now, s.repeats, s.daemons) < 1) {
+		if f.live() > 0 {
+			return nil
+		}
+
+		return s.giveUp(now, f, Exhausted)
+	}
+
+	chosen := s.choose(now, f)
+	left := f.request.Deadline.Sub(now)
+
+	if chosen.server == nil || chosen.cost.time > left.Seconds() {
+		return s.park(now, f, chosen)
+	}
+
+	a := &attempt{
+		flight: f, number: len(f.attempts), server: chosen.server, sent: now, advanced: now, late: f.isLate(now, chosen),
+	}
+	f.attempts = append(f.attempts, a)
+	f.parked = time.Time{}
+	chosen.server.live = append(chosen.server.live, a)
+	chosen.server.unreported++
+
+	if chosen.server.distance == otherRegion {
+		f.service.spill.use(now, f.bytes())
+	}
+
+	s.counts.Attempts++
+
+	return []Effect{Attempt{
+		Request: f.request, Number: a.number, Target: chosen.server.member,
+		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
+	}}
+}
+
+// isLate reports whether a response is expected after the target. A nested call is never late, because the work of
+// its parent would be lost.
+func (f *flight) isLate(now time.Time, chosen choice) bool {
+	target := f.request.Target
+
+	return !target.IsZero() && !f.request.Nested() && now.Add(seconds(chosen.cost.time)).After(target)
+}
+
+// longestWait is how long an attempt may wait for a slot: while it can still respond in time.
+func (a *attempt) longestWait(now time.Time, chosen choice) time.Duration {
+	if a.late {
+		return 0
+	}
+
+	until := a.flight.request.Deadline
+	if target := a.flight.request.Target; !target.IsZero() && !a.flight.request.Nested() {
+		until = target
+	}
+
+	wait := min(max(roundTime/time.Duration(max(1, chosen.candidates)), waitMin), waitMax)
+
+	return max(0, min(wait, until.Sub(now)-seconds(chosen.cost.run)))
+}
+
+func (s *State) basis(now time.Time, f *flight, chosen choice) Basis {
+	srv := chosen.server
+	b := Basis{
+		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now) - 1, Slots: srv.slots(),
+		Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: -1, Candidates: chosen.candidates,
+		Budget: f.service.budget.left(now, s.repeats, s.daemons),
+	}
+
+	if !srv.heard.IsZero() {
+		b.Age = now.Sub(srv.heard)
+	}
+
+	return b
+}
+
+func seconds(number float64) time.Duration { return time.Duration(number * float64(time.Second)) }
+
+const (
+	// slowestMin is the slowness that is never a reason to refuse.
+	slowestMin = 1.6
+	// slowestRefusals is the number of refusals after which a request takes any server.
+	slowestRefusals = 2
+)
+
+// slowest is the slowness above which the next best server is the better choice.
+func (s *State) slowest(f *flight, chosen choice) float64 {
+	if !chosen.others || len(f.refusals) >= slowestRefusals {
+		return 0
+	}
+
+	return max(slowestMin, chosen.next/f.estimate.workOrDefault().Seconds())
+}
+
+// park keeps a request that no server can take for a moment, or gives it up.
+func (s *State) park(now time.Time, f *flight, chosen choice) []Effect {
+	if f.live() > 0 {
+		return nil
+	}
+
+	f.parks++
+
+	switch {
+	case f.fallback >= 0 && f.parks > 1:
+		return s.giveUp(now, f, Exhausted)
+	case len(f.service.servers) == 0:
+		return s.giveUp(now, f, NoServers)
+	case chosen.server != nil || f.parks > parkLimit && !f.request.Nested():
+		return s.giveUp(now, f, Overloaded)
+	}
+
+	f.parked = now.Add(parkPeriod)
+
+	return nil
+}
