explain: the story of a request from the logs of all daemons

Cause: an engineer had to find and sort the lines of one request by hand, and could not see whether some were missing. Change: tarragonmill explain ID [FILE...] prints the lines of the request and its nested calls in order of time, and names missing ends, missing choices and the daemons that left lines out at that time.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -57,7 +57,7 @@
 		option(root)
 	}
 
-	root.Commands = append(root.Commands, dumpCommand(), demoCommand())
+	root.Commands = append(root.Commands, dumpCommand(), explainCommand(), demoCommand())
 
 	return run(ctx, args, streams, root)
 }
