--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -98,7 +98,7 @@
 }
 
 // noteRead notes the end of a log outage. The log is read at least once in two extension periods, because
-// each combiner appends once in a period.
+// each owner appends once in a period.
 func (s *State) noteRead() {
 	if s.now.Sub(s.logRead) > 2*s.policy.Grant/extensionShare {
 		s.logSince = s.now
@@ -171,8 +171,7 @@
 	return s.now.Add(appendRetry + time.Duration(s.random.Int64N(int64(appendRetry))))
 }
 
-// extend moves the end of the grants once per period. Periods are aligned to the clock, so that the
-// combiner of a failure domain receives the extensions of all its owners together.
+// extend moves the end of the grants once per period. Periods are aligned to the clock.
 func (s *State) extend() {
 	earliest, ok := s.earliestEnd()
 	if !ok || s.policy.Grant <= 0 {
--- a/internal/keys/grants.go
+++ b/internal/keys/grants.go
@@ -158,7 +158,7 @@
 }
 
 // moveEnds applies sign-offs and extensions to the last grant of each partition. It passes over the
-// partitions once for a record, because a combiner's record holds the extensions of some 90 owners. The
+// partitions once for a record, because a record may hold the extensions of many owners. The
 // order of the map does not matter, because the partitions are independent.
 func (l *ledger) moveEnds(r Record) {
 	ends, extensions := map[run]int64{}, map[run][]Extension{}
