--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,9 +1,10 @@
 // Package membership knows the daemons of the fleet. It does no I/O and reads no clock.
 //
-// Each daemon keeps an entry of its own in a topic of the platform's store. It reads the entries, of which its
-// own tells what an earlier run knew, writes its own, reads the others' once more, and greets every daemon that
-// it found. Of two daemons that start at the same time, at least one therefore finds the other. What changes quickly (whether a daemon lives, its load, its version of the
-// configuration) goes directly from daemon to daemon in beats, and only to those that watch it.
+// Each daemon keeps an entry of its own in a topic of the platform's store. It reads the entries, of which its own
+// tells what an earlier run knew, writes its own, reads the others' once more, and greets every daemon that it found.
+// Of two daemons that start at the same time, at least one therefore finds the other. What changes quickly (whether a
+// daemon lives, its load, its version of the configuration) goes directly from daemon to daemon in beats, and only to
+// those that watch it.
 package membership
 
 import (
