--- /dev/null
+++ b/internal/standin/backend/running.go
@@ -0,0 +1,202 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+)
+
+// run holds a slot for the service time and records the execution.
+func (s *Server) run(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		behaviour := s.Behaviour()
+		fault := s.nextFault(behaviour)
+
+		if s.refuses(w, r, behaviour, fault) {
+			return
+		}
+
+		select {
+		case s.slots <- struct{}{}:
+		case <-r.Context().Done():
+			return
+		}
+
+		defer func() { <-s.slots }()
+
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+
+		if poison := behaviour.Poison; poison != "" && strings.Contains(string(body), poison) {
+			s.Crash()
+
+			return
+		}
+
+		s.record(r, string(body))
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+
+		if work(r.Context(), behaviour) {
+			s.answer(w, r, next, fault)
+		}
+	}
+}
+
+// work lets the service time pass. It returns false if the caller has left.
+func work(ctx context.Context, behaviour Behaviour) bool {
+	period := behaviour.Service
+	if behaviour.Slowness > 0 {
+		period = time.Duration(float64(period) * behaviour.Slowness)
+	}
+
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) nextFault(behaviour Behaviour) Fault {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.number++
+
+	if behaviour.Every > 0 && s.number%behaviour.Every == 0 {
+		return behaviour.Fault
+	}
+
+	return None
+}
+
+// refuses answers requests that do not run.
+func (s *Server) refuses(w http.ResponseWriter, r *http.Request, behaviour Behaviour, fault Fault) bool {
+	expected := ""
+	if s.dialect.Expected != "" {
+		expected = r.Header.Get(s.dialect.Expected)
+	}
+
+	switch {
+	case expected != "" && expected != s.name:
+		dialect.Set(w.Header(), s.dialect.Instance, s.name)
+		http.Error(w, "another server", http.StatusMisdirectedRequest)
+	case behaviour.Draining, fault == Shed:
+		dialect.Set(w.Header(), s.dialect.NotRun, s.notRunValue())
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+	case fault == Reset:
+		panic(http.ErrAbortHandler)
+	case behaviour.Failing:
+		s.seal(w.Header(), r)
+		http.Error(w, "failing", http.StatusInternalServerError)
+	default:
+		return false
+	}
+
+	return true
+}
+
+func (s *Server) notRunValue() string {
+	if s.dialect.NotRunValue != "" {
+		return s.dialect.NotRunValue
+	}
+
+	return "1"
+}
+
+// seal marks a response as one of the server to the request.
+func (s *Server) seal(header http.Header, r *http.Request) {
+	dialect.Set(header, s.dialect.Seal, "seal-of-"+s.name)
+	dialect.Set(header, s.dialect.Attempt, s.dialect.AttemptOf(r.Header))
+	s.setLoad(header)
+}
+
+func (s *Server) record(r *http.Request, body string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.served++
+	s.last = time.Now()
+
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		s.executions[key]++
+	}
+
+	if id := s.dialect.AttemptOf(r.Header); id != "" {
+		run := s.runs[id]
+		run.Count++
+		run.Body = body
+
+		if s.dialect.Origin != "" {
+			run.Origin = r.Header.Get(s.dialect.Origin)
+		}
+
+		if s.dialect.Timeout != "" {
+			run.Timeout = r.Header.Get(s.dialect.Timeout)
+		}
+
+		s.runs[id] = run
+	}
+}
+
+func (s *Server) stock(w http.ResponseWriter, r *http.Request) {
+	_, _ = fmt.Fprintf(w, "stock of %s at %s\n", r.PathValue("id"), s.name)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	w.WriteHeader(http.StatusCreated)
+	_, _ = fmt.Fprintf(w, "order %s taken by %s\n", r.Header.Get("Idempotency-Key"), s.name)
+}
+
+// label writes a download whose bytes depend on the offset only, so that every server offers the
+// same representation.
+func (s *Server) label(w http.ResponseWriter, r *http.Request) {
+	size, err := strconv.ParseInt(r.PathValue("size"), 10, 64)
+	if err != nil || size < 0 {
+		http.Error(w, "size is not a number", http.StatusBadRequest)
+
+		return
+	}
+
+	w.Header().Set("ETag", strconv.Quote("label-"+strconv.FormatInt(size, 10)))
+
+	writer := w
+	if limit := s.Behaviour().Truncate; limit > 0 {
+		writer = &truncatingWriter{ResponseWriter: w, left: limit}
+	}
+
+	http.ServeContent(writer, r, "label.bin", time.Time{}, &Pattern{size: size})
+}
+
+// truncatingWriter aborts the connection after some bytes.
+type truncatingWriter struct {
+	http.ResponseWriter
+	left int64
+}
+
+func (t *truncatingWriter) Write(data []byte) (int, error) {
+	if int64(len(data)) > t.left {
+		_, _ = t.ResponseWriter.Write(data[:t.left])
+		_ = http.NewResponseController(t.ResponseWriter).Flush()
+
+		panic(http.ErrAbortHandler)
+	}
+
+	t.left -= int64(len(data))
+	n, err := t.ResponseWriter.Write(data)
+
+	return n, errors.Wrap(err, "write label")
+}
