task, times, http1, routing: one copy of what stood several times

Cause: reading the whole change: six copies of a pause that ends with a context, four of the earlier or later of two times, five loops for the first of several times of which some are zero, two bodies that give their connection back, two writers of a request's head, three loops over a flight's attempts. Change: task.Sleep, package times, ClientConn.Body, bufferHead, flight.count; an unused parameter and the unused WholeBody go. Behaviour is the same.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,7 +6,11 @@
 // attempt that waits or runs has no effect: refusing it as not run would be untrue.
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/times"
+)
 
 // State is the admission of one backend server. It is not safe for concurrent use.
 type State struct {
@@ -76,15 +80,11 @@
 	var next time.Time
 
 	for _, w := range s.queue {
-		if at := w.expires(); next.IsZero() || at.Before(next) {
-			next = at
-		}
+		next = times.Next(next, w.expires())
 	}
 
 	if s.alone != nil {
-		if at := s.alone.expires(); next.IsZero() || at.Before(next) {
-			next = at
-		}
+		next = times.Next(next, s.alone.expires())
 	}
 
 	return next
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -169,7 +169,7 @@
 		return nil, verdict.WithError(e.verdict(), errors.Wrapf(err, "daemon %s", peer))
 	}
 
-	response.Body = &replyBody{reader: response.Body, connection: connection, stop: stop, close: e.close}
+	response.Body = connection.Body(response.Body, stop, func() bool { return !e.close })
 
 	return response, nil
 }
@@ -200,7 +200,7 @@
 	}
 
 	for {
-		response, err := e.connection.Read(http.MethodPost) //nolint:bodyclose // replyBody closes it
+		response, err := e.connection.Read(http.MethodPost) //nolint:bodyclose // Body of the connection closes it
 		if err != nil {
 			return nil, err
 		}
@@ -282,43 +282,3 @@
 		Reply: reply, Header: httpheader.Forwardable(response.Header), Body: response.Body, Length: response.ContentLength,
 	}, nil
 }
-
-// replyBody gives the connection back at the end of the body.
-type replyBody struct {
-	reader     io.ReadCloser
-	connection *http1.ClientConn
-	stop       func() bool
-	close      bool
-	ended      bool
-}
-
-// Read implements io.Reader.
-func (b *replyBody) Read(data []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
-	}
-
-	n, err := b.reader.Read(data)
-	if errors.Is(err, io.EOF) {
-		b.ended = true
-
-		if b.stop() && !b.close {
-			b.connection.Release()
-		} else {
-			b.connection.Close()
-		}
-	}
-
-	return n, err
-}
-
-// Close ends the connection unless the body was read to its end.
-func (b *replyBody) Close() error {
-	if !b.ended {
-		b.ended = true
-		b.stop()
-		b.connection.Close()
-	}
-
-	return nil
-}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -157,14 +156,17 @@
 		return nil, errors.Mark(err, errDropped)
 	}
 
-	response, err := s.receive(c, call) //nolint:bodyclose // responseBody closes it
+	response, err := s.receive(c, call) //nolint:bodyclose // Body of the connection closes it
 	if err != nil {
 		stop()
 
 		return nil, err
 	}
 
-	return s.toResponse(response, call, newBody(response, c, stop, sent)), nil
+	// The server expects the rest of an unsent body on the connection.
+	body := c.Body(response.Body, stop, func() bool { return !response.Close && wasSent(sent) })
+
+	return s.toResponse(response, call, body), nil
 }
 
 // send writes a request. A large body is written while the response is awaited; the returned channel then
@@ -238,7 +240,7 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
-func (s *Server) toResponse(response *http.Response, call Call, body *responseBody) *Response {
+func (s *Server) toResponse(response *http.Response, call Call, body io.ReadCloser) *Response {
 	s.learnIdle(response.Header)
 
 	converted := &Response{
@@ -320,73 +322,16 @@
 	}, errors.Wrap(err, "read health answer")
 }
 
-// responseBody gives the connection back at the end of the body.
-type responseBody struct {
-	reader io.ReadCloser
-	conn   *http1.ClientConn
-	stop   func() bool
-	// sent brings the outcome of a body that is written meanwhile; nil if it was written before.
-	sent  <-chan error
-	close bool
-	ended bool
-}
-
-func newBody(response *http.Response, c *http1.ClientConn, stop func() bool, sent <-chan error) *responseBody {
-	return &responseBody{reader: response.Body, conn: c, stop: stop, sent: sent, close: response.Close}
-}
-
-// Read implements io.Reader.
-func (b *responseBody) Read(data []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
-	}
-
-	n, err := b.reader.Read(data)
-	if errors.Is(err, io.EOF) {
-		b.finish()
-	}
-
-	return n, err
-}
-
-// finish gives the connection back if it can be used again.
-func (b *responseBody) finish() {
-	b.ended = true
-
-	if !b.stop() || b.close || !b.wholeSent() {
-		b.conn.Close()
-
-		return
-	}
-
-	b.conn.Release()
-}
-
-// wholeSent reports whether the request was sent to its end: the server expects the rest of it on the
-// connection.
-func (b *responseBody) wholeSent() bool {
-	if b.sent == nil {
+// wasSent reports whether a body was written to its end; a nil channel stands for one that was.
+func wasSent(sent <-chan error) bool {
+	if sent == nil {
 		return true
 	}
 
 	select {
-	case err := <-b.sent:
+	case err := <-sent:
 		return err == nil
 	default:
 		return false
 	}
 }
-
-// Close ends the connection unless the body was read to its end.
-func (b *responseBody) Close() error {
-	if !b.ended {
-		b.ended = true
-		b.stop()
-		b.conn.Close()
-	}
-
-	return nil
-}
-
-// WholeBody returns a body that is held in memory.
-func WholeBody(data []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(data)) }
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/tarragonmill/tarragonmill/internal/store"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
 // Log is the topic in which manifests are published.
@@ -93,7 +94,7 @@
 	for {
 		current, end, err := p.read(ctx)
 		if err != nil && !errors.Is(err, ErrNone) {
-			if pause(ctx) {
+			if task.Sleep(ctx, retryPause) {
 				continue
 			}
 
@@ -115,7 +116,7 @@
 			// Another publisher was first.
 			continue
 		case errors.Is(err, store.ErrRejected):
-			if pause(ctx) {
+			if task.Sleep(ctx, retryPause) {
 				continue
 			}
 
@@ -157,7 +158,7 @@
 			}
 		}
 
-		if !pause(ctx) {
+		if !task.Sleep(ctx, retryPause) {
 			return result, nil
 		}
 	}
@@ -176,16 +177,3 @@
 
 	return Publish{}, false
 }
-
-// pause returns false if ctx ended.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
+	"github.com/tarragonmill/tarragonmill/internal/times"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
@@ -209,17 +210,9 @@
 
 // Next is when Tick is due; the zero time if nothing waits.
 func (s *State) Next() time.Time {
-	var next time.Time
-
-	for _, at := range []time.Time{
+	return times.Next(
 		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(), s.newerAt, s.nextKeys(),
-	} {
-		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
-			next = at
-		}
-	}
-
-	return next
+	)
 }
 
 // manifestRead puts a configuration in force unless it is older than the one that is.
--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
 // maxBeat is the largest datagram in bytes that is read.
@@ -33,7 +34,7 @@
 	for ctx.Err() == nil {
 		n, _, err := d.sockets.Beats.ReadFromUDPAddrPort(buffer)
 		if err != nil {
-			sleep(ctx, acceptPause)
+			task.Sleep(ctx, acceptPause)
 
 			continue
 		}
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -7,6 +7,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
 const (
@@ -41,22 +42,14 @@
 	d.drain.Store(&drain{begun: begun, limit: limit})
 	d.callers.Drain()
 
-	time.Sleep(time.Until(earlier(begun.Add(openPeriod), limit)))
+	time.Sleep(time.Until(times.Earlier(begun.Add(openPeriod), limit)))
 	d.apply(core.DrainStarted{})
-	time.Sleep(time.Until(earlier(begun.Add(noticePeriod), limit)))
+	time.Sleep(time.Until(times.Earlier(begun.Add(noticePeriod), limit)))
 	d.finishDrain(limit)
 
 	return nil
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-
-	return a
-}
-
 // finishDrain closes the sockets in order: what was read until then is answered.
 func (d *Daemon) finishDrain(limit time.Time) {
 	d.callers.Stop()
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -156,13 +156,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/daemon/grants.go
+++ b/internal/daemon/grants.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/store"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
 const (
@@ -47,7 +48,7 @@
 
 			from, wait = expired.First, 0
 		case ctx.Err() == nil:
-			sleep(ctx, grantRetry/2+rand.N(grantRetry))
+			task.Sleep(ctx, grantRetry/2+rand.N(grantRetry))
 		}
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
@@ -136,7 +137,7 @@
 // updateGauges exports values of the state from time to time until ctx ends.
 func (d *Daemon) updateGauges(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, gaugeInterval)
+		task.Sleep(ctx, gaugeInterval)
 		d.exportState()
 	}
 
--- a/internal/daemon/resume.go
+++ b/internal/daemon/resume.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
 // resumeGap is the time that a process has to stand still for its beliefs to count as old.
@@ -19,7 +20,7 @@
 	last := suspended()
 
 	for ctx.Err() == nil {
-		sleep(ctx, resumeInterval)
+		task.Sleep(ctx, resumeInterval)
 
 		current := suspended()
 		if current-last > resumeGap {
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -223,7 +223,7 @@
 
 		if n+1 < sends {
 			refusals = append(refusals, last.text)
-			pause(ctx, resendPause)
+			task.Sleep(ctx, resendPause)
 		}
 	}
 
@@ -277,13 +277,3 @@
 
 	return o
 }
-
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/demo/incidents.go
+++ b/internal/demo/incidents.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/fleet"
 	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
 	"github.com/tarragonmill/tarragonmill/internal/standin/store"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
 // slowFactor is how much longer a slow server works.
@@ -71,7 +72,7 @@
 	)
 
 	for _, i := range incidents() {
-		pause(ctx, time.Duration(i.share*float64(duration))-time.Since(begun))
+		task.Sleep(ctx, time.Duration(i.share*float64(duration))-time.Since(begun))
 
 		if ctx.Err() != nil {
 			break
--- a/internal/eventlog/queue.go
+++ b/internal/eventlog/queue.go
@@ -11,6 +11,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
 const (
@@ -80,7 +82,7 @@
 		case <-ctx.Done():
 		}
 
-		pause(ctx, flushInterval)
+		task.Sleep(ctx, flushInterval)
 
 		spare = q.flush(spare)
 	}
@@ -105,13 +107,3 @@
 
 	return lines
 }
-
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
 const (
@@ -205,12 +206,7 @@
 
 // Next is when Tick is due; the zero time if nothing waits.
 func (s *State) Next() time.Time {
-	probe, trial := s.nextProbe(), s.breaker.next()
-	if probe.IsZero() || !trial.IsZero() && trial.Before(probe) {
-		return trial
-	}
-
-	return probe
+	return times.Next(s.nextProbe(), s.breaker.next())
 }
 
 // nextProbe is when a probe is due; the zero time if none is.
@@ -225,9 +221,9 @@
 	case !s.known && s.last == "":
 		return time.Time{}
 	case !s.known || s.down:
-		return latest(allowed, s.probed.Add(downProbeInterval))
+		return times.Later(allowed, s.probed.Add(downProbeInterval))
 	case s.fixed && s.probeInterval > 0, s.watched && s.probeInterval > 0 && !s.draining:
-		return latest(allowed, latest(s.observed, s.probed).Add(s.probeInterval))
+		return times.Later(allowed, times.Later(s.observed, s.probed).Add(s.probeInterval))
 	default:
 		return time.Time{}
 	}
@@ -243,14 +239,6 @@
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-
-	return b
-}
-
 // announced takes an announcement unless it is older than what is known.
 func (s *State) announced(now time.Time, a backend.Announcement) {
 	s.counts.Announcements++
@@ -298,7 +286,7 @@
 		return
 	}
 
-	s.left, s.leftBorn = e.ID, latest(e.Born, s.bornOf(e.ID))
+	s.left, s.leftBorn = e.ID, times.Later(e.Born, s.bornOf(e.ID))
 
 	if e.ID == s.id || !s.known {
 		s.known, s.last = false, ""
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -233,9 +233,7 @@
 
 // WriteHead sends the head of a request whose body of the stated length follows.
 func (c *ClientConn) WriteHead(r Request, length int64) error {
-	_, _ = c.writer.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-
-	if err := writeHeader(c.writer, r.Header, length, r.Bare && length == 0); err != nil {
+	if err := c.bufferHead(r, length); err != nil {
 		return err
 	}
 
@@ -244,15 +242,19 @@
 
 // Write sends a request with its body. After an error, a part of it may have been sent.
 func (c *ClientConn) Write(r Request) error {
-	_, _ = c.writer.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-
-	if err := writeHeader(c.writer, r.Header, int64(len(r.Body)), r.Bare && len(r.Body) == 0); err != nil {
+	if err := c.bufferHead(r, int64(len(r.Body))); err != nil {
 		return err
 	}
 
 	return c.WriteBody(r.Body)
 }
 
+func (c *ClientConn) bufferHead(r Request, length int64) error {
+	_, _ = c.writer.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+
+	return writeHeader(c.writer, r.Header, length, r.Bare && length == 0)
+}
+
 // WriteBody sends the body after WriteHead.
 func (c *ClientConn) WriteBody(body []byte) error {
 	_, _ = c.writer.Write(body)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -74,11 +74,11 @@
 
 // Continue tells a peer that expects it to send the body.
 func (x *Exchange) Continue() error {
-	if !expectsContinue(x.Request) || x.accepted.Swap(true) {
+	if !expectsContinue(x.Request) {
 		return nil
 	}
 
-	return x.interim(http.StatusContinue)
+	return x.Accept()
 }
 
 // Accept sends 100 Continue whether the peer expects it or not, at most once.
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -121,7 +121,7 @@
 		case errors.Is(err, net.ErrClosed), err != nil && s.stopped.Load():
 			return errors.Wrap(errors.CombineErrors(err, listener.Close()), "accept")
 		case err != nil:
-			pause(ctx, acceptPause)
+			task.Sleep(ctx, acceptPause)
 
 			continue
 		}
@@ -143,16 +143,6 @@
 	}
 }
 
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Open returns the number of requests that were read and not answered.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
 // beatBytes is what a beat takes on the network, with the headers of a datagram.
@@ -20,11 +21,11 @@
 		p.asked = now
 	}
 
-	return SendBeat{To: p.member.Peer, Beat: s.beat(now, p.watched, greeting)}
+	return SendBeat{To: p.member.Peer, Beat: s.beat(p.watched, greeting)}
 }
 
 // beat describes the daemon to another one.
-func (s *State) beat(_ time.Time, watch, greeting bool) Beat {
+func (s *State) beat(watch, greeting bool) Beat {
 	return Beat{From: s.self.Member, Watch: watch, Greeting: greeting, Version: s.version, Report: s.report}
 }
 
@@ -206,7 +207,7 @@
 	changed := false
 
 	for _, p := range s.order {
-		quiet := p.watched && now.Sub(latest(p.heard, p.since)) >= silence
+		quiet := p.watched && now.Sub(times.Later(p.heard, p.since)) >= silence
 
 		switch {
 		case quiet && p.member.Status == instance.Alive:
@@ -223,14 +224,6 @@
 	return changed
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-
-	return b
-}
-
 func (s *State) tick(now time.Time) []Effect {
 	effects := s.write(now)
 
@@ -255,36 +248,30 @@
 func (s *State) Next() time.Time {
 	var next time.Time
 
-	consider := func(at time.Time) {
-		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
-			next = at
-		}
-	}
-
 	if s.dirty && !s.writing {
-		consider(s.writeAt)
+		next = times.Next(next, s.writeAt)
 	}
 
 	if !s.reading && !s.left {
-		consider(s.readAt)
+		next = times.Next(next, s.readAt)
 	}
 
 	if len(s.services) > 0 {
-		consider(s.watchAt)
+		next = times.Next(next, s.watchAt)
 	}
 
 	for _, sp := range s.spreading {
-		consider(sp.next)
+		next = times.Next(next, sp.next)
 	}
 
 	for _, p := range s.order {
 		if p.watched && p.member.Status == instance.Alive {
-			consider(latest(p.heard, p.since).Add(silence))
+			next = times.Next(next, times.Later(p.heard, p.since).Add(silence))
 		}
 
 		if p.watcher.After(p.told) {
 			if at := s.dueTo(p); at.Before(p.watcher) {
-				consider(at)
+				next = times.Next(next, at)
 			}
 		}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -149,7 +149,7 @@
 
 	for _, seed := range seeds {
 		if seed != s.self.Member.Peer {
-			effects = append(effects, SendBeat{To: seed, Beat: s.beat(now, false, true)})
+			effects = append(effects, SendBeat{To: seed, Beat: s.beat(false, true)})
 		}
 	}
 
@@ -234,7 +234,7 @@
 		if s.learn(entry.Member) {
 			changed = true
 
-			effects = append(effects, SendBeat{To: entry.Member.Peer, Beat: s.beat(now, false, true)})
+			effects = append(effects, SendBeat{To: entry.Member.Peer, Beat: s.beat(false, true)})
 		}
 	}
 
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -34,7 +34,7 @@
 			sp.next = now.Add(spreadInterval)
 
 			for _, p := range s.order {
-				beat := s.beat(now, false, false)
+				beat := s.beat(false, false)
 				beat.Message = sp.data
 				effects = append(effects, SendBeat{To: p.member.Peer, Beat: beat})
 			}
--- a/internal/routing/ending.go
+++ b/internal/routing/ending.go
@@ -101,15 +101,7 @@
 
 // forget drops a request that is done and has no attempt in progress.
 func (s *State) forget(f *flight) {
-	if !f.done {
-		return
+	if f.done && f.pending() == 0 {
+		delete(s.flights, f.request.ID)
 	}
-
-	for _, a := range f.attempts {
-		if !a.ended {
-			return
-		}
-	}
-
-	delete(s.flights, f.request.ID)
 }
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -89,12 +89,12 @@
 	a.advanced = now
 }
 
-// pending is the number of attempts that have not ended, withdrawn ones included.
-func (f *flight) pending() int {
+// count returns the number of attempts for which a condition holds.
+func (f *flight) count(holds func(a *attempt) bool) int {
 	count := 0
 
 	for _, a := range f.attempts {
-		if !a.ended {
+		if holds(a) {
 			count++
 		}
 	}
@@ -102,29 +102,17 @@
 	return count
 }
 
-// mayRun is the number of servers that run the request, may have run it, or may be about to.
-func (f *flight) mayRun() int {
-	count := f.runs
-
-	for _, a := range f.attempts {
-		if !a.ended && !a.running {
-			count++
-		}
-	}
-
-	return count
-}
+// pending is the number of attempts that have not ended, withdrawn ones included.
+func (f *flight) pending() int { return f.count(func(a *attempt) bool { return !a.ended }) }
 
+// live is the number of attempts that have neither ended nor been withdrawn.
 func (f *flight) live() int {
-	count := 0
-
-	for _, a := range f.attempts {
-		if !a.ended && !a.withdrawn {
-			count++
-		}
-	}
+	return f.count(func(a *attempt) bool { return !a.ended && !a.withdrawn })
+}
 
-	return count
+// mayRun is the number of servers that run the request, may have run it, or may be about to.
+func (f *flight) mayRun() int {
+	return f.runs + f.count(func(a *attempt) bool { return !a.ended && !a.running })
 }
 
 // limit is the number of servers that may run the request.
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -96,7 +96,7 @@
 		return len(srv.live)
 	}
 
-	return max(len(srv.live), srv.report.Running+srv.report.Waiting+srv.unreported)
+	return max(len(srv.live), srv.report.Busy()+srv.unreported)
 }
 
 func (srv *server) slots() int {
--- a/internal/routing/timers.go
+++ b/internal/routing/timers.go
@@ -4,18 +4,20 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
 // due is when something has to be decided for the flight without another event.
 func (s *State) due(f *flight) time.Time {
 	at := f.request.Deadline.Add(deadlineGrace)
 	if !f.parked.IsZero() {
-		at = earlier(at, f.parked)
+		at = times.Earlier(at, f.parked)
 	}
 
 	for _, a := range f.attempts {
 		if a.awaitsAcceptance() {
-			at = earlier(at, s.silentAt(a))
+			at = times.Earlier(at, s.silentAt(a))
 		}
 	}
 
@@ -35,14 +37,6 @@
 	return a.sent.Add(usual + 2*a.server.distance.trip())
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-
-	return a
-}
-
 // Next is when Tick is due; the zero time if nothing waits.
 func (s *State) Next() time.Time {
 	var next time.Time
@@ -52,9 +46,7 @@
 			continue
 		}
 
-		if at := s.due(f); next.IsZero() || at.Before(next) {
-			next = at
-		}
+		next = times.Next(next, s.due(f))
 	}
 
 	return next
--- a/internal/standin/backend/running.go
+++ b/internal/standin/backend/running.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
 // run holds a slot for the service time and records the execution.
@@ -59,15 +60,7 @@
 		period = time.Duration(float64(period) * behaviour.Slowness)
 	}
 
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return task.Sleep(ctx, period)
 }
 
 func (s *Server) nextFault(behaviour Behaviour) Fault {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonmill/tarragonmill/internal/httpserve"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
 const (
@@ -163,7 +164,7 @@
 	faults := s.faults
 	s.mutex.Unlock()
 
-	if !wait(r.Context(), faults.Delay) {
+	if faults.Delay > 0 && !task.Sleep(r.Context(), faults.Delay) {
 		return false
 	}
 
@@ -184,22 +185,6 @@
 // abort closes the connection without an answer.
 func abort() { panic(http.ErrAbortHandler) }
 
-func wait(ctx context.Context, period time.Duration) bool {
-	if period <= 0 {
-		return true
-	}
-
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 
