bind, daemon: one binding to the platform and one way to open sockets

Cause: the program and the fleets of tests each bound a daemon to the store, and had drifted apart: a fleet on the platform's header fields followed the project's own manifests, so that no test could play a daemon as it runs there. The fleet also opened a daemon's sockets with a copy of the daemon's list. The switch of stacks had lost the logger of the operators' interface, whose refusals went unlogged. Change: package bind, used by both; Sockets.Open, used by both; admin and metrics get the logger again; unused Instance.Peer goes. TestOnPlatform plays a daemon with the operator's configuration, header fields and a draining server.

--- a/cmd/tarragonmill/main.go
+++ b/cmd/tarragonmill/main.go
@@ -3,13 +3,13 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"os"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/tarragonmill/tarragonmill/internal/bind"
 	"github.com/tarragonmill/tarragonmill/internal/command"
 	"github.com/tarragonmill/tarragonmill/internal/config"
 	"github.com/tarragonmill/tarragonmill/internal/core"
@@ -39,28 +39,10 @@
 	store := platform.NewStore(s.Store)
 	defer store.Close()
 
-	d, err := daemon.New(s, platformOf(s, store), daemon.WithLogger(logger), daemon.WithReload(reload))
+	d, err := daemon.New(s, bind.Platform(s.Fields, store), daemon.WithLogger(logger), daemon.WithReload(reload))
 	if err != nil {
 		return err
 	}
 
 	return d.Run(ctx)
 }
-
-// platformOf binds what the daemon runs on. With the platform's header fields, the operator's configuration is
-// followed; otherwise the manifests that the project's own command publishes.
-func platformOf(s settings.Settings, store *platform.Store) daemon.Platform {
-	p := daemon.Own(store.Topic(platform.MembersTopic), store.Topic(platform.ManifestTopic),
-		store.Topic(platform.GrantsTopic), store.Topic(platform.BasesTopic))
-	p.Announced = func(to daemon.Announcements) http.Handler { return platform.AnnouncementHandler(to) }
-	p.StoreCounts = func() daemon.StoreCounts { return daemon.StoreCounts(store.Counts()) }
-
-	if s.Fields == settings.PlatformFields {
-		p.Dialect = platform.Dialect()
-		p.Configuration = store.Topic(platform.ConfigTopic)
-		p.ConfigKey, p.Decode = platform.ConfigKey, platform.DecodeManifest
-		p.ReadyPath = platform.ReadyPath
-	}
-
-	return p
-}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -79,6 +79,7 @@
 	return admin.New(d.settings.Load().Key,
 		admin.WithDump(func(context.Context) (any, error) { return d.Dump(), nil }),
 		admin.WithReady(d.checkReady),
+		admin.WithLogger(d.logger),
 		admin.WithDrain(func(context.Context) error {
 			d.log.Notable(eventlog.Stopping).Str("why", "operator").Send()
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,7 +85,7 @@
 
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(logger zerolog.Logger) Option {
-	return func(d *Daemon) { d.log = eventlog.New(logger) }
+	return func(d *Daemon) { d.logger, d.log = logger, eventlog.New(logger) }
 }
 
 // WithReload sets a function that reads the settings again.
@@ -106,12 +106,14 @@
 type Daemon struct {
 	platform Platform
 	log      *eventlog.Log
-	metrics  *metrics
-	reload   func() (settings.Settings, error)
-	resumes  atomic.Int64
-	started  time.Time
-	options  core.Options
-	observe  Observer
+	// logger is for what other packages log.
+	logger  zerolog.Logger
+	metrics *metrics
+	reload  func() (settings.Settings, error)
+	resumes atomic.Int64
+	started time.Time
+	options core.Options
+	observe Observer
 
 	attempts *attempt.Client
 	backend  *backend.Server
@@ -148,15 +150,10 @@
 
 // New returns a daemon that has not started.
 func New(chosen settings.Settings, platform Platform, options ...Option) (*Daemon, error) {
-	counted, err := newMetrics(zerolog.Nop())
-	if err != nil {
-		return nil, err
-	}
-
 	d := &Daemon{
 		platform: platform,
-		metrics:  counted,
 		log:      eventlog.New(zerolog.Nop()),
+		logger:   zerolog.Nop(),
 		started:  time.Now(),
 		reread:   make(chan struct{}, 1),
 
@@ -169,6 +166,12 @@
 		option(d)
 	}
 
+	counted, err := newMetrics(d.logger)
+	if err != nil {
+		return nil, err
+	}
+
+	d.metrics = counted
 	d.settings.Store(&chosen)
 	d.attempts = attempt.NewClient(chosen.Key)
 	d.backend = backend.NewServer(chosen.Backend.Address, chosen.Backend.Connections, platform.Dialect)
@@ -260,7 +263,7 @@
 	// Tasks outlive ctx: requests in flight finish after it has ended.
 	d.tasks = task.NewGroup(context.WithoutCancel(ctx))
 
-	if err := d.listen(ctx); err != nil {
+	if err := d.sockets.Open(ctx, d.settings.Load().Listen); err != nil {
 		return err
 	}
 
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -13,6 +13,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/httpserve"
+	"github.com/tarragonmill/tarragonmill/internal/settings"
 )
 
 const (
@@ -80,19 +81,17 @@
 	return func(d *Daemon) { d.sockets = sockets }
 }
 
-func (d *Daemon) listen(ctx context.Context) error {
-	chosen := d.settings.Load().Listen
-	s := &d.sockets
-
+// Open opens the sockets that are nil and for which the settings name an address.
+func (s *Sockets) Open(ctx context.Context, at settings.Listen) error {
 	for _, socket := range []struct {
 		listener *net.Listener
 		address  netip.AddrPort
 	}{
-		{&s.Caller, chosen.Caller},
-		{&s.Peer, chosen.Peer},
-		{&s.Ready, chosen.Ready},
-		{&s.Announce, chosen.Announce},
-		{&s.Admin, chosen.Admin},
+		{&s.Caller, at.Caller},
+		{&s.Peer, at.Peer},
+		{&s.Ready, at.Ready},
+		{&s.Announce, at.Announce},
+		{&s.Admin, at.Admin},
 	} {
 		if *socket.listener != nil || !socket.address.IsValid() {
 			continue
@@ -112,9 +111,12 @@
 		return nil
 	}
 
-	var err error
+	peer, err := netip.ParseAddrPort(s.Peer.Addr().String())
+	if err != nil {
+		return errors.Wrap(err, "address of the peer socket")
+	}
 
-	s.Beats, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(chosen.Peer))
+	s.Beats, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(peer))
 
 	return errors.Wrap(err, "open socket")
 }
--- /dev/null
+++ b/internal/daemon/platform_test.go
@@ -0,0 +1,82 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/platform"
+)
+
+const operatorConfig = `{"version":"r7","resources":[
+	{"resourceKind":"routes","metadata":{"name":"lookup"},"spec":{"hostname":"shop.example","pathPrefix":"/stock/",
+		"routeType":"safe","timeoutMs":1500,"service":"stockdesk","maxAttempts":2}},
+	{"resourceKind":"services","metadata":{"name":"stockdesk"},"spec":{}}]}`
+
+// startOnPlatform starts a fleet that speaks the platform's header fields and follows the operator's configuration.
+func startOnPlatform(t *testing.T) *fleet.Fleet {
+	t.Helper()
+
+	f, err := fleet.Start(t.Context(), fleet.Association(time.Millisecond), fleet.WithPlatform())
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, f.Stop()) })
+
+	f.Store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(operatorConfig))
+
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+
+	require.NoError(t, f.Wait(ctx, func() bool {
+		for _, i := range f.Instances {
+			if i.Daemon.Version() < 7 {
+				return false
+			}
+		}
+
+		return true
+	}))
+
+	return f
+}
+
+// lookUp sends one lookup to a daemon and returns the server that answered.
+func lookUp(t *testing.T, f *fleet.Fleet, entry int, id string) string {
+	t.Helper()
+
+	names := platform.Dialect()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.Instances[entry].Caller()+"/stock/5", nil)
+	require.NoError(t, err)
+
+	r.Host = "shop.example"
+	r.Header.Set(names.Attempt, id)
+
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, id, response.Header.Get(names.Attempt))
+	require.NotEmpty(t, response.Header.Get(names.Seal))
+
+	return response.Header.Get(names.Seal)
+}
+
+// Guards against a daemon that does not follow the operator's configuration, loses the identifier or the seal of a
+// response, or goes on sending requests to a server that has announced that it leaves.
+func TestOnPlatform(t *testing.T) {
+	f := startOnPlatform(t)
+	require.NotEmpty(t, lookUp(t, f, 0, "before"))
+
+	leaving := f.Instances[0]
+	require.Equal(t, "stockdesk", leaving.Node.Service)
+	require.NoError(t, f.Drain(t.Context(), leaving))
+
+	gone := "seal-of-" + leaving.Server.Name()
+
+	for n := range 200 {
+		require.NotEqual(t, gone, lookUp(t, f, n%len(f.Instances), "after"))
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,7 +15,6 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/config"
 	"github.com/tarragonmill/tarragonmill/internal/daemon"
-	"github.com/tarragonmill/tarragonmill/internal/dialect"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
 	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
@@ -113,26 +112,6 @@
 	return f, f.WaitComplete(ctx)
 }
 
-// dialect returns the header fields of callers and backend servers.
-func (f *Fleet) dialect() dialect.Dialect {
-	if f.names == settings.PlatformFields {
-		return platform.Dialect()
-	}
-
-	return dialect.Default()
-}
-
-// platform returns what daemons run on.
-func (f *Fleet) platform(client *platform.Store) daemon.Platform {
-	p := daemon.Own(client.Topic(platform.MembersTopic), client.Topic(platform.ManifestTopic),
-		client.Topic(platform.GrantsTopic), client.Topic(platform.BasesTopic))
-	p.Dialect = f.dialect()
-	p.Announced = func(to daemon.Announcements) http.Handler { return platform.AnnouncementHandler(to) }
-	p.StoreCounts = func() daemon.StoreCounts { return daemon.StoreCounts(client.Counts()) }
-
-	return p
-}
-
 // WaitComplete waits until every daemon knows all others.
 func (f *Fleet) WaitComplete(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -224,7 +203,7 @@
 // listen opens a socket at an address, or at a free port if it is not set.
 func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
 	if !address.IsValid() {
-		address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+		address = freePort()
 	}
 
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address.String())
@@ -232,6 +211,11 @@
 	return listener, errors.Wrap(err, "listen")
 }
 
+// freePort lets the system choose a port on loopback.
+func freePort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+}
+
 func addressOf(listener net.Listener) netip.AddrPort {
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/bind"
+
 	"github.com/tarragonmill/tarragonmill/internal/daemon"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
 	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
@@ -49,18 +50,13 @@
 
 // startServer starts a new run of the backend server, at the same address if it had one.
 func (f *Fleet) startServer(i *Instance) error {
-	address := "127.0.0.1:0"
-	if i.Settings.Backend.Address.IsValid() {
-		address = i.Settings.Backend.Address.String()
-	}
-
-	listener, err := new(net.ListenConfig).Listen(f.ctx, "tcp", address)
+	listener, err := listen(f.ctx, i.Settings.Backend.Address)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return err
 	}
 
 	if i.Server == nil {
-		i.Server = backend.New(string(i.Node.ID)+"-server", i.Node.Slots, i.Node.Behaviour, backend.WithDialect(f.dialect()))
+		i.Server = backend.New(string(i.Node.ID)+"-server", i.Node.Slots, i.Node.Behaviour, backend.WithDialect(bind.Platform(f.names, f.client).Dialect))
 	}
 
 	i.Settings.Backend.Address = addressOf(listener)
@@ -96,7 +92,7 @@
 		options = append(options, daemon.WithObserver(f.observe(i.Node.ID)))
 	}
 
-	if i.Daemon, err = daemon.New(i.Settings, f.platform(i.store), options...); err != nil {
+	if i.Daemon, err = daemon.New(i.Settings, bind.Platform(f.names, i.store), options...); err != nil {
 		return err
 	}
 
@@ -143,29 +139,17 @@
 
 // openSockets opens the sockets of a daemon, at the given addresses or, where they are not set, at free ports.
 func openSockets(ctx context.Context, at settings.Listen) (daemon.Sockets, error) {
-	var (
-		sockets daemon.Sockets
-		err     error
-	)
-
-	for _, socket := range []struct {
-		listener *net.Listener
-		address  netip.AddrPort
-	}{
-		{&sockets.Caller, at.Caller},
-		{&sockets.Peer, at.Peer},
-		{&sockets.Ready, at.Ready},
-		{&sockets.Announce, at.Announce},
-		{&sockets.Admin, at.Admin},
-	} {
-		if *socket.listener, err = listen(ctx, socket.address); err != nil {
-			return sockets, err
+	for _, address := range []*netip.AddrPort{&at.Caller, &at.Peer, &at.Ready, &at.Announce, &at.Admin} {
+		if !address.IsValid() {
+			*address = freePort()
 		}
 	}
 
-	sockets.Beats, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(addressOf(sockets.Peer)))
+	var sockets daemon.Sockets
+
+	err := sockets.Open(ctx, at)
 
-	return sockets, errors.Wrap(err, "listen for beats")
+	return sockets, err
 }
 
 func (f *Fleet) settings(i *Instance, sockets daemon.Sockets) settings.Settings {
@@ -191,9 +175,6 @@
 	return chosen
 }
 
-// Peer is the address at which other daemons reach an instance.
-func (i *Instance) Peer() netip.AddrPort { return i.Settings.Advertise }
-
 // waitDaemon returns when the daemon has ended.
 func (i *Instance) waitDaemon() error {
 	err := <-i.daemonDone
