health: a restarted daemon does not use a server that has withdrawn

Cause: a daemon that had just restarted and was told that its server leaves, without the start of that server or before it had read the entry of its earlier run, used the server again at its next announcement or healthy probe, and could refuse the next run of the same server. Change: the start of the withdrawn server is taken from the earlier run's entry, whenever that is read; until then, only a run that begins after the withdrawal is believed. The entry names the last server also after it has left.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -273,8 +273,8 @@
 // entry describes the daemon for the store.
 func (s *State) entry() membership.Entry {
 	entry := s.membership.Self()
-	entry.Server, entry.Born = string(s.health.Server()), s.health.Born()
-	entry.Left = s.health.Closed() == admission.IsDraining || s.health.Server() != "" && s.health.Server() == s.health.Left()
+	server, born, left := s.health.Last()
+	entry.Server, entry.Born, entry.Left = string(server), born, left
 	entry.Member.Slots = s.health.Slots()
 	entry.Member.Status = instance.Alive
 
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -57,10 +57,13 @@
 	slots    int
 	draining bool
 	// last is the server of an earlier run of the daemon; it may be used before it announces itself again.
-	last backend.ID
+	last     backend.ID
+	lastBorn time.Time
 	// left is the last server that has withdrawn; what it still says is not believed.
 	left     backend.ID
 	leftBorn time.Time
+	// leftAssumed is set while leftBorn is the time of the withdrawal, because the start of the server is not known.
+	leftAssumed bool
 
 	down      bool
 	lost      int
@@ -99,7 +102,7 @@
 	case Announced:
 		s.announced(now, e.Announcement)
 	case Withdrawn:
-		s.withdrawn(e)
+		s.withdrawn(now, e)
 	case Observed:
 		s.observe(now, e.Load)
 	case Ran:
@@ -174,8 +177,18 @@
 // Born is the start of the server, by its own clock; zero if unknown.
 func (s *State) Born() time.Time { return s.born }
 
-// Left is the last server that has withdrawn.
-func (s *State) Left() backend.ID { return s.left }
+// Last returns the server beside the daemon, or the last one that was there, with its start, and whether it has left or
+// is about to. The next run of the daemon has to know it.
+func (s *State) Last() (id backend.ID, born time.Time, left bool) {
+	switch {
+	case s.id != "":
+		return s.id, s.born, s.Closed() == admission.IsDraining || s.id == s.left && !s.born.After(s.leftBorn)
+	case s.last != "":
+		return s.last, s.lastBorn, false
+	default:
+		return s.left, s.leftBorn, s.left != ""
+	}
+}
 
 // Draining reports whether the server is about to leave.
 func (s *State) Draining() bool { return s.draining }
@@ -232,10 +245,15 @@
 func (s *State) started(e Started) {
 	switch {
 	case s.known:
+	case e.Last == s.left:
+		// It has withdrawn before the entry was read.
+		if s.leftAssumed && !e.Born.IsZero() {
+			s.leftBorn, s.leftAssumed = e.Born, false
+		}
 	case e.Left:
 		s.left, s.leftBorn = e.Last, e.Born
 	default:
-		s.last = e.Last
+		s.last, s.lastBorn = e.Last, e.Born
 	}
 }
 
@@ -281,24 +299,32 @@
 	s.draining, s.down = false, false
 }
 
-func (s *State) withdrawn(e Withdrawn) {
+func (s *State) withdrawn(now time.Time, e Withdrawn) {
 	if s.known && e.ID == s.id && !e.Born.IsZero() && e.Born.Before(s.born) {
 		return
 	}
 
 	s.left, s.leftBorn = e.ID, times.Later(e.Born, s.bornOf(e.ID))
 
+	if s.leftAssumed = s.leftBorn.IsZero(); s.leftAssumed {
+		// The server is on the same instance: a later run of it begins after this.
+		s.leftBorn = now
+	}
+
 	if e.ID == s.id || !s.known {
 		s.known, s.last = false, ""
 	}
 }
 
 func (s *State) bornOf(id backend.ID) time.Time {
-	if id == s.id {
+	switch id {
+	case s.id:
 		return s.born
+	case s.last:
+		return s.lastBorn
+	default:
+		return time.Time{}
 	}
-
-	return time.Time{}
 }
 
 // misdirected treats the answer of another server: the known one is gone.
