concurrency, core: servers that slow down when nearly full run fewer requests at once

Change: a new reducer compares how long requests take with eight tenths of the slots and with more, at the pace that the server reports, and uses more slots only where that pays. Findings are kept in the entry of the daemon and taken by its next run and by new daemons of the service. Changes are logged as server-state with why=concurrency. Ruled out: moving averages that decide with each request (findings changed several times a second), samples across changes of the pace, and a usual time that contains the requests that are compared.

--- /dev/null
+++ b/internal/concurrency/concurrency_test.go
@@ -0,0 +1,170 @@
+package concurrency_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/concurrency"
+)
+
+// job is a request at the simulated server.
+type job struct {
+	route string
+	left  time.Duration
+	begun concurrency.Mark
+}
+
+// server works on as many requests as it may, and slower if more than `full` of them run or its instance is slow.
+type server struct {
+	slots, full int
+	factor      float64
+	random      *rand.Rand
+	noise       *rand.Rand
+	state       *concurrency.State
+	// limited is set if no more requests run than the state says.
+	limited   bool
+	now       time.Time
+	slowness  float64
+	jobs      []job
+	completed int
+}
+
+func newServer(slots, full int, factor float64, seed uint64) *server {
+	return &server{
+		slots: slots, full: full, factor: factor, random: rand.New(rand.NewPCG(seed, 0)),
+		noise: rand.New(rand.NewPCG(seed, 1)), state: concurrency.New(), limited: true,
+		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), slowness: 1,
+	}
+}
+
+// step is the resolution of the simulation.
+const step = time.Millisecond
+
+// run lets time pass while more requests wait than the server takes, up to a number of them at once.
+func (s *server) run(period time.Duration, demand int) {
+	for end := s.now.Add(period); s.now.Before(end); s.now = s.now.Add(step) {
+		s.changeSlowness()
+
+		limit := s.state.Limit(s.now, s.slots)
+		if !s.limited {
+			limit = s.slots
+		}
+
+		for len(s.jobs) < min(demand, limit) {
+			s.jobs = append(s.jobs, s.newJob())
+		}
+
+		s.state.Changed(s.now, len(s.jobs), s.slowness)
+
+		speed := 1 / s.slowness
+		if len(s.jobs) > s.full {
+			speed /= s.factor
+		}
+
+		s.jobs = slices.DeleteFunc(s.jobs, func(j job) bool {
+			if j.left > 0 {
+				return false
+			}
+
+			s.state.Ended(s.now, j.route, j.begun)
+			s.completed++
+
+			return true
+		})
+
+		for n := range s.jobs {
+			s.jobs[n].left -= time.Duration(float64(step) * speed)
+		}
+	}
+}
+
+func (s *server) newJob() job {
+	j := job{route: "lookup", begun: s.state.Begin(s.now)}
+	work := 160 * time.Millisecond
+
+	if s.random.IntN(3) == 0 {
+		j.route, work = "order", 210*time.Millisecond
+	}
+
+	j.left = time.Duration(float64(work) * (0.7 + 0.6*s.random.Float64()))
+
+	return j
+}
+
+// changeSlowness makes the instance seven times slower for a third of the time, in spells of about 500 ms.
+func (s *server) changeSlowness() {
+	if s.noise.IntN(500) == 0 {
+		s.slowness = 1
+		if s.noise.IntN(3) == 0 {
+			s.slowness = 7
+		}
+	}
+}
+
+// TestServerThatSlowsDownWhenFull guards against running a server with all of its slots taken where it completes less
+// than with some of them.
+func TestServerThatSlowsDownWhenFull(t *testing.T) {
+	const slots, full, factor = 9, 7, 1.7
+
+	for seed := range uint64(10) {
+		s := newServer(slots, full, factor, seed)
+		s.run(20*time.Second, slots)
+
+		all := newServer(slots, full, factor, seed)
+		all.limited = false
+		all.run(20*time.Second, slots)
+		require.Greater(t, s.completed, all.completed*115/100, "seed %d", seed)
+	}
+}
+
+// TestServerThatKeepsItsSpeed guards against leaving slots unused of a server that works as fast with all of them.
+func TestServerThatKeepsItsSpeed(t *testing.T) {
+	for _, slots := range []int{1, 2, 6, 9, 40} {
+		limits := 0
+
+		for seed := range uint64(20) {
+			s := newServer(slots, slots, 1, seed)
+			s.run(20*time.Second, slots)
+			limits += s.state.Limit(s.now, slots)
+		}
+
+		require.GreaterOrEqual(t, limits, 20*slots*9/10, "%d slots", slots)
+	}
+}
+
+// TestFewRequests guards against a limit that follows from requests that never came near it.
+func TestFewRequests(t *testing.T) {
+	s := newServer(9, 7, 1.7, 1)
+	s.run(20*time.Second, 3)
+	require.GreaterOrEqual(t, s.state.Limit(s.now, 9), 7)
+}
+
+// TestServerReplaced guards against a limit that was found for another number of slots.
+func TestServerReplaced(t *testing.T) {
+	s := newServer(9, 7, 1.7, 1)
+	s.run(20*time.Second, 9)
+
+	require.Equal(t, 3, s.state.Limit(s.now, 4))
+	require.Equal(t, 1, s.state.Limit(s.now, 1))
+	require.Equal(t, 7, s.state.Limit(s.now, 9))
+}
+
+// TestFoundEarlier guards against learning anew, with fewer slots, after each restart of a daemon.
+func TestFoundEarlier(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	state := concurrency.New()
+	require.Equal(t, 4, state.Limit(now, 6))
+
+	state.Assume(concurrency.Finding{Slots: 6, Limit: 5})
+	require.Equal(t, 5, state.Limit(now, 6))
+	require.Equal(t, 5, state.Found())
+
+	// It says nothing of a server with another number of slots, and is not believed for ever.
+	require.Equal(t, 7, state.Limit(now, 9))
+	require.Equal(t, 5, state.Limit(now, 6))
+	require.Equal(t, 4, state.Limit(now.Add(2*time.Minute), 6))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/concurrency"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
@@ -47,10 +48,16 @@
 
 // State is the whole state of a daemon's decisions. It is not safe for concurrent use.
 type State struct {
-	options    Options
-	routing    *routing.State
-	admission  *admission.State
-	health     *health.State
+	options   Options
+	routing   *routing.State
+	admission *admission.State
+	health    *health.State
+	// concurrency is that of the local backend server, slots the number of its slots that are used.
+	concurrency *concurrency.State
+	slots       int
+	// limit is the finding that others are told; zero for none.
+	limit int
+
 	suspects   *suspects.State
 	membership *membership.State
 	// keyed is nil until a manifest uses idempotency keys.
@@ -87,6 +94,8 @@
 type served struct {
 	request request.Request
 	started bool
+	// begun is when the server got it.
+	begun concurrency.Mark
 	// repeat is set if the request may have reached another server before.
 	repeat bool
 	// crash identifies the crash that the attempt met, or is empty.
@@ -104,8 +113,12 @@
 		options: options,
 		routing: routing.New(routing.WithSelf(options.Self), routing.WithSeed(options.Seed),
 			routing.WithRepeats(options.Repeats)),
-		admission:  admission.New(),
-		health:     health.New(healthOptions...),
+		admission: admission.New(),
+		health:    health.New(healthOptions...),
+
+		concurrency: concurrency.New(),
+		slots:       1,
+
 		suspects:   suspects.New(),
 		membership: membership.New(options.Self, options.Seed),
 		requests:   make(map[request.ID]request.Request),
@@ -275,6 +288,7 @@
 	entry := s.membership.Self()
 	server, born, left := s.health.Last()
 	entry.Server, entry.Born, entry.Left = string(server), born, left
+	entry.Limit = s.limit
 	entry.Member.Slots = s.health.Slots()
 	entry.Member.Status = instance.Alive
 
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -52,7 +52,7 @@
 		switch e := effect.(type) {
 		case admission.Start:
 			if at, ok := s.serving[e.Attempt]; ok {
-				at.started = true
+				at.started, at.begun = true, s.concurrency.Begin(now)
 			}
 		case admission.Refuse:
 			s.forget(e.Attempt)
@@ -98,6 +98,10 @@
 }
 
 func (s *State) attemptServed(now time.Time, e AttemptServed) []Effect {
+	if at, ok := s.serving[e.Attempt]; ok && at.started && e.Ran && !e.Failed && s.health.ColdFor(now) == 0 {
+		s.concurrency.Ended(now, at.request.Route, at.begun)
+	}
+
 	effects := s.toAdmission(now, admission.Done{Attempt: e.Attempt})
 
 	if e.Ran {
@@ -120,34 +124,65 @@
 			continue
 		}
 
+		all = append(all, s.useSlots(now)...)
+
 		if id := s.health.Server(); id != s.server {
 			s.server = id
 			all = append(all, ServerReplaced{ID: id})
 		}
 
 		all = append(all, ServerChanged{
-			ID: s.health.Server(), Closed: s.health.Closed(), Slots: s.health.Slots(), Why: fmt.Sprintf("%T", event),
+			ID: s.health.Server(), Closed: s.health.Closed(), Slots: s.slots, Why: fmt.Sprintf("%T", event),
 		})
 		all = append(all, s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))...)
 	}
 
+	all = append(all, s.useSlots(now)...)
+
 	return append(all, s.toAdmission(now, admission.ServerChanged{
-		Closed: s.health.Closed(), Slots: s.health.Slots(),
+		Closed: s.health.Closed(), Slots: s.slots,
 		Queue: s.queue(), Slowness: s.health.Slowness(),
 	})...)
 }
 
+// useSlots decides how many of the server's slots are used.
+func (s *State) useSlots(now time.Time) []Effect {
+	var effects []Effect
+
+	before := s.slots
+
+	s.slots = s.health.Slots()
+	if s.slots > 1 {
+		s.slots = s.concurrency.Limit(now, s.slots)
+	}
+
+	if s.slots != before {
+		effects = append(effects, ServerChanged{
+			ID: s.health.Server(), Closed: s.health.Closed(), Slots: s.slots, Why: "concurrency",
+		})
+	}
+
+	if found := s.concurrency.Found(); found > 0 && found != s.limit {
+		s.limit = found
+		effects = append(effects, s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))...)
+	}
+
+	return effects
+}
+
 // queue is the number of requests that may wait.
 func (s *State) queue() int {
 	if s.options.FixedSlots > 0 {
 		return s.options.Queue
 	}
 
-	return s.options.QueuePerSlot * s.health.Slots()
+	return s.options.QueuePerSlot * s.slots
 }
 
 // settle tells routing and the other daemons how the own server is loaded, if that has changed.
 func (s *State) settle(now time.Time) []Effect {
+	s.concurrency.Changed(now, s.admission.Running(), s.health.Slowness())
+
 	watched := s.membership.Watched(now) || s.admission.Running() > 0
 	effects := s.busy(now, watched)
 
@@ -180,7 +215,7 @@
 	return load.Report{
 		Server: s.options.Self.ID, Incarnation: s.membership.Self().Member.Incarnation,
 		Open:    s.health.Closed() == "" && !s.draining,
-		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.health.Slots(),
+		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.slots,
 		Slowness: s.health.Slowness(), Failing: s.health.Failing(now), ColdFor: s.health.ColdFor(now),
 		Calls: s.calls.perRun(), Counter: s.counter(now),
 	}
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -206,6 +206,8 @@
 	// Born is in Unix milliseconds.
 	Born int64 `json:"born,omitempty"`
 	Left bool  `json:"left,omitempty"`
+	// Limit is zero if none was found.
+	Limit int `json:"limit,omitempty"`
 }
 
 // EncodeEntry returns the form of an entry in the store.
@@ -216,7 +218,7 @@
 	data, _ := json.Marshal(storedEntry{
 		ID: string(m.ID), Run: uint64(m.Incarnation), Counter: m.Counter, Status: m.Status.String(),
 		Service: m.Service, Region: m.Place.Region, Domain: m.Place.Domain, Peer: m.Peer.String(), Slots: m.Slots,
-		Server: e.Server, Born: millis(e.Born), Left: e.Left,
+		Server: e.Server, Born: millis(e.Born), Left: e.Left, Limit: e.Limit,
 	})
 
 	return data
@@ -245,7 +247,7 @@
 			Status: status, Service: stored.Service,
 			Place: instance.Place{Region: stored.Region, Domain: stored.Domain}, Peer: peer, Slots: stored.Slots,
 		},
-		Server: stored.Server, Born: fromMillis(stored.Born), Left: stored.Left,
+		Server: stored.Server, Born: fromMillis(stored.Born), Left: stored.Left, Limit: stored.Limit,
 	}, nil
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -213,10 +213,10 @@
 	if e.Failed {
 		s.readAt = now.Add(s.pause())
 
-		return s.becomeReady(Entry{})
+		return s.becomeReady(Ready{})
 	}
 
-	var own Entry
+	var ready Ready
 
 	changed := false
 	listed := make(map[instance.ID]bool, len(e.Entries))
@@ -224,11 +224,15 @@
 
 	for _, entry := range e.Entries {
 		if entry.Member.ID == s.self.Member.ID {
-			own = entry
+			ready.Own = entry
 
 			continue
 		}
 
+		if entry.Member.Service == s.self.Member.Service {
+			ready.Service = append(ready.Service, entry)
+		}
+
 		listed[entry.Member.ID] = true
 
 		if s.learn(entry.Member) {
@@ -246,7 +250,7 @@
 		effects = append(effects, s.members())
 	}
 
-	return append(s.becomeReady(own), effects...)
+	return append(s.becomeReady(ready), effects...)
 }
 
 // dropUnlisted forgets peers without an entry that are not heard either.
@@ -264,14 +268,14 @@
 	return dropped
 }
 
-func (s *State) becomeReady(own Entry) []Effect {
+func (s *State) becomeReady(ready Ready) []Effect {
 	if s.ready {
 		return nil
 	}
 
 	s.ready, s.dirty = true, true
 
-	return []Effect{Ready{Own: own}}
+	return []Effect{ready}
 }
 
 // learn stores a member and reports whether something is new.
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -17,6 +17,8 @@
 	Born time.Time
 	// Left is set if that server has left or is about to.
 	Left bool
+	// Limit is the number of that server's slots that were found to be worth using; zero if none was found yet.
+	Limit int
 }
 
 // storedAs reports whether the store need not be told of e if it holds other. Slots go with the beats.
@@ -105,7 +107,12 @@
 		From    instance.Member
 	}
 	// Ready follows the first read of the entries, or the first failure to read them.
-	Ready struct{ Own Entry }
+	Ready struct {
+		// Own is the entry that an earlier run has left.
+		Own Entry
+		// Service are the entries of the daemon's own service.
+		Service []Entry
+	}
 )
 
 func (Started) isEvent()       {}
