--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -2,33 +2,32 @@
 // I/O and reads no clock.
 //
 // Some servers work slower when nearly all of their slots are taken, and then complete less with all slots than with
-// some of them. The package compares how long requests take with different numbers of them at the server. What slows
-// the whole instance down for a while, which the server itself reports, is taken out of the comparison.
+// some of them. The package compares how long requests take with eight tenths of the slots and with more. What slows the
+// whole instance down for a while, which the server itself reports, is taken out of the comparison.
 package concurrency
 
 import (
-	"math"
 	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/load"
 )
 
 const (
-	// usualShare is the share of the slots up to which a server is expected to work at full speed. Beyond it, slots
-	// are used only if that was found to pay.
+	// usualShare is the share of the slots up to which a server is expected to work at full speed. All slots are used
+	// only if that was found to pay.
 	usualShare = 0.8
-	// steps is the largest number of steps in which slots beyond the usual share are tried. Fewer slots at a time make no
-	// difference that could be told from chance.
-	steps = 2
-	// gain is the factor by which a step has to increase what is completed. It tells a server that works as fast with
-	// more requests from one that works a little slower.
-	gain = 1.06
+	// gain is the factor by which all slots have to increase what is completed.
+	gain = 1.05
 	// enoughSamples is the number of requests after which an average says something. Requests of one route differ by
-	// about a third, and reports of the slowness are late.
-	enoughSamples = 30
+	// about a third.
+	enoughSamples = 20
 	// paceChange is the relative change of the slowness after which a request no longer says how it depends on the others:
 	// when the change happened is known only roughly.
 	paceChange = 1.15
-	// validity is how long a decision holds. Then the step is tried once more, because the server may have changed.
+	// validity is how long a finding holds. Then all slots are tried once more, because the server may have changed.
 	validity = time.Minute
+	// patience is how long a daemon that makes no trials of its own waits for the finding of another one.
+	patience = 20 * time.Second
 )
 
 // State is what is known of one server. It is not safe for concurrent use.
@@ -43,13 +42,17 @@
 	taken float64
 	// routes holds the work of each route's requests while no more than the usual share of the slots was taken.
 	routes map[string]*average
-	// few is the relative time of requests while no more than the usual share of the slots was taken, more that by the
-	// steps above it.
-	few  average
-	more []trial
-	// slots is the number of slots to which few and more belong.
-	slots   int
-	assumed Finding
+	few    int
+	// many is the relative time of requests while nearly all slots were taken, and manyTaken how many were.
+	many, manyTaken average
+
+	slots int
+	found load.Finding
+	at    time.Time
+	// tries is set if the daemon finds out by itself, waiting is since when one that does not has had to do without a
+	// finding.
+	tries   bool
+	waiting time.Time
 }
 
 // Mark is when a request began.
@@ -61,7 +64,7 @@
 }
 
 // New returns a state that knows nothing of the server.
-func New() *State { return &State{slowness: 1, routes: make(map[string]*average)} }
+func New() *State { return &State{slowness: 1, routes: make(map[string]*average), tries: true} }
 
 // Changed says how many requests the server runs from now on and how slow its instance is; 1 is as usual.
 func (s *State) Changed(now time.Time, running int, slowness float64) {
@@ -98,115 +101,93 @@
 	}
 
 	work := (s.work - begun.work).Seconds()
-	taken := int(math.Round((s.taken - begun.taken) / elapsed.Seconds()))
-	if taken <= usualSlots(s.slots) {
-		usual.add(work)
-	}
+	taken := (s.taken - begun.taken) / elapsed.Seconds()
 
-	if usual.value > 0 {
-		s.add(now, taken, work/usual.value)
+	switch limit := usualSlots(s.slots); {
+	case taken < float64(limit)+0.5:
+		usual.add(work)
+		s.few++
+	case taken >= float64(limit+s.slots)/2 && usual.value > 0 && s.trying(now):
+		s.many.add(work / usual.value)
+		s.manyTaken.add(taken)
+		s.conclude(now)
 	}
 }
 
-// Limit is the number of requests that the server should run at once, of those that it has slots for. While it is not
-// known whether a step pays, it is tried.
-func (s *State) Limit(now time.Time, slots int) int {
-	s.use(now, slots)
-
-	for n := range s.more {
-		step := &s.more[n]
-		step.expire(now)
-
-		switch {
-		case !step.decided && !s.few.known(), step.decided && !step.pays:
-			return s.slotsOf(n)
-		case !step.decided:
-			return s.slotsOf(n + 1)
-		}
+// conclude compares what the server completes once enough requests have ended.
+func (s *State) conclude(now time.Time) {
+	if s.many.samples < enoughSamples {
+		return
 	}
 
-	return slots
-}
-
-// Found is the limit once it is known of each step whether it pays, or zero.
-func (s *State) Found() int {
-	for n := range s.more {
-		step := &s.more[n]
-
-		switch {
-		case !step.decided:
-			return 0
-		case !step.pays:
-			return s.slotsOf(n)
-		}
+	s.found = load.Finding{Slots: s.slots, Limit: usualSlots(s.slots)}
+	if s.manyTaken.value/s.many.value >= gain*float64(usualSlots(s.slots)) {
+		s.found.Limit = s.slots
 	}
 
-	return s.slots
+	s.at, s.waiting = now, time.Time{}
+	s.many, s.manyTaken = average{}, average{}
 }
 
-// Assume takes what was found for such a server elsewhere or earlier. It is tried anew after some time.
-func (s *State) Assume(found Finding) { s.assumed, s.slots = found, 0 }
-
-// Finding is a limit that was found for a server with a number of slots.
-type Finding struct{ Slots, Limit int }
-
-// use begins anew for a server with another number of slots.
-func (s *State) use(now time.Time, slots int) {
-	if s.slots == slots {
-		return
-	}
-
-	s.slots, s.few, s.more = slots, average{}, make([]trial, stepsOf(slots))
-	if s.assumed.Slots != slots || s.assumed.Limit <= 0 {
-		return
+// Limit is the number of requests that the server should run at once, of those that it has slots for.
+func (s *State) Limit(now time.Time, slots int) int {
+	if s.slots != slots {
+		s.slots, s.few = slots, 0
+		s.many, s.manyTaken = average{}, average{}
 	}
 
-	for n := range s.more {
-		s.more[n] = trial{decided: true, at: now, pays: s.slotsOf(n+1) <= s.assumed.Limit}
+	switch {
+	case s.holds(now):
+		return s.found.Limit
+	case s.trying(now):
+		return slots
+	default:
+		return usualSlots(slots)
 	}
 }
 
-// slotsOf is the number of slots up to and with a step; step 0 is the usual share.
-func (s *State) slotsOf(step int) int {
-	return min(usualSlots(s.slots)+step*width(s.slots), s.slots)
+// holds reports whether there is a finding for the present number of slots.
+func (s *State) holds(now time.Time) bool {
+	return s.found.Limit > 0 && s.found.Slots == s.slots && now.Sub(s.at) <= validity
 }
 
-func usualSlots(slots int) int { return max(1, int(usualShare*float64(slots))) }
-
-// width is the number of slots in a step.
-func width(slots int) int { return max(1, divideUp(slots-usualSlots(slots), steps)) }
-
-func stepsOf(slots int) int { return divideUp(slots-usualSlots(slots), width(slots)) }
+// trying reports whether all slots are used to find out what they complete.
+func (s *State) trying(now time.Time) bool {
+	if s.holds(now) || s.few < enoughSamples {
+		return false
+	}
 
-func divideUp(a, b int) int { return (a + b - 1) / b }
+	if s.waiting.IsZero() {
+		s.waiting = now
+	}
 
-// add adds the relative time of a request during which a number of slots was taken.
-func (s *State) add(now time.Time, taken int, relative float64) {
-	step := min(divideUp(taken-usualSlots(s.slots), width(s.slots)), len(s.more))
-	if step <= 0 {
-		s.few.add(relative)
+	return s.tries || now.Sub(s.waiting) >= patience
+}
 
-		return
+// Found returns what was found; its limit is zero if nothing was, or too long ago.
+func (s *State) Found(now time.Time) load.Finding {
+	if !s.holds(now) {
+		return load.Finding{}
 	}
 
-	before := s.few
-	if step > 1 {
-		before = s.more[step-2].average
-	}
+	return s.found
+}
 
-	if !before.known() {
-		return
-	}
+// SetTries says whether the daemon finds out by itself, or takes what others find.
+func (s *State) SetTries(tries bool) { s.tries = tries }
 
-	tried := &s.more[step-1]
-	tried.add(relative)
+// Tries reports whether the daemon finds out by itself.
+func (s *State) Tries() bool { return s.tries }
 
-	if !tried.decided && tried.known() {
-		tried.decided, tried.at = true, now
-		tried.pays = float64(s.slotsOf(step))/tried.value >= gain*float64(s.slotsOf(step-1))/before.value
+// Take takes what an earlier run or another daemon has found, unless something was found here.
+func (s *State) Take(now time.Time, found load.Finding) {
+	if found.Limit > 0 && !s.holds(now) {
+		s.found, s.at, s.waiting = found, now, time.Time{}
 	}
 }
 
+func usualSlots(slots int) int { return max(1, int(usualShare*float64(slots))) }
+
 func (s *State) advance(now time.Time) {
 	if !s.now.IsZero() && now.After(s.now) {
 		elapsed := now.Sub(s.now)
@@ -227,18 +208,3 @@
 	a.samples = min(a.samples+1, enoughSamples)
 	a.value += (sample - a.value) / float64(a.samples)
 }
-
-func (a *average) known() bool { return a.samples >= enoughSamples }
-
-// trial finds out whether a step pays.
-type trial struct {
-	average
-	decided, pays bool
-	at            time.Time
-}
-
-func (t *trial) expire(now time.Time) {
-	if t.decided && now.Sub(t.at) > validity {
-		*t = trial{}
-	}
-}
--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/concurrency"
+	"github.com/tarragonmill/tarragonmill/internal/load"
 )
 
 // job is a request at the simulated server.
@@ -159,12 +160,24 @@
 	state := concurrency.New()
 	require.Equal(t, 4, state.Limit(now, 6))
 
-	state.Assume(concurrency.Finding{Slots: 6, Limit: 5})
-	require.Equal(t, 5, state.Limit(now, 6))
-	require.Equal(t, 5, state.Found())
+	state.Take(now, load.Finding{Slots: 6, Limit: 6})
+	require.Equal(t, 6, state.Limit(now, 6))
+	require.Equal(t, load.Finding{Slots: 6, Limit: 6}, state.Found(now))
 
 	// It says nothing of a server with another number of slots, and is not believed for ever.
 	require.Equal(t, 7, state.Limit(now, 9))
-	require.Equal(t, 5, state.Limit(now, 6))
+	require.Equal(t, 6, state.Limit(now, 6))
 	require.Equal(t, 4, state.Limit(now.Add(2*time.Minute), 6))
 }
+
+// TestWithoutTrials guards against all daemons of a service using all slots at the same time to find out what they
+// complete, and against one that waits for ever for the finding of another.
+func TestWithoutTrials(t *testing.T) {
+	s := newServer(9, 9, 1, 1)
+	s.state.SetTries(false)
+	s.run(10*time.Second, 9)
+	require.Equal(t, 7, s.state.Limit(s.now, 9))
+
+	s.run(20*time.Second, 9)
+	require.Equal(t, 9, s.state.Limit(s.now, 9))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,8 +55,9 @@
 	// concurrency is that of the local backend server, slots the number of its slots that are used.
 	concurrency *concurrency.State
 	slots       int
-	// limit is the finding that others are told; zero for none.
-	limit int
+	// limit is the finding that the own entry has; zero for none.
+	limit    int
+	findings findings
 
 	suspects   *suspects.State
 	membership *membership.State
@@ -118,6 +119,7 @@
 
 		concurrency: concurrency.New(),
 		slots:       1,
+		findings:    make(findings),
 
 		suspects:   suspects.New(),
 		membership: membership.New(options.Self, options.Seed),
--- /dev/null
+++ b/internal/core/findings_test.go
@@ -0,0 +1,71 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
+)
+
+// TestTakeFindings guards against a daemon that does not start from what its earlier run or its service has found.
+func TestTakeFindings(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	entry := func(id instance.ID, slots, limit int) membership.Entry {
+		return membership.Entry{Member: instance.Member{ID: id, Slots: slots}, Limit: limit}
+	}
+	service := []membership.Entry{
+		entry("a", 9, 0), entry("b", 9, 0), entry("c", 9, 0), entry("d", 9, 9), entry("e", 9, 7), entry("f", 9, 7),
+	}
+	found := func(ready membership.Ready, slots int) int {
+		s := New(Options{Self: instance.Member{ID: "self"}})
+		s.takeFindings(now, ready)
+
+		return s.concurrency.Limit(now, slots)
+	}
+
+	require.Equal(t, 7, found(membership.Ready{Service: service}, 9))
+	require.Equal(t, 6, found(membership.Ready{Own: entry("self", 6, 6), Service: service}, 6))
+	require.Equal(t, 4, found(membership.Ready{Service: service}, 6))
+}
+
+// TestFindings guards against a finding that depends on the order in which daemons are heard.
+func TestFindings(t *testing.T) {
+	f := make(findings)
+	require.Zero(t, f.most())
+
+	f.add("a", load.Finding{Slots: 9, Limit: 9})
+	f.add("b", load.Finding{Slots: 9, Limit: 7})
+	require.Equal(t, load.Finding{Slots: 9, Limit: 7}, f.most())
+
+	f.add("c", load.Finding{Slots: 9, Limit: 9})
+	require.Equal(t, load.Finding{Slots: 9, Limit: 9}, f.most())
+
+	f.add("a", load.Finding{})
+	f.add("c", load.Finding{})
+	require.Equal(t, load.Finding{Slots: 9, Limit: 7}, f.most())
+}
+
+// TestAssignTrials guards against a service none of whose daemons finds out, or all of whose do at the same time.
+func TestAssignTrials(t *testing.T) {
+	members := make([]instance.Member, 0, 9)
+	for _, id := range []instance.ID{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+		members = append(members, instance.Member{ID: id, Service: "stock", Status: instance.Alive})
+	}
+
+	trying := 0
+
+	for _, self := range members {
+		s := New(Options{Self: self})
+		s.assignTrials(members)
+
+		if s.concurrency.Tries() {
+			trying++
+		}
+	}
+
+	require.Equal(t, 3, trying)
+}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -5,7 +5,6 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/backend"
-	"github.com/tarragonmill/tarragonmill/internal/concurrency"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
@@ -22,9 +21,13 @@
 		switch e := effect.(type) {
 		case membership.MembersChanged:
 			all = append(all, s.fromRouting(now, s.routing.Apply(now, routing.MembersChanged(e)))...)
+			s.assignTrials(e.Members)
+
 			all = append(all, s.membersChanged(now, e)...)
 			all = append(all, s.applyBudget(now)...)
 		case membership.Reported:
+			s.findingHeard(now, e.Report)
+
 			all = append(all, s.fromRouting(now, s.routing.Apply(now, routing.Reported(e)))...)
 		case membership.MessageHeard:
 			s.suspectsHeard(now, e.Message)
@@ -48,7 +51,7 @@
 func (s *State) membersReady(now time.Time, e membership.Ready) []Effect {
 	var effects []Effect
 
-	s.concurrency.Assume(findingOf(e))
+	s.takeFindings(now, e)
 
 	if e.Own.Member.ID == s.options.Self.ID && e.Own.Member.Incarnation >= s.options.Self.Incarnation {
 		// The clock was set back since the earlier run; others would take this one for it.
@@ -67,29 +70,6 @@
 	return effects
 }
 
-// findingOf returns what an earlier run has found of its server, or what most daemons of the service have found.
-func findingOf(e membership.Ready) concurrency.Finding {
-	if e.Own.Limit > 0 {
-		return concurrency.Finding{Slots: e.Own.Member.Slots, Limit: e.Own.Limit}
-	}
-
-	var (
-		best   concurrency.Finding
-		counts = make(map[concurrency.Finding]int)
-	)
-
-	for _, entry := range e.Service {
-		found := concurrency.Finding{Slots: entry.Member.Slots, Limit: entry.Limit}
-		counts[found]++
-
-		if found.Limit > 0 && counts[found] > counts[best] {
-			best = found
-		}
-	}
-
-	return best
-}
-
 // Admission returns the state of the queue in front of the backend server.
 func (s *State) Admission() admission.Dump { return s.admission.Dump() }
 
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -162,8 +162,8 @@
 		})
 	}
 
-	if found := s.concurrency.Found(); found > 0 && found != s.limit {
-		s.limit = found
+	if found := s.concurrency.Found(now); found.Limit > 0 && found.Limit != s.limit {
+		s.limit = found.Limit
 		effects = append(effects, s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))...)
 	}
 
@@ -217,7 +217,7 @@
 		Open:    s.health.Closed() == "" && !s.draining,
 		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.slots,
 		Slowness: s.health.Slowness(), Failing: s.health.Failing(now), ColdFor: s.health.ColdFor(now),
-		Calls: s.calls.perRun(), Counter: s.counter(now),
+		Calls: s.calls.perRun(), Counter: s.counter(now), Found: s.concurrency.Found(now),
 	}
 }
 
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -12,10 +12,10 @@
 	"github.com/tarragonmill/tarragonmill/platform"
 )
 
-const operatorConfig = `{"version":"r7","resources":[
-	{"resourceKind":"routes","metadata":{"name":"lookup"},"spec":{"hostname":"shop.example","pathPrefix":"/stock/",
-		"routeType":"safe","timeoutMs":1500,"service":"stockdesk","maxAttempts":2}},
-	{"resourceKind":"services","metadata":{"name":"stockdesk"},"spec":{}}]}`
+const operatorConfig = `{"version":"r7",
+	"routes":{"columns":["name","hostname","pathPrefix","routeType","timeoutMs","service","maxAttempts"],
+		"rows":[["lookup","shop.example","/stock/","safe",1500,"stockdesk",2]]},
+	"services":{"columns":["name"],"rows":[["stockdesk"]]}}`
 
 // startOnPlatform starts a fleet that speaks the platform's header fields and follows the operator's configuration.
 func startOnPlatform(t *testing.T) *fleet.Fleet {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -26,8 +26,13 @@
 	Calls float64
 	// ColdFor is how much longer the server is slow after its start.
 	ColdFor time.Duration
+	// Found is the number of slots that were found to be worth using; its limit is zero if none was found yet.
+	Found Finding
 }
 
+// Finding is the number of a server's slots that were found to be worth using.
+type Finding struct{ Slots, Limit int }
+
 // Newer reports whether r supersedes another report of the same server.
 func (r Report) Newer(other Report) bool {
 	if r.Incarnation != other.Incarnation {
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -39,6 +39,8 @@
 	fieldCold
 	fieldCalls
 	fieldMessage
+	fieldFoundSlots
+	fieldFoundLimit
 )
 
 const (
@@ -95,6 +97,8 @@
 	out = appendNumber(out, fieldFailing, toRatio(b.Report.Failing))
 
 	out = appendNumber(out, fieldCalls, toRatio(b.Report.Calls))
+	out = appendNumber(out, fieldFoundSlots, uint64(b.Report.Found.Slots))
+	out = appendNumber(out, fieldFoundLimit, uint64(b.Report.Found.Limit))
 
 	return appendNumber(out, fieldCold, uint64(b.Report.ColdFor.Milliseconds()))
 }
@@ -185,6 +189,7 @@
 			Failing: float64(numbers[fieldFailing]) / ratioScale,
 			Calls:   float64(numbers[fieldCalls]) / ratioScale,
 			ColdFor: time.Duration(numbers[fieldCold]) * time.Millisecond,
+			Found:   load.Finding{Slots: int(numbers[fieldFoundSlots]), Limit: int(numbers[fieldFoundLimit])},
 		}
 	}
 
