concurrency, eventlog: requests at the usual pace are compared; each line names its instance

Logs of several instances could not be told apart once merged. Change: requests at a slow pace are left out, a route counts from its tenth request, and daemons that do not try follow the majority of those that have found out by themselves. The logger adds the instance; server-refused names the server in 'server'.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -74,10 +75,15 @@
 
 	go queue.Run(writing)
 
-	err = run(ctx, s, reload, zerolog.New(queue).Level(level).With().Timestamp().Logger())
+	err = run(ctx, s, reload, newLogger(queue, s).Level(level))
 
 	stop()
 	<-queue.Done()
 
 	return err
 }
+
+// newLogger returns a logger whose lines say which instance they are of, because logs are searched together.
+func newLogger(out io.Writer, s settings.Settings) zerolog.Logger {
+	return zerolog.New(out).With().Timestamp().Str("instance", string(s.ID)).Logger()
+}
--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -24,6 +24,10 @@
 	// paceChange is the relative change of the slowness after which a request no longer says how it depends on the others:
 	// when the change happened is known only roughly.
 	paceChange = 1.15
+	// usualPace is the slowness above which requests are left out: those that end before it changes are the short ones.
+	usualPace = 1.5
+	// routeSamples is the number of requests after which the usual work of a route is known.
+	routeSamples = 10
 	// validity is how long a finding holds. Then all slots are tried once more, because the server may have changed.
 	validity = time.Minute
 	// patience is how long a daemon that makes no trials of its own waits for the finding of another one.
@@ -47,8 +51,10 @@
 	many, manyTaken average
 
 	slots int
+	// found is in force since at; own is set if it was found here.
 	found load.Finding
 	at    time.Time
+	own   bool
 	// tries is set if the daemon finds out by itself, waiting is since when one that does not has had to do without a
 	// finding.
 	tries   bool
@@ -90,7 +96,7 @@
 	s.advance(now)
 
 	elapsed := now.Sub(begun.at)
-	if elapsed <= 0 || s.slots == 0 || s.paces != begun.paces {
+	if elapsed <= 0 || s.slots == 0 || s.paces != begun.paces || s.slowness > usualPace {
 		return
 	}
 
@@ -107,7 +113,7 @@
 	case taken < float64(limit)+0.5:
 		usual.add(work)
 		s.few++
-	case taken >= float64(limit+s.slots)/2 && usual.value > 0 && s.trying(now):
+	case taken >= float64(limit+s.slots)/2 && usual.samples >= routeSamples && s.trying(now):
 		s.many.add(work / usual.value)
 		s.manyTaken.add(taken)
 		s.conclude(now)
@@ -125,7 +131,7 @@
 		s.found.Limit = s.slots
 	}
 
-	s.at, s.waiting = now, time.Time{}
+	s.at, s.own, s.waiting = now, true, time.Time{}
 	s.many, s.manyTaken = average{}, average{}
 }
 
@@ -164,7 +170,7 @@
 	return s.tries || now.Sub(s.waiting) >= patience
 }
 
-// Found returns what was found; its limit is zero if nothing was, or too long ago.
+// Found returns the finding in force; its limit is zero if there is none.
 func (s *State) Found(now time.Time) load.Finding {
 	if !s.holds(now) {
 		return load.Finding{}
@@ -173,16 +179,25 @@
 	return s.found
 }
 
+// FoundHere is Found without what was taken from others.
+func (s *State) FoundHere(now time.Time) load.Finding {
+	if !s.own {
+		return load.Finding{}
+	}
+
+	return s.Found(now)
+}
+
 // SetTries says whether the daemon finds out by itself, or takes what others find.
 func (s *State) SetTries(tries bool) { s.tries = tries }
 
 // Tries reports whether the daemon finds out by itself.
 func (s *State) Tries() bool { return s.tries }
 
-// Take takes what an earlier run or another daemon has found, unless something was found here.
+// Take takes what an earlier run or other daemons have found, unless something was found here.
 func (s *State) Take(now time.Time, found load.Finding) {
-	if found.Limit > 0 && !s.holds(now) {
-		s.found, s.at, s.waiting = found, now, time.Time{}
+	if found.Limit > 0 && !(s.own && s.holds(now)) {
+		s.found, s.at, s.own, s.waiting = found, now, false, time.Time{}
 	}
 }
 
--- a/internal/core/findings.go
+++ b/internal/core/findings.go
@@ -66,9 +66,6 @@
 
 	if s.findings[report.Server] != report.Found {
 		s.findings.add(report.Server, report.Found)
-	}
-
-	if s.concurrency.Found(now).Limit == 0 {
 		s.concurrency.Take(now, s.findings.most())
 	}
 }
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -217,7 +217,7 @@
 		Open:    s.health.Closed() == "" && !s.draining,
 		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.slots,
 		Slowness: s.health.Slowness(), Failing: s.health.Failing(now), ColdFor: s.health.ColdFor(now),
-		Calls: s.calls.perRun(), Counter: s.counter(now), Found: s.concurrency.Found(now),
+		Calls: s.calls.perRun(), Counter: s.counter(now), Found: s.concurrency.FoundHere(now),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -276,8 +276,7 @@
 	d.timer = time.AfterFunc(time.Hour, d.tick)
 	d.mutex.Unlock()
 
-	d.log.Notable(eventlog.Started).Str("instance", string(d.options.Self.ID)).
-		Uint64("run", uint64(d.options.Self.Incarnation)).Str("service", d.options.Self.Service).Send()
+	d.log.Notable(eventlog.Started).Uint64("run", uint64(d.options.Self.Incarnation)).Str("service", d.options.Self.Service).Send()
 	d.apply(core.Started{})
 
 	var group run.Group
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -131,6 +131,6 @@
 
 func (d *Daemon) logServerRefused(call attempt.Call, response *backend.Response) {
 	d.log.Notable(eventlog.ServerRefused).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
-		Str("from", string(call.From)).Int("status", response.Status).Str("instance", string(response.Instance)).
+		Str("from", string(call.From)).Int("status", response.Status).Str("server", string(response.Instance)).
 		Int("running", response.Load.Running).Int("waiting", response.Load.Waiting).Send()
 }
