soak, command: daemons as processes under overlapping faults; SIGHUP does not end a daemon that starts

Cause: nothing ran the real programs as processes with faults that overlap. Change: internal/soak with 'standin soak': proxies on the links of each daemon, signals, misbehaving stand-ins of store and servers, checks of what callers and servers saw. SIGHUP is taken from the first statement of a command on. The limit of requests leaves out the first 30 requests of a daemon, and a finding needs 30.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
@@ -70,11 +71,14 @@
 	return run(ctx, args, streams, &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins for systems outside tarragonmill, for tests and trials",
-		Commands: []*cli.Command{logCommand(), backendCommand()},
+		Commands: []*cli.Command{logCommand(), backendCommand(), soakCommand()},
 	})
 }
 
 func run(ctx context.Context, args []string, streams Streams, root *cli.Command) int {
+	// The default action of SIGHUP would end a daemon while it starts or stops.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	// The default action of a signal is restored, so that a second one ends the process.
--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -20,7 +20,9 @@
 	gain = 1.05
 	// enoughSamples is the number of requests after which an average says something. Requests of one route differ by
 	// about a third.
-	enoughSamples = 20
+	enoughSamples = 30
+	// warmUp is the number of requests that are left out at first: they open connections, their nested calls, too.
+	warmUp = 30
 	// paceChange is the relative change of the slowness after which a request no longer says how it depends on the others:
 	// when the change happened is known only roughly.
 	paceChange = 1.15
@@ -46,7 +48,8 @@
 	taken float64
 	// routes holds the work of each route's requests while no more than the usual share of the slots was taken.
 	routes map[string]*average
-	few    int
+	// ended counts the requests, few those of them with no more than the usual share.
+	ended, few int
 	// many is the relative time of requests while nearly all slots were taken, and manyTaken how many were.
 	many, manyTaken average
 
@@ -95,8 +98,10 @@
 func (s *State) Ended(now time.Time, route string, begun Mark) {
 	s.advance(now)
 
+	s.ended++
+
 	elapsed := now.Sub(begun.at)
-	if elapsed <= 0 || s.slots == 0 || s.paces != begun.paces || s.slowness > usualPace {
+	if s.ended <= warmUp || elapsed <= 0 || s.slots == 0 || s.paces != begun.paces || s.slowness > usualPace {
 		return
 	}
 
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/store"
+	"github.com/tarragonmill/tarragonmill/internal/task"
+)
+
+// event is something that happens to a part of the system.
+type event struct {
+	name string
+	// planned work must not cost a caller its answer.
+	planned bool
+	run     func(ctx context.Context, s *Soak, n *node, random *rand.Rand)
+}
+
+// events are all that may happen. A run draws from them; they overlap.
+var events = []event{
+	{name: "terminate", planned: true, run: terminate},
+	{name: "hang up", planned: true, run: hangUp},
+	{name: "publish", planned: true, run: publish},
+	{name: "drain", planned: true, run: drain},
+	{name: "kill", run: kill},
+	{name: "kill all", run: killAll},
+	{name: "pause", run: pause},
+	{name: "slow links", run: onLinks(func(random *rand.Rand) Link {
+		return Link{Delay: time.Duration(20+random.IntN(200)) * time.Millisecond}
+	})},
+	{name: "silent links", run: onLinks(func(*rand.Rand) Link { return Link{CutTo: true, CutFrom: true} })},
+	{name: "one-way links", run: onLinks(func(random *rand.Rand) Link {
+		to := random.IntN(2) == 0
+
+		return Link{CutTo: to, CutFrom: !to}
+	})},
+	{name: "reset links", run: resetLinks},
+	{name: "store", run: breakStore},
+	{name: "server", run: breakServer},
+	{name: "server crash", run: crashServer},
+}
+
+// draw returns an event, a planned one if only these are allowed.
+func draw(random *rand.Rand, planned bool) event {
+	for {
+		drawn := events[random.IntN(len(events))]
+		if drawn.planned || !planned {
+			return drawn
+		}
+	}
+}
+
+// period draws how long a fault lasts.
+func period(random *rand.Rand) time.Duration {
+	return 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond)))
+}
+
+func terminate(_ context.Context, s *Soak, n *node, _ *rand.Rand) {
+	n.daemon.signal(syscall.SIGTERM)
+	s.restart(n)
+}
+
+// restart waits until the run that was told to end has ended, and starts the next one.
+func (s *Soak) restart(n *node) {
+	if !n.daemon.wait(grace + time.Second) {
+		s.ledger.broken("LOST", "%s did not end within %s after SIGTERM", n.name, grace)
+	}
+
+	if err := n.daemon.start(); err != nil {
+		s.ledger.broken("SOAK", "%v", err)
+	}
+}
+
+func hangUp(_ context.Context, _ *Soak, n *node, _ *rand.Rand) { n.daemon.signal(syscall.SIGHUP) }
+
+func publish(_ context.Context, s *Soak, _ *node, _ *rand.Rand) { s.publish() }
+
+func drain(ctx context.Context, s *Soak, n *node, _ *rand.Rand) {
+	if err := s.drainServer(ctx, n); err != nil {
+		s.ledger.broken("SOAK", "%v", err)
+	}
+}
+
+func kill(ctx context.Context, s *Soak, n *node, random *rand.Rand) {
+	n.daemon.signal(syscall.SIGKILL)
+	task.Sleep(ctx, time.Duration(random.Int64N(int64(time.Second))))
+	s.restart(n)
+}
+
+// killAll kills every daemon that is not busy with another event.
+func killAll(ctx context.Context, s *Soak, n *node, random *rand.Rand) {
+	taken := []*node{n}
+
+	for _, other := range s.nodes {
+		if other != n && other.busy.TryLock() {
+			taken = append(taken, other)
+		}
+	}
+
+	for _, each := range taken {
+		each.daemon.signal(syscall.SIGKILL)
+	}
+
+	task.Sleep(ctx, time.Duration(random.Int64N(int64(time.Second))))
+
+	for _, each := range taken {
+		s.restart(each)
+
+		if each != n {
+			each.busy.Unlock()
+		}
+	}
+}
+
+func pause(ctx context.Context, _ *Soak, n *node, random *rand.Rand) {
+	n.daemon.signal(syscall.SIGSTOP)
+	task.Sleep(ctx, period(random))
+	n.daemon.signal(syscall.SIGCONT)
+}
+
+// onLinks changes one or two links of a node for a while.
+func onLinks(draw func(random *rand.Rand) Link) func(context.Context, *Soak, *node, *rand.Rand) {
+	return func(ctx context.Context, _ *Soak, n *node, random *rand.Rand) {
+		chosen := n.someLinks(random)
+		for _, p := range chosen {
+			p.Set(draw(random))
+		}
+
+		task.Sleep(ctx, period(random))
+
+		for _, p := range chosen {
+			p.Set(Link{})
+		}
+	}
+}
+
+func (n *node) someLinks(random *rand.Rand) []*proxy {
+	links := []*proxy{n.toPeer, n.toStore, n.toServer}
+	random.Shuffle(len(links), func(i, j int) { links[i], links[j] = links[j], links[i] })
+
+	return links[:1+random.IntN(2)]
+}
+
+func resetLinks(_ context.Context, _ *Soak, n *node, random *rand.Rand) {
+	for _, p := range n.someLinks(random) {
+		p.Reset()
+	}
+}
+
+func breakStore(ctx context.Context, s *Soak, _ *node, random *rand.Rand) {
+	faults := []store.Faults{
+		{Down: store.Busy}, {Down: store.Reset}, {Down: store.Silent}, {LoseAnswers: true},
+		{Late: time.Second}, {Stale: 3 * time.Second}, {Delay: 300 * time.Millisecond},
+	}
+
+	if random.IntN(len(faults)+1) == 0 {
+		s.store.Forget()
+
+		return
+	}
+
+	s.store.Set(faults[random.IntN(len(faults))])
+	task.Sleep(ctx, period(random))
+	s.store.Set(store.Faults{})
+}
+
+func breakServer(ctx context.Context, _ *Soak, n *node, random *rand.Rand) {
+	wrong := []backend.Fault{
+		backend.Shed, backend.Reset, backend.LoseAnswer, backend.Hang, backend.Extra, backend.Unframed, backend.CutShort,
+		backend.Unsealed, backend.Garbage,
+	}
+	behaviour := usualBehaviour
+
+	switch random.IntN(4) {
+	case 0:
+		behaviour.Slowness = float64(2 + random.IntN(10))
+	case 1:
+		behaviour.Failing = true
+	default:
+		behaviour.Fault, behaviour.Every = wrong[random.IntN(len(wrong))], 1+random.IntN(5)
+	}
+
+	server := n.server
+	server.Set(behaviour)
+	task.Sleep(ctx, period(random))
+	server.Set(usualBehaviour)
+}
+
+func crashServer(ctx context.Context, s *Soak, n *node, random *rand.Rand) {
+	n.server.Crash()
+	task.Sleep(ctx, period(random))
+
+	if err := s.replaceServer(n); err != nil {
+		s.ledger.broken("SOAK", "%v", err)
+	}
+}
