membership, daemon: greetings are repeated instead of reading all entries; requests without a route are counted

Cause: each daemon read all entries twice at its start and every 30 s to 40 s, which at 610 daemons is the whole control budget of 6 KB/s (610 entries of about 330 bytes in 35 s) and is billed by the call; requests that no route takes had other labels than the rest, so that one of the two was not counted.

--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -201,7 +201,7 @@
 
 // Take takes what an earlier run or other daemons have found, unless something was found here.
 func (s *State) Take(now time.Time, found load.Finding) {
-	if found.Limit > 0 && !(s.own && s.holds(now)) {
+	if found.Limit > 0 && (!s.own || !s.holds(now)) {
 		s.found, s.at, s.own, s.waiting = found, now, false, time.Time{}
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -69,8 +69,15 @@
 	return m, nil
 }
 
+// noService stands for the service of a request that no route takes: every value of a metric needs the same labels.
+const noService = "none"
+
 // request counts a request by how it ended for its caller.
 func (m *metrics) request(service string, kind manifest.Kind, outcome string, elapsed time.Duration) {
+	if service == "" {
+		service = noService
+	}
+
 	tagged := m.tagged(labels{service: service, kind: kind.String(), outcome: outcome})
 	tagged.Counter("requests_total").Inc(1)
 	tagged.Histogram("request_seconds", buckets).RecordDuration(elapsed)
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -48,7 +48,7 @@
 		return effects
 	}
 
-	p.heard = now
+	p.heard, p.greetAt = now, time.Time{}
 
 	if p.member.Status == instance.Accused && s.accuse(now) {
 		effects = append(effects, s.members())
@@ -202,6 +202,27 @@
 	return effects
 }
 
+// greet asks a member for a beat, so that it learns of this daemon.
+func (s *State) greet(now time.Time, p *peer) Effect {
+	p.greetPause = min(max(greetMin, 2*p.greetPause), greetMax)
+	p.greetAt = now.Add(p.greetPause)
+
+	return SendBeat{To: p.member.Peer, Beat: s.beat(p.watched, true)}
+}
+
+// greetAgain greets members that have not answered.
+func (s *State) greetAgain(now time.Time) []Effect {
+	var effects []Effect
+
+	for _, p := range s.order {
+		if !p.greetAt.IsZero() && !now.Before(p.greetAt) {
+			effects = append(effects, s.greet(now, p))
+		}
+	}
+
+	return effects
+}
+
 // accuse changes the status of watched members that have fallen silent, and of those that are heard again.
 func (s *State) accuse(now time.Time) bool {
 	changed := false
@@ -240,6 +261,7 @@
 	}
 
 	effects = append(effects, s.sendSpreads(now)...)
+	effects = append(effects, s.greetAgain(now)...)
 
 	return append(effects, s.tell(now, noNews)...)
 }
@@ -265,6 +287,8 @@
 	}
 
 	for _, p := range s.order {
+		next = times.Next(next, p.greetAt)
+
 		if p.watched && p.member.Status == instance.Alive {
 			next = times.Next(next, times.Later(p.heard, p.since).Add(silence))
 		}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -40,8 +40,15 @@
 	busyStep = 0.3
 	// silence is the time without a beat after which a watched member counts as accused.
 	silence = 2 * time.Second
-	// rereadInterval is the time between two reads of all entries; a greeting that got lost is made up for.
-	rereadInterval = 30 * time.Second
+	// rereadMin and rereadMax bound the time between two reads of all entries, which doubles each time. Greetings that get
+	// lost are repeated, so that only a read that was out of date is made up for.
+	rereadMin = 2 * time.Minute
+	rereadMax = 16 * time.Minute
+	// forgetTime is how long a member without an entry is kept after its last beat.
+	forgetTime = 30 * time.Second
+	// greetMin and greetMax bound the time after which a greeting without an answer is repeated; it doubles each time.
+	greetMin = 700 * time.Millisecond
+	greetMax = 30 * time.Second
 	// firstWrite is how long the first write of the own entry waits for the backend server to announce itself,
 	// so that it need not be written again.
 	firstWrite = 400 * time.Millisecond
@@ -72,13 +79,16 @@
 	left    bool
 	writing bool
 	// dirty is set while the store does not hold the own entry, stored once it has held one of this run.
-	dirty   bool
-	stored  bool
-	writeAt time.Time
-	reading bool
-	readAt  time.Time
-	retry   time.Duration
-	watchAt time.Time
+	dirty  bool
+	stored bool
+	// hadEntry is set if the store has had an entry of an earlier run.
+	hadEntry bool
+	writeAt  time.Time
+	reading  bool
+	readAt   time.Time
+	reread   time.Duration
+	retry    time.Duration
+	watchAt  time.Time
 }
 
 // peer is another daemon.
@@ -98,13 +108,16 @@
 	toldBusy int
 	// asked is when it was last asked for its beats.
 	asked time.Time
+	// greetAt is when it is greeted again, after a pause that grows; zero if it has answered or was never greeted.
+	greetAt    time.Time
+	greetPause time.Duration
 }
 
 // New returns a state that knows only the daemon itself.
 func New(self instance.Member, seed uint64) *State {
 	return &State{
 		self: Entry{Member: self}, random: rand.New(rand.NewPCG(seed, 1)),
-		peers: make(map[instance.ID]*peer), services: make(map[string]bool), retry: retryMin,
+		peers: make(map[instance.ID]*peer), services: make(map[string]bool), retry: retryMin, reread: rereadMin,
 		budget: rate.NewLimiter(0, 0),
 	}
 }
@@ -173,7 +186,8 @@
 	}
 
 	s.reading = true
-	s.readAt = now.Add(rereadInterval + time.Duration(s.random.Int64N(int64(rereadInterval/3))))
+	s.readAt = now.Add(s.reread + time.Duration(s.random.Int64N(int64(s.reread/3))))
+	s.reread = min(2*s.reread, rereadMax)
 
 	return []Effect{ReadEntries{}}
 }
@@ -191,11 +205,14 @@
 	s.retry = retryMin
 	effects := s.write(now)
 
-	if !s.stored {
-		s.stored = true
+	// Daemons that start for the first time at the same time find each other by reading once more. Those that read
+	// an entry of an earlier run greet this daemon at the same address.
+	if !s.stored && !s.hadEntry {
 		effects = append(effects, s.read(now)...)
 	}
 
+	s.stored = true
+
 	return effects
 }
 
@@ -224,7 +241,7 @@
 
 	for _, entry := range e.Entries {
 		if entry.Member.ID == s.self.Member.ID {
-			ready.Own = entry
+			ready.Own, s.hadEntry = entry, entry.Member.Peer == s.self.Member.Peer
 
 			continue
 		}
@@ -238,7 +255,9 @@
 		if s.learn(entry.Member) {
 			changed = true
 
-			effects = append(effects, SendBeat{To: entry.Member.Peer, Beat: s.beat(false, true)})
+			if p := s.peers[entry.Member.ID]; p != nil {
+				effects = append(effects, s.greet(now, p))
+			}
 		}
 	}
 
@@ -258,7 +277,7 @@
 	dropped := false
 
 	for _, p := range slices.Clone(s.order) {
-		if !listed[p.member.ID] && now.Sub(p.heard) > rereadInterval {
+		if !listed[p.member.ID] && now.Sub(p.heard) > forgetTime {
 			s.forget(p)
 
 			dropped = true
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -152,8 +152,13 @@
 
 func breakStore(ctx context.Context, s *Soak, _ *node, random *rand.Rand) {
 	faults := []store.Faults{
-		{Down: store.Busy}, {Down: store.Reset}, {Down: store.Silent}, {LoseAnswers: true},
-		{Late: time.Second}, {Stale: 3 * time.Second}, {Delay: 300 * time.Millisecond},
+		{Down: store.Busy},
+		{Down: store.Reset},
+		{Down: store.Silent},
+		{LoseAnswers: true},
+		{Late: time.Second},
+		{Stale: 3 * time.Second},
+		{Delay: 300 * time.Millisecond},
 	}
 
 	if random.IntN(len(faults)+1) == 0 {
