concurrency, core: findings come within seconds also where few requests arrive

Change: at least two daemons of each service and region try; ten requests are left out, twenty make a finding, and all slots are tried once the work of a route is known from ten requests. Before, a trial without a known route never ended.

--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -20,9 +20,9 @@
 	gain = 1.05
 	// enoughSamples is the number of requests after which an average says something. Requests of one route differ by
 	// about a third.
-	enoughSamples = 30
+	enoughSamples = 20
 	// warmUp is the number of requests that are left out at first: they open connections, their nested calls, too.
-	warmUp = 30
+	warmUp = 10
 	// paceChange is the relative change of the slowness after which a request no longer says how it depends on the others:
 	// when the change happened is known only roughly.
 	paceChange = 1.15
@@ -48,8 +48,8 @@
 	taken float64
 	// routes holds the work of each route's requests while no more than the usual share of the slots was taken.
 	routes map[string]*average
-	// ended counts the requests, few those of them with no more than the usual share.
-	ended, few int
+	// ended counts the requests, known the routes whose usual work is known.
+	ended, known int
 	// many is the relative time of requests while nearly all slots were taken, and manyTaken how many were.
 	many, manyTaken average
 
@@ -116,8 +116,9 @@
 
 	switch limit := usualSlots(s.slots); {
 	case taken < float64(limit)+0.5:
-		usual.add(work)
-		s.few++
+		if usual.add(work); usual.samples == routeSamples {
+			s.known++
+		}
 	case taken >= float64(limit+s.slots)/2 && usual.samples >= routeSamples && s.trying(now):
 		s.many.add(work / usual.value)
 		s.manyTaken.add(taken)
@@ -143,7 +144,9 @@
 // Limit is the number of requests that the server should run at once, of those that it has slots for.
 func (s *State) Limit(now time.Time, slots int) int {
 	if s.slots != slots {
-		s.slots, s.few = slots, 0
+		s.slots, s.known = slots, 0
+		clear(s.routes)
+
 		s.many, s.manyTaken = average{}, average{}
 	}
 
@@ -164,7 +167,7 @@
 
 // trying reports whether all slots are used to find out what they complete.
 func (s *State) trying(now time.Time) bool {
-	if s.holds(now) || s.few < enoughSamples {
+	if s.holds(now) || s.known == 0 {
 		return false
 	}
 
--- a/internal/core/findings.go
+++ b/internal/core/findings.go
@@ -8,9 +8,13 @@
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 )
 
-// trialShare is the number of daemons of a service and region of which one finds out how many slots are worth using.
-// The others take what most of these have found.
-const trialShare = 4
+const (
+	// trialShare is the number of daemons of a service and region of which one finds out how many slots are worth using.
+	// The others take what most of these have found.
+	trialShare = 4
+	// minTrials is the number of daemons of a service and region that find out at least, so that few requests suffice.
+	minTrials = 2
+)
 
 // findings are what daemons of the own service have found of their servers.
 type findings map[instance.ID]load.Finding
@@ -77,7 +81,7 @@
 
 	for _, member := range members {
 		if member.ID == s.options.Self.ID {
-			s.concurrency.SetTries(rank%trialShare == 0)
+			s.concurrency.SetTries(rank < minTrials || rank%trialShare == 0)
 
 			return
 		}
