--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -7,6 +7,7 @@
 package concurrency
 
 import (
+	"math"
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/load"
@@ -209,7 +210,7 @@
 	}
 }
 
-func usualSlots(slots int) int { return max(1, int(usualShare*float64(slots))) }
+func usualSlots(slots int) int { return max(1, int(math.Round(usualShare*float64(slots)))) }
 
 func (s *State) advance(now time.Time) {
 	if !s.now.IsZero() && now.After(s.now) {
