soak, core: the soak sees requests that are cut off, and more kinds of wrong answers

Cause: daemons with one guard removed passed it: requests ended within the 20 ms that a server took, and wrong answers of servers were drawn rarely. Change: servers take 120 ms, each kind of wrong answer is as likely as the others, and a store with old answers is read again. TestOlderManifest guards against a version that goes back, which the soak cannot see for the milliseconds that it lasts.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -40,6 +40,8 @@
 	{name: "reset links", run: resetLinks},
 	{name: "store", run: breakStore},
 	{name: "server", run: breakServer},
+	// Wrong answers of servers are of many kinds.
+	{name: "server", run: breakServer},
 	{name: "server crash", run: crashServer},
 }
 
@@ -167,7 +169,22 @@
 		return
 	}
 
-	s.store.Set(faults[random.IntN(len(faults))])
+	fault := faults[random.IntN(len(faults))]
+	if fault.Stale > 0 {
+		s.publish()
+	}
+
+	s.store.Set(fault)
+
+	if fault.Stale > 0 {
+		// Daemons look for the newest records again, and get old ones.
+		task.Sleep(ctx, calm/2)
+
+		for _, n := range s.nodes {
+			n.toStore.Reset()
+		}
+	}
+
 	task.Sleep(ctx, period(random))
 	s.store.Set(store.Faults{})
 }
@@ -179,13 +196,13 @@
 	}
 	behaviour := usualBehaviour
 
-	switch random.IntN(4) {
-	case 0:
+	switch choice := random.IntN(len(wrong) + 2); choice {
+	case len(wrong):
 		behaviour.Slowness = float64(2 + random.IntN(10))
-	case 1:
+	case len(wrong) + 1:
 		behaviour.Failing = true
 	default:
-		behaviour.Fault, behaviour.Every = wrong[random.IntN(len(wrong))], 1+random.IntN(5)
+		behaviour.Fault, behaviour.Every = wrong[choice], 1+random.IntN(5)
 	}
 
 	server := n.server
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -200,7 +200,7 @@
 }
 
 // usualBehaviour is that of a server that is well.
-var usualBehaviour = backend.Behaviour{Service: 20 * time.Millisecond}
+var usualBehaviour = backend.Behaviour{Service: 120 * time.Millisecond}
 
 // replaceServer starts another run after the present one has ended.
 func (s *Soak) replaceServer(n *node) error {
