--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -62,8 +62,8 @@
 	return nil
 }
 
-// loadTime is how long a program takes until it can take signals.
-const loadTime = 50 * time.Millisecond
+// loadTime is how long a program takes at most until it can take signals, on a busy machine. An earlier SIGHUP ends it.
+const loadTime = 500 * time.Millisecond
 
 // signal sends a signal to the run in progress. Its end is wanted after a signal that ends it.
 func (p *process) signal(signal syscall.Signal) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -72,8 +72,10 @@
 	everywhere   disturbance
 	runs         map[string][]executed
 	config       configuration
-	out          io.Writer
-	tasks        *task.Group
+	// writing is held while a line is written to out.
+	writing sync.Mutex
+	out     io.Writer
+	tasks   *task.Group
 }
 
 // Run runs a soak, writes what happens and returns ErrBroken if a guarantee did not hold.
@@ -273,6 +275,9 @@
 }
 
 func (s *Soak) say(format string, args ...any) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+
 	// A report that cannot be written changes nothing of the run.
 	_, _ = fmt.Fprintf(s.out, "%s %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
 }
