soak: addresses are outside of the range that the system hands out

Cause: TestSoak/7 failed once with 'bind: address already in use'. A run chose its addresses by opening and closing sockets at port 0, and listened there some milliseconds later. A socket without a port of its own, at all addresses of the machine, can get that port in between. Change: ports from 20000 to 32000, tried one after the other. TestFreeAddresses fails with the earlier choice.

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -57,31 +57,42 @@
 	leaving time.Time
 }
 
+const (
+	// firstPort and lastPort bound the ports of a soak. The system gives ports above 32767 to sockets that name none,
+	// also at all addresses of the machine at once, between the choice of an address here and its use.
+	firstPort = 20000
+	lastPort  = 32000
+)
+
 // addresses hands out addresses on one loopback IP, so that no other program takes them.
 type addresses struct {
 	ctx  context.Context //nolint:containedctx // One use of the type lasts as long as one call.
 	host netip.Addr
-	used map[netip.AddrPort]bool
+	// last is the port that was handed out last; zero if none was.
+	last uint16
 	err  error
 }
 
+// next returns an address at which nobody listens.
 func (a *addresses) next() netip.AddrPort {
-	for a.err == nil {
-		listener, err := new(net.ListenConfig).Listen(a.ctx, "tcp", netip.AddrPortFrom(a.host, 0).String())
-		if err != nil {
-			a.err = errors.Wrap(err, "free address")
+	for a.last = max(a.last, firstPort-1); a.err == nil; {
+		if a.last++; a.last > lastPort {
+			a.err = errors.New("no free address")
 
 			break
 		}
 
-		address := netip.MustParseAddrPort(listener.Addr().String())
-		a.err = listener.Close()
-
-		if !a.used[address] {
-			a.used[address] = true
+		address := netip.AddrPortFrom(a.host, a.last)
 
-			return address
+		listener, err := new(net.ListenConfig).Listen(a.ctx, "tcp", address.String())
+		if err != nil {
+			// Another program listens at the port of all addresses.
+			continue
 		}
+
+		a.err = listener.Close()
+
+		return address
 	}
 
 	return netip.AddrPort{}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,7 +107,7 @@
 
 // start starts store, backend servers and daemons and waits until all of them serve.
 func (s *Soak) start() error {
-	free := &addresses{ctx: s.ctx, host: s.options.Host, used: make(map[netip.AddrPort]bool)}
+	free := &addresses{ctx: s.ctx, host: s.options.Host}
 	s.storeAddress = free.next()
 
 	listener, err := new(net.ListenConfig).Listen(s.ctx, "tcp", s.storeAddress.String())
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -142,3 +142,24 @@
 	p.Reset()
 	require.Error(t, ask(2*time.Second))
 }
+
+// TestFreeAddresses guards against a run that fails because another socket of the machine was given one of its ports
+// by the system before the run used it.
+func TestFreeAddresses(t *testing.T) {
+	text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	require.NoError(t, err)
+
+	lowest, err := strconv.Atoi(strings.Fields(string(text))[0])
+	require.NoError(t, err)
+
+	all, err := soak.FreeAddresses(t.Context(), netip.MustParseAddr("127.97.0.1"), 100)
+	require.NoError(t, err)
+
+	seen := make(map[netip.AddrPort]bool)
+
+	for _, address := range all {
+		require.Less(t, int(address.Port()), lowest)
+		require.False(t, seen[address], "%s was handed out twice", address)
+		seen[address] = true
+	}
+}
