http1, platform, daemon: bytes without end are bounded; a stop does not wait for the store

A request whose stated length cannot be allocated ended the process, as memory was taken for it in advance; before the first manifest, and with manifests of our own, no limit stood before it.

--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -23,6 +23,9 @@
 	maxIdle = 16
 	// commitByte ends the body of a call. A request runs only after it has arrived.
 	commitByte = '\n'
+	// MaxHead is the largest head that one daemon sends to another, in bytes: that of a message of a caller or backend
+	// server with the fields of this protocol.
+	MaxHead = 256 << 10
 )
 
 // ErrForeign is returned for a reply that belongs to another request or attempt.
@@ -81,7 +84,8 @@
 
 	pool := c.pools[peer]
 	if pool == nil {
-		pool = http1.NewPool(peer, http1.WithDialTimeout(dialTimeout), http1.WithIdle(maxIdle, idleTimeout))
+		pool = http1.NewPool(peer, http1.WithDialTimeout(dialTimeout), http1.WithIdle(maxIdle, idleTimeout),
+			http1.WithMaxHead(MaxHead))
 		c.pools[peer] = pool
 	}
 
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -26,6 +26,9 @@
 	acceptPause = 20 * time.Millisecond
 	// leaveWait is the time for the last call to the store.
 	leaveWait = 100 * time.Millisecond
+	// keysWait is how long a daemon without requests waits for its keys to be handed over, for which it needs the
+	// store. After that its keys are refused until its grants end, as after a crash.
+	keysWait = 3 * time.Second
 
 	// resumeInterval is the time between two looks at whether the process stood still.
 	resumeInterval = 500 * time.Millisecond
@@ -60,6 +63,11 @@
 	for (d.busy() || time.Now().Before(until)) && time.Now().Before(limit) {
 		time.Sleep(drainStep)
 	}
+
+	until = times.Earlier(time.Now().Add(keysWait), limit)
+	for !d.keysReleased() && time.Now().Before(until) {
+		time.Sleep(drainStep)
+	}
 }
 
 // drain is a shutdown in progress.
@@ -84,5 +92,12 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	return d.state.Busy() > 0 || !d.state.KeysReleased()
+	return d.state.Busy() > 0
+}
+
+func (d *Daemon) keysReleased() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.state.KeysReleased()
 }
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/attempt"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/httpserve"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
@@ -27,13 +28,15 @@
 
 	// Limits of the small servers for platform, backend server and operators.
 	smallHeaderTime = 2 * time.Second
+	smallReadTime   = 5 * time.Second
+	smallHeader     = 16 << 10
 	smallIdleTime   = time.Minute
 	smallShutdown   = 500 * time.Millisecond
 )
 
 // peerLimits bound connections of other daemons. They keep unused connections for less time.
 var peerLimits = http1.Limits{
-	Header: 256 << 10, HeaderTimeout: 10 * time.Second, BodyTimeout: bodyTimeout, IdleTimeout: time.Minute, Pipeline: 1,
+	Header: attempt.MaxHead, HeaderTimeout: 10 * time.Second, BodyTimeout: bodyTimeout, IdleTimeout: time.Minute, Pipeline: 1,
 }
 
 // callerLimits bound connections of callers.
@@ -149,8 +152,8 @@
 		}
 
 		server := &http.Server{
-			Handler: handler, ReadHeaderTimeout: smallHeaderTime, IdleTimeout: smallIdleTime,
-			ErrorLog: log.New(io.Discard, "", 0),
+			Handler: handler, ReadHeaderTimeout: smallHeaderTime, ReadTimeout: smallReadTime, IdleTimeout: smallIdleTime,
+			MaxHeaderBytes: smallHeader, ErrorLog: log.New(io.Discard, "", 0),
 		}
 
 		actors = append(actors, func(ctx context.Context) error {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -21,6 +21,7 @@
 // Reasons for refusing an attempt that arise here.
 const (
 	serverBroke  = "server-broke"
+	malformed    = "server-malformed"
 	serverShed   = "server-refused"
 	notCommitted = "not-committed"
 	duplicate    = "duplicate-attempt"
@@ -356,6 +357,8 @@
 		reply.Unusable = true
 
 		d.apply(health.Refused{})
+	case isMalformed(err):
+		reply.Reason = malformed
 	default:
 		reply.Crash = d.reportCrash(ctx, id)
 	}
@@ -370,6 +373,11 @@
 	return attempt.Answer{Reply: d.reply(call, reply)}
 }
 
+// isMalformed reports whether the server sent bytes that are no response to the request. It has not crashed then.
+func isMalformed(err error) bool {
+	return errors.IsAny(err, http1.ErrHeadTooLarge, backend.ErrForeign, backend.ErrUnsealed)
+}
+
 // reportCrash finds out whether the server is down. If it is, what was in flight becomes suspect, and the
 // identifier of the crash is returned.
 func (d *Daemon) reportCrash(ctx context.Context, id admission.Attempt) string {
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -32,7 +32,9 @@
 	maxIdle int
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout time.Duration
-	dials       atomic.Int64
+	// maxHead is the largest head of a response with the interim responses before it, in bytes.
+	maxHead int
+	dials   atomic.Int64
 
 	mutex  sync.Mutex
 	idle   []*ClientConn
@@ -52,16 +54,23 @@
 	return func(p *Pool) { p.maxIdle, p.idleTimeout = count, timeout }
 }
 
+// WithMaxHead sets the largest head of a response, in bytes. The interim responses before it are counted, too.
+func WithMaxHead(bytes int) PoolOption {
+	return func(p *Pool) { p.maxHead = bytes }
+}
+
 const (
 	defaultDialTimeout = time.Second
 	defaultIdle        = 64
 	defaultIdleTimeout = time.Minute
+	// DefaultMaxHead is the largest head of a message, in bytes, where nothing else is stated.
+	DefaultMaxHead = 64 << 10
 )
 
 // NewPool returns a pool without connections.
 func NewPool(address netip.AddrPort, options ...PoolOption) *Pool {
 	p := &Pool{
-		address: address, maxIdle: defaultIdle, idleTimeout: defaultIdleTimeout,
+		address: address, maxIdle: defaultIdle, idleTimeout: defaultIdleTimeout, maxHead: DefaultMaxHead,
 		dialer: net.Dialer{Timeout: defaultDialTimeout, KeepAliveConfig: KeepAlive()},
 	}
 	for _, option := range options {
@@ -162,7 +171,8 @@
 	limitUnacked(opened)
 
 	c := &ClientConn{pool: p, net: opened, writer: bufio.NewWriterSize(opened, bufferSize)}
-	c.reader = bufio.NewReaderSize(countingReader{c}, bufferSize)
+	c.source = &budgetReader{reader: countingReader{c}}
+	c.reader = bufio.NewReaderSize(c.source, bufferSize)
 
 	return c, nil
 }
@@ -198,6 +208,7 @@
 type ClientConn struct {
 	pool   *Pool
 	net    net.Conn
+	source *budgetReader
 	reader *bufio.Reader
 	writer *bufio.Writer
 	reused bool
@@ -262,10 +273,23 @@
 	return errors.Wrap(c.writer.Flush(), "write request")
 }
 
-// Read returns the next response of the connection, which may be an interim one.
+// Read returns the next response of the connection, which may be an interim one. It returns ErrHeadTooLarge once the
+// interim responses and the head of the final one exceed the limit of the pool.
 func (c *ClientConn) Read(method string) (*http.Response, error) {
+	if !c.source.limited {
+		c.source.limit(c.pool.maxHead)
+	}
+
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 
+	switch {
+	case err == nil && response.StatusCode >= http.StatusOK:
+		c.source.unlimited()
+	case err != nil && errors.Is(c.source.err, ErrHeadTooLarge):
+		// The parser may report an incomplete head as a malformed one.
+		err = ErrHeadTooLarge
+	}
+
 	return response, errors.Wrap(err, "read response")
 }
 
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -22,11 +23,8 @@
 	lingerBytes = 256 << 10
 )
 
-var (
-	errHeadTooLarge = errors.New("head of the request is too large")
-	// ErrBodyTooLarge is returned by Exchange.Body for a body beyond the limit.
-	ErrBodyTooLarge = errors.New("body of the request is too large")
-)
+// ErrBodyTooLarge is returned by Exchange.Body for a body beyond the limit.
+var ErrBodyTooLarge = errors.New("body of the request is too large")
 
 // conn is one accepted connection. One goroutine reads it; each request has a goroutine of its own.
 type conn struct {
@@ -109,7 +107,7 @@
 
 // readOne reads one request and starts its exchange. It returns false when the connection has ended.
 func (c *conn) readOne() bool {
-	limits := c.server.limits()
+	limits := c.server.limits().withDefaults()
 
 	if !c.awaitRequest(limits) {
 		return false
@@ -319,33 +317,27 @@
 
 var errNotContinued = errors.New("request was answered before its body")
 
+// firstRead is the largest part of a stated length for which memory is taken before the bytes have arrived.
+const firstRead = 64 << 10
+
+// readAll reads a body of at most limit bytes. The length that its peer states is not relied on.
 func readAll(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 
-	if limit > 0 && r.ContentLength > limit {
+	if r.ContentLength > limit {
 		return nil, ErrBodyTooLarge
 	}
 
-	var source io.Reader = r.Body
-	if limit > 0 {
-		source = io.LimitReader(r.Body, limit+1)
-	}
-
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(source, body)
-
-		return body, errors.Wrap(err, "read body")
-	}
+	body := bytes.NewBuffer(make([]byte, 0, bytes.MinRead+max(0, min(r.ContentLength, firstRead))))
 
-	body, err := io.ReadAll(source)
-	if err == nil && limit > 0 && int64(len(body)) > limit {
+	_, err := body.ReadFrom(io.LimitReader(r.Body, limit+1))
+	if err == nil && int64(body.Len()) > limit {
 		err = ErrBodyTooLarge
 	}
 
-	return body, errors.Wrap(err, "read body")
+	return body.Bytes(), errors.Wrap(err, "read body")
 }
 
 // errBadField is returned for a header field that another parser may read in another way.
@@ -388,7 +380,7 @@
 	var broken net.Error
 
 	switch {
-	case errors.Is(err, errHeadTooLarge):
+	case errors.Is(err, ErrHeadTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case isTimeout(err):
 		status = http.StatusRequestTimeout
@@ -411,39 +403,3 @@
 
 	_ = c.write(http.MethodGet, Response{Status: status, Header: http.Header{}, Body: noBody()}, true)
 }
-
-// budgetReader fails once its budget is used up.
-type budgetReader struct {
-	reader  io.Reader
-	limited bool
-	left    int
-	// err is the last error of the reader.
-	err error
-}
-
-func (r *budgetReader) limit(bytes int) {
-	r.limited = bytes > 0
-	// A part of the head, or all of it, may be in the buffer of the connection already.
-	r.left = bytes
-}
-
-func (r *budgetReader) unlimited() { r.limited = false }
-
-// Read implements io.Reader.
-func (r *budgetReader) Read(data []byte) (int, error) {
-	if r.limited {
-		if r.left <= 0 {
-			r.err = errHeadTooLarge
-
-			return 0, r.err
-		}
-
-		data = data[:min(len(data), r.left)]
-	}
-
-	n, err := r.reader.Read(data)
-	r.left -= n
-	r.err = err
-
-	return n, err
-}
--- /dev/null
+++ b/internal/http1/endless_test.go
@@ -0,0 +1,190 @@
+package http1_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/http1"
+)
+
+// endless accepts connections, reads from each the head of a request, and then sends a prefix and a text that it
+// repeats until its peer closes the connection.
+func endless(t *testing.T, prefix, repeated string) netip.AddrPort {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+
+	block := []byte(strings.Repeat(repeated, 1+(16<<10)/len(repeated)))
+
+	go func() {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+
+			go func() {
+				defer func() { _ = accepted.Close() }()
+
+				_, _ = accepted.Read(make([]byte, 4<<10))
+				_, err := io.WriteString(accepted, prefix)
+
+				for err == nil {
+					_, err = accepted.Write(block)
+				}
+			}()
+		}
+	}()
+
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// allocated returns the bytes that were allocated while run was called.
+func allocated(run func()) uint64 {
+	var before, after runtime.MemStats
+
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// Guards against a server that sends bytes without end where a head or the framing of a body is expected: they fill
+// the memory, or keep the request until its deadline.
+func TestEndlessAnswer(t *testing.T) {
+	const (
+		// atOnce is far below the deadline of any request.
+		atOnce = time.Second
+		// mostMemory is what may be allocated in all for one answer, in bytes.
+		mostMemory = 32 * http1.DefaultMaxHead
+		chunked    = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	)
+
+	for name, answer := range map[string]struct{ prefix, repeated string }{
+		"no line end":                   {"", "x"},
+		"status line":                   {"HTTP/1.1 200 ", "O"},
+		"one field":                     {"HTTP/1.1 200 OK\r\nX-Field: ", "x"},
+		"fields":                        {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+		"interim answers":               {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"early hints":                   {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+		"fields of an interim answer":   {"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n"},
+		"chunk size":                    {chunked, "1"},
+		"chunk extension":               {chunked + "5;", "x"},
+		"chunk extension of every byte": {chunked, "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"},
+		"trailer":                       {chunked + "0\r\n", "X-Field: value\r\n"},
+		"trailer line":                  {chunked + "0\r\nX-Field: ", "x"},
+		"empty lines":                   {"", "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := http1.NewPool(endless(t, answer.prefix, answer.repeated))
+			t.Cleanup(pool.Close)
+
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+
+			begun := time.Now()
+			memory := allocated(func() { require.Error(t, readAnswer(ctx, t, pool)) })
+
+			require.NoError(t, ctx.Err())
+			require.Less(t, time.Since(begun), atOnce)
+			require.Less(t, memory, uint64(mostMemory))
+		})
+	}
+}
+
+// readAnswer sends a request and reads its answer to the end.
+func readAnswer(ctx context.Context, t *testing.T, pool *http1.Pool) error {
+	t.Helper()
+
+	c, err := pool.Get(ctx, 0)
+	require.NoError(t, err)
+
+	defer c.Close()
+	defer c.CloseOn(ctx)()
+
+	require.NoError(t, c.Write(http1.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}))
+
+	response, err := c.ReadFinal(http.MethodGet)
+	if err != nil {
+		return err
+	}
+
+	_, err = io.Copy(io.Discard, response.Body)
+
+	return err
+}
+
+// Guards against a limit on heads that also counts the bodies between them.
+func TestLargeBodyAfterHead(t *testing.T) {
+	const size = 1 << 20
+
+	_, address := serve(t, http1.HandlerFunc(func(_ context.Context, x *http1.Exchange) {
+		_ = x.Respond(http1.Response{
+			Status: http.StatusOK, Header: http.Header{"X-Long": {strings.Repeat("x", 32<<10)}},
+			Body: http1.Body{Reader: strings.NewReader(strings.Repeat("y", size)), Length: size},
+		})
+	}))
+
+	pool := http1.NewPool(netip.MustParseAddrPort(address))
+	t.Cleanup(pool.Close)
+
+	c, err := pool.Get(t.Context(), 0)
+	require.NoError(t, err)
+
+	defer c.Close()
+
+	for range 3 {
+		require.NoError(t, c.Write(http1.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}))
+
+		response, err := c.ReadFinal(http.MethodGet)
+		require.NoError(t, err)
+
+		n, err := io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.EqualValues(t, size, n)
+	}
+}
+
+// Guards against a stated length that ends the process because so much memory cannot be allocated, or fills it before
+// a byte of the body has arrived.
+func TestStatedLength(t *testing.T) {
+	_, address := serve(t, http1.HandlerFunc(func(_ context.Context, x *http1.Exchange) {
+		status := http.StatusOK
+		if _, err := x.Body(); err != nil {
+			status = http.StatusBadRequest
+		}
+
+		_ = x.Respond(http1.Response{Status: status, Header: http.Header{}, Body: http1.Body{Reader: http.NoBody}})
+	}))
+
+	for _, length := range []string{"9000000000000000000", "4000000000"} {
+		memory := allocated(func() {
+			p := dial(t, address)
+			p.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + length + "\r\n\r\nbody")
+			require.NoError(t, p.Conn.(*net.TCPConn).CloseWrite())
+
+			_, _ = io.ReadAll(p.reader)
+		})
+
+		require.Less(t, memory, uint64(1<<20))
+	}
+
+	// The server still answers.
+	p := dial(t, address)
+	p.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+
+	response, _ := p.read()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -12,11 +13,11 @@
 	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
-// Limits bound what one connection may send. A zero value means no limit.
+// Limits bound what one connection may send. A zero value means no limit, but for sizes, which then have defaults.
 type Limits struct {
-	// Header is the largest head of a request in bytes.
+	// Header is the largest head of a request in bytes; DefaultMaxHead if it is zero.
 	Header int
-	// Body is the largest body of a request in bytes.
+	// Body is the largest body of a request in bytes; DefaultMaxBody if it is zero.
 	Body int64
 	// HeaderTimeout is the longest time from the first byte of a request to the end of its head.
 	HeaderTimeout time.Duration
@@ -28,6 +29,16 @@
 	Pipeline int
 }
 
+// DefaultMaxBody is the largest body of a request, in bytes, where nothing else is stated.
+const DefaultMaxBody = 64 << 20
+
+func (l Limits) withDefaults() Limits {
+	l.Header = cmp.Or(l.Header, DefaultMaxHead)
+	l.Body = cmp.Or(l.Body, DefaultMaxBody)
+
+	return l
+}
+
 // Handler answers the requests of a Server. It calls Respond or Abort of the exchange exactly once. The
 // context ends when the peer has closed the connection.
 type Handler interface {
--- a/internal/standin/backend/answer.go
+++ b/internal/standin/backend/answer.go
@@ -27,7 +27,7 @@
 		<-r.Context().Done()
 
 		return
-	case Extra, Unframed, CutShort, Unsealed, Garbage:
+	case Extra, Unframed, CutShort, Unsealed, Garbage, EndlessLine, EndlessHead, EndlessInterim, EndlessChunks, EndlessBody:
 	}
 
 	recorded := httptest.NewRecorder()
@@ -55,6 +55,8 @@
 	length := strconv.Itoa(len(body))
 
 	switch fault {
+	case EndlessLine, EndlessHead, EndlessInterim, EndlessChunks, EndlessBody:
+		writeEndless(buffer.Writer, recorded.Header(), fault)
 	case Garbage:
 		_, _ = buffer.WriteString("\x00\x01 this is no response\r\n")
 	case Unframed:
@@ -82,6 +84,38 @@
 	_ = buffer.Flush()
 }
 
+// writeEndless writes until the connection ends.
+func writeEndless(buffer *bufio.Writer, header http.Header, fault Fault) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+
+	repeated := "endless\r\n"
+
+	switch fault {
+	case EndlessLine:
+		repeated = "endless"
+	case EndlessHead:
+		_, _ = buffer.WriteString(ok)
+		repeated = "X-Endless: 1\r\n"
+	case EndlessInterim:
+		repeated = "HTTP/1.1 100 Continue\r\n\r\n"
+	case EndlessChunks:
+		_, _ = buffer.WriteString(ok + "Transfer-Encoding: chunked\r\n")
+		_ = header.Write(buffer)
+		_, _ = buffer.WriteString("\r\n")
+		repeated = "7\r\nendless\r\n"
+	default:
+		_, _ = buffer.WriteString(ok)
+		_ = header.Write(buffer)
+		_, _ = buffer.WriteString("\r\n")
+	}
+
+	for {
+		if _, err := buffer.WriteString(repeated); err != nil {
+			return
+		}
+	}
+}
+
 // writeRaw writes a response. Without a length, it ends with the connection.
 func writeRaw(buffer *bufio.ReadWriter, recorded *httptest.ResponseRecorder, length string, body []byte) {
 	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 %d %s\r\n", recorded.Code, http.StatusText(recorded.Code))
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -65,6 +65,14 @@
 	Unsealed
 	// Garbage answers bytes that are no response.
 	Garbage
+	// EndlessLine, EndlessHead, EndlessInterim, EndlessChunks and EndlessBody answer with bytes without end until
+	// the connection closes: without a line end, in a head, as interim responses, in a chunked body, and in a body
+	// that ends with the connection.
+	EndlessLine
+	EndlessHead
+	EndlessInterim
+	EndlessChunks
+	EndlessBody
 )
 
 // Run is what is known of one request that ran.
