membership, core, platform: decoders of foreign bytes are fuzzed; figures of a beat are bounded

Cause: a datagram or entry with a number beyond 2^63 was taken as a negative number of requests or slots, by which a server would look free for ever. Change: beats and entries with such figures are refused.

--- /dev/null
+++ b/internal/attempt/fuzz_test.go
@@ -0,0 +1,43 @@
+package attempt
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// Guards against a header of another daemon that ends this one, or that means something else once it was passed on.
+func FuzzDecodeCall(f *testing.F) {
+	f.Add(Call{Request: request.Request{ID: "r", Service: "s"}, Method: "GET", Target: "/", Wait: 5, Slowest: 1.5}.encode())
+
+	f.Fuzz(func(t *testing.T, text string) {
+		call, err := decodeCall(text)
+		if err != nil {
+			return
+		}
+
+		again, err := decodeCall(call.encode())
+		require.NoError(t, err)
+		require.Equal(t, call.encode(), again.encode())
+	})
+}
+
+// Guards against a reply of another daemon that ends this one.
+func FuzzDecodeReply(f *testing.F) {
+	f.Add(Reply{ID: "r", Verdict: verdict.NotRun, Reason: "busy", Report: load.Report{Server: "a", Slots: 6}}.encode())
+
+	f.Fuzz(func(t *testing.T, text string) {
+		reply, err := decodeReply(text)
+		if err != nil {
+			return
+		}
+
+		again, err := decodeReply(reply.encode())
+		require.NoError(t, err)
+		require.Equal(t, reply.encode(), again.encode())
+	})
+}
--- /dev/null
+++ b/internal/keys/fuzz_test.go
@@ -0,0 +1,24 @@
+package keys_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/keys"
+)
+
+// Guards against a part of a key table that ends the daemon that takes it over.
+func FuzzDecodeHandover(f *testing.F) {
+	f.Add(keys.EncodeHandover(keys.Handover{Service: "s", From: "a", Chunks: 1}))
+
+	f.Fuzz(func(t *testing.T, data []byte) {
+		handover, err := keys.DecodeHandover(data)
+		if err != nil {
+			return
+		}
+
+		_, err = keys.DecodeHandover(keys.EncodeHandover(handover))
+		require.NoError(t, err)
+	})
+}
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -118,6 +118,16 @@
 	return protowire.AppendString(protowire.AppendTag(out, field, protowire.BytesType), text)
 }
 
+// maxNumber is the largest number of requests, slots or milliseconds, or ratio in thousandths, that a beat may state.
+// Greater ones would overflow where they are added.
+const maxNumber = 1 << 31
+
+// smallFields are those that maxNumber bounds.
+var smallFields = []protowire.Number{
+	fieldSlots, fieldRunning, fieldWaiting, fieldReportSlots, fieldSlowness, fieldFailing, fieldCalls, fieldFoundSlots,
+	fieldFoundLimit, fieldCold,
+}
+
 // DecodeBeat reads a datagram.
 func DecodeBeat(data []byte) (Beat, error) {
 	numbers := make(map[protowire.Number]uint64)
@@ -165,6 +175,12 @@
 		return Beat{}, errors.Wrap(errBadBeat, "sender")
 	}
 
+	for _, field := range smallFields {
+		if numbers[field] > maxNumber {
+			return Beat{}, errors.Wrapf(errBadBeat, "field %d", field)
+		}
+	}
+
 	flags := numbers[fieldFlags]
 	beat := Beat{
 		From: instance.Member{
@@ -241,6 +257,10 @@
 		return Entry{}, errors.Newf("entry of %q names no address", stored.ID)
 	}
 
+	if stored.Slots < 0 || stored.Limit < 0 {
+		return Entry{}, errors.Newf("entry of %q states a negative number", stored.ID)
+	}
+
 	var status instance.Status
 	if err := status.UnmarshalText([]byte(stored.Status)); err != nil {
 		return Entry{}, err
