core, routing: requests of callers are told from calls of the server; other regions are tried again

And a server of another region, which nobody there watches, was believed to be closed for ever after one report. Change: a call ends with the request that makes it, so a request that may last longer than all at the server is one of a caller, and so is its route (TestOriginOfRequests). A report that a server is closed is believed for 2 s (closed-elsewhere), reports of an earlier run are forgotten. Other regions are chosen only if the own one would be late (full-region).

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -47,7 +47,11 @@
 type Submission struct {
 	Request request.Request
 	// Parts are the services that share the requests of the route; empty if there is one.
-	Parts  []manifest.Part
+	Parts []manifest.Part
+	// Local is set if it was sent from the instance itself, where the backend server cannot be told from callers, and
+	// Stated is the deadline that its sender stated.
+	Local  bool
+	Stated time.Time
 	Method string
 	Target string
 	Host   string
@@ -101,8 +105,8 @@
 	dialect   dialect.Dialect
 	// origin is the service on whose instance the daemon runs.
 	origin string
-	// nested is the address from which the backend server makes calls; invalid if it cannot be told apart.
-	nested   netip.Addr
+	// local is the address of the instance, from which the backend server makes calls; invalid if others have it, too.
+	local    netip.Addr
 	observer Observer
 }
 
@@ -115,9 +119,9 @@
 // WithOrigin sets the service on whose instance the daemon runs.
 func WithOrigin(service string) Option { return func(h *Handler) { h.origin = service } }
 
-// WithNestedFrom treats requests from an address as calls of the local backend server. An address that
-// callers share with it cannot be used.
-func WithNestedFrom(address netip.Addr) Option { return func(h *Handler) { h.nested = address } }
+// WithLocal marks requests from the address of the instance, which may be calls of the backend server. It is for
+// platforms whose header fields do not tell calls apart.
+func WithLocal(address netip.Addr) Option { return func(h *Handler) { h.local = address } }
 
 // WithObserver sets a function that is told the end of each request.
 func WithObserver(observer Observer) Option { return func(h *Handler) { h.observer = observer } }
@@ -242,6 +246,8 @@
 		submission.Parts = match.Route.Parts
 	}
 
+	submission.Local, submission.Stated = h.isLocal(x), h.stated(r.Header, described)
+
 	return submission, Refusal{}, true
 }
 
@@ -300,24 +306,36 @@
 	return described, described.Depth <= maxDepth
 }
 
-// nest marks the calls of the local backend server.
+// nest marks the calls of the local backend server that name the request that makes them.
 func (h *Handler) nest(x *http1.Exchange, described *request.Request) {
-	if h.dialect.Call != "" {
-		if parent, nested := h.parents.Parent(x.Request.Header.Get(h.dialect.Call)); nested {
-			described.Depth = parent.Depth + 1
-			if parent.Deadline.Before(described.Deadline) {
-				described.Deadline = parent.Deadline
-			}
-		}
-
+	if h.dialect.Call == "" {
 		return
 	}
 
-	if remote, err := netip.ParseAddrPort(x.Remote()); err == nil && remote.Addr() == h.nested {
-		described.Depth = 1
+	if parent, nested := h.parents.Parent(x.Request.Header.Get(h.dialect.Call)); nested {
+		described.Depth = parent.Depth + 1
+		if parent.Deadline.Before(described.Deadline) {
+			described.Deadline = parent.Deadline
+		}
 	}
 }
 
+// isLocal reports whether a request was sent from the instance itself.
+func (h *Handler) isLocal(x *http1.Exchange) bool {
+	remote, err := netip.ParseAddrPort(x.Remote())
+
+	return err == nil && h.dialect.Call == "" && remote.Addr() == h.local
+}
+
+// stated is the deadline that the sender of a request stated, which may be after that of its rule.
+func (h *Handler) stated(header http.Header, described request.Request) time.Time {
+	if left, ok := h.dialect.ParseTimeout(header); ok {
+		return h.now().Add(left)
+	}
+
+	return described.Deadline
+}
+
 // respond writes the response of a backend server.
 func (h *Handler) respond(x *http1.Exchange, response *Response) {
 	defer func() { _ = response.Body.Close() }()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,6 +74,7 @@
 	crashes int
 	splits  map[string]*split
 	calls   callRate
+	origins origins
 
 	version  uint64
 	services []manifest.Service
@@ -126,6 +127,7 @@
 		requests:   make(map[request.ID]request.Request),
 		serving:    make(map[admission.Attempt]*served),
 		splits:     make(map[string]*split),
+		origins:    origins{callers: make(map[string]bool)},
 		replies:    rate.NewLimiter(0, 0),
 		replyCross: rate.NewLimiter(0, 0),
 	}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -53,6 +53,10 @@
 
 	s.takeFindings(now, e)
 
+	if e.Own.Member.ID == s.options.Self.ID {
+		s.origins.settled = now.Add(orphanTime)
+	}
+
 	if e.Own.Member.ID == s.options.Self.ID && e.Own.Member.Incarnation >= s.options.Self.Incarnation {
 		// The clock was set back since the earlier run; others would take this one for it.
 		s.options.Self.Incarnation = e.Own.Member.Incarnation + 1
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -27,6 +27,10 @@
 	RequestArrived struct {
 		Request request.Request
 		Parts   []manifest.Part
+		// Local is set if it was sent from the instance itself, by the backend server or by a caller, and Stated is the
+		// deadline that its sender stated.
+		Local  bool
+		Stated time.Time
 	}
 	// OwnedArrived brings a request with a key that another daemon forwards because this one owns the key.
 	OwnedArrived struct{ Request request.Request }
--- /dev/null
+++ b/internal/core/origins_test.go
@@ -0,0 +1,115 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/admission"
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/health"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
+)
+
+// sender sends requests from the instance of a daemon and runs some at its server.
+type sender struct {
+	*testing.T
+	state *State
+	now   time.Time
+}
+
+func newSender(t *testing.T, earlier bool) *sender {
+	t.Helper()
+
+	s := &sender{T: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	self := instance.Member{ID: "self", Service: "stock"}
+	s.state = New(Options{Self: self, QueuePerSlot: 2})
+	s.state.Apply(s.now, Started{})
+
+	read := membership.EntriesRead{Entries: []membership.Entry{{Member: instance.Member{ID: "there", Service: "other", Slots: 9}}}}
+	if earlier {
+		read.Entries = append(read.Entries, membership.Entry{Member: self})
+	}
+
+	s.state.Apply(s.now, read)
+	s.state.Apply(s.now, health.Announced{Announcement: backend.Announcement{ID: "i", Service: "stock", Slots: 4, Sequence: 1}})
+
+	return s
+}
+
+// isCall reports whether a request that lasts the given time is taken for a call of the server.
+func (s *sender) isCall(id request.ID, route string, left time.Duration) bool {
+	s.Helper()
+
+	s.state.Apply(s.now, RequestArrived{
+		Request: request.Request{ID: id, Service: "other", Route: route, Kind: manifest.Idempotent, Deadline: s.now.Add(left)},
+		Local:   true, Stated: s.now.Add(left),
+	})
+
+	known, ok := s.state.requests[id]
+	require.True(s, ok, "the request has ended")
+
+	return known.Nested()
+}
+
+// run begins a request at the server and returns its attempt.
+func (s *sender) run(id request.ID, left time.Duration) admission.Attempt {
+	s.Helper()
+
+	attempt := admission.Attempt{Entry: "entry", ID: id}
+	s.state.Apply(s.now, AttemptArrived{Attempt: attempt, Request: request.Request{
+		ID: id, Service: "stock", Route: "stock/parent", Deadline: s.now.Add(left),
+	}})
+	require.True(s, s.state.serving[attempt].started)
+
+	return attempt
+}
+
+func (s *sender) after(elapsed time.Duration) { s.now = s.now.Add(elapsed) }
+
+// Guards against requests of callers that are taken for calls of the server, because both come from the address of the
+// instance: they wait until their deadline under overload, and before those whose parents hold slots.
+func TestOriginOfRequests(t *testing.T) {
+	t.Run("nothing runs at the server", func(t *testing.T) {
+		s := newSender(t, false)
+		require.False(t, s.isCall("a", "other/lookup", time.Second))
+	})
+
+	t.Run("a call ends with its parent", func(t *testing.T) {
+		s := newSender(t, false)
+		s.run("parent", time.Second)
+		s.after(300 * time.Millisecond)
+		require.True(t, s.isCall("call", "other/call", 400*time.Millisecond))
+		require.True(t, s.isCall("late call", "other/call", 700*time.Millisecond))
+		require.False(t, s.isCall("caller", "other/lookup", 2500*time.Millisecond))
+	})
+
+	t.Run("a route that callers use", func(t *testing.T) {
+		s := newSender(t, false)
+		require.False(t, s.isCall("first", "other/lookup", 2*time.Second))
+		s.run("parent", 5*time.Second)
+		require.False(t, s.isCall("second", "other/lookup", 2*time.Second))
+		require.True(t, s.isCall("call", "other/call", 400*time.Millisecond))
+	})
+
+	t.Run("the parent has just ended", func(t *testing.T) {
+		s := newSender(t, false)
+		attempt := s.run("parent", time.Second)
+		s.state.Apply(s.now, AttemptServed{Attempt: attempt, Ran: true})
+		s.after(10 * time.Millisecond)
+		require.True(t, s.isCall("call", "other/call", 400*time.Millisecond))
+		s.after(time.Second)
+		require.False(t, s.isCall("caller", "other/call", 400*time.Millisecond))
+	})
+
+	t.Run("the parent came through an earlier run", func(t *testing.T) {
+		s := newSender(t, true)
+		require.True(t, s.isCall("call", "other/call", 400*time.Millisecond))
+		s.after(2 * orphanTime)
+		require.False(t, s.isCall("caller", "other/lookup", time.Second))
+	})
+}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -18,6 +18,10 @@
 		r.Service = s.choosePart(r.Route, e.Parts)
 	}
 
+	if e.Local && s.isCall(now, r, e.Stated) {
+		r.Depth = 1
+	}
+
 	repeated := 0.0
 
 	if r.Nested() {
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -42,7 +42,7 @@
 // toAdmission applies an event and keeps the list of what is at the backend server.
 func (s *State) toAdmission(now time.Time, event admission.Event) []Effect {
 	if done, ok := event.(admission.Done); ok {
-		s.forget(done.Attempt)
+		s.forget(now, done.Attempt)
 	}
 
 	effects := s.admission.Apply(now, event)
@@ -55,7 +55,7 @@
 				at.started, at.begun = true, s.concurrency.Begin(now)
 			}
 		case admission.Refuse:
-			s.forget(e.Attempt)
+			s.forget(now, e.Attempt)
 		}
 
 		all = append(all, effect)
@@ -63,7 +63,7 @@
 
 	if cancelled, ok := event.(admission.Cancelled); ok {
 		if at, known := s.serving[cancelled.Attempt]; known && !at.started {
-			s.forget(cancelled.Attempt)
+			s.forget(now, cancelled.Attempt)
 		}
 	}
 
@@ -88,11 +88,16 @@
 	return float64(repeats) / float64(max(1, running))
 }
 
-func (s *State) forget(attempt admission.Attempt) {
-	if _, ok := s.serving[attempt]; !ok {
+func (s *State) forget(now time.Time, attempt admission.Attempt) {
+	at, ok := s.serving[attempt]
+	if !ok {
 		return
 	}
 
+	if at.started {
+		s.origins.left(now, at.request)
+	}
+
 	delete(s.serving, attempt)
 	s.order = slices.DeleteFunc(s.order, func(a admission.Attempt) bool { return a == attempt })
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -211,7 +211,7 @@
 
 	// On loopback, callers and the backend server have the same address.
 	if address := chosen.Backend.Address.Addr(); !address.IsLoopback() {
-		options = append(options, caller.WithNestedFrom(address))
+		options = append(options, caller.WithLocal(address))
 	}
 
 	return caller.NewHandler(d.currentMatcher, d, d, d.now, options...)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -117,7 +117,9 @@
 	if owned {
 		d.applyLocked(core.OwnedArrived{Request: e.submission.Request})
 	} else {
-		d.applyLocked(core.RequestArrived{Request: e.submission.Request, Parts: e.submission.Parts})
+		d.applyLocked(core.RequestArrived{
+			Request: e.submission.Request, Parts: e.submission.Parts, Local: e.submission.Local, Stated: e.submission.Stated,
+		})
 	}
 
 	return id
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -82,77 +84,90 @@
 	candidates int
 }
 
-// choose returns a server with the least cost among those that the flight may use, or none.
-func (s *State) choose(now time.Time, f *flight) choice {
-	var (
-		best  choice
-		costs = s.costs[:0]
-	)
+// candidate is a server that a flight may use.
+type candidate struct {
+	server *server
+	cost   cost
+}
 
-	svc := f.service
+// choose returns a server for the flight, or none. Other regions are considered only if the own one has no server that
+// is expected to respond in time: the link between regions is narrow and billed, and the load there is hardly known.
+func (s *State) choose(now time.Time, f *flight) choice {
+	all := s.candidates(now, f)
+	near := slices.IndexFunc(all, func(c candidate) bool { return c.server.distance == otherRegion })
 
-	for _, srv := range svc.servers {
-		if !srv.open(now) || f.excludes(now, srv) || !svc.mayReach(now, srv) {
-			costs = append(costs, -1)
+	if near < 0 {
+		return s.pick(all)
+	}
 
-			continue
-		}
+	if here := s.pick(all[:near]); here.server != nil && (f.inTime(now, here.cost) || !f.inTime(now, cheapest(all).cost)) {
+		return here
+	}
 
-		cost := s.cost(now, f, srv)
-		costs = append(costs, cost.total)
-		best.candidates++
+	return s.pick(all)
+}
 
-		if best.server == nil || cost.total < best.cost.total {
-			best.server, best.cost = srv, cost
-		}
+// inTime reports whether a response is expected within the target, or for a nested call within the deadline.
+func (f *flight) inTime(now time.Time, c cost) bool {
+	until := f.request.Deadline
+	if target := f.request.Target; !target.IsZero() && !f.request.Nested() {
+		until = target
 	}
 
-	s.costs = costs
+	return !now.Add(seconds(c.time)).After(until)
+}
+
+// candidates lists the servers that a flight may use, those of other regions last. The list is valid until the next
+// call.
+func (s *State) candidates(now time.Time, f *flight) []candidate {
+	all := s.compared[:0]
 
-	if best.server == nil {
-		return best
+	for _, far := range []bool{false, true} {
+		for _, srv := range f.service.servers {
+			if far == (srv.distance == otherRegion) && srv.open(now) && !f.excludes(now, srv) && f.service.mayReach(now, srv) {
+				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv)})
+			}
+		}
 	}
 
-	best.server = s.pick(f, costs, best.cost.total)
-	best.cost = s.cost(now, f, best.server)
-	best.next, best.others = nextCost(f, costs, best.server)
+	s.compared = all
+
+	return all
+}
 
-	return best
+// cheapest returns the first candidate with the least cost.
+func cheapest(all []candidate) candidate {
+	return slices.MinFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost.total, b.cost.total) })
 }
 
-// pick draws one of the servers that cost about as much as the best one.
-func (s *State) pick(f *flight, costs []float64, least float64) *server {
+// pick draws one of the candidates that cost about as much as the best one.
+func (s *State) pick(all []candidate) choice {
+	if len(all) == 0 {
+		return choice{}
+	}
+
 	var (
-		chosen *server
+		chosen = choice{candidates: len(all)}
+		limit  = cheapest(all).cost.total * similar
 		count  int
 	)
 
-	for i, srv := range f.service.servers {
-		if costs[i] < 0 || costs[i] > least*similar {
+	for _, c := range all {
+		if c.cost.total > limit {
 			continue
 		}
 
 		count++
 		if s.random.IntN(count) == 0 {
-			chosen = srv
+			chosen.server, chosen.cost = c.server, c.cost
 		}
 	}
 
-	return chosen
-}
-
-func nextCost(f *flight, costs []float64, chosen *server) (float64, bool) {
-	next, found := 0.0, false
-
-	for i, srv := range f.service.servers {
-		if costs[i] < 0 || srv == chosen {
-			continue
-		}
-
-		if !found || costs[i] < next {
-			next, found = costs[i], true
+	for _, c := range all {
+		if c.server != chosen.server && (!chosen.others || c.cost.total < chosen.next) {
+			chosen.next, chosen.others = c.cost.total, true
 		}
 	}
 
-	return next, found
+	return chosen
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -37,8 +37,13 @@
 	return func(s *State) { s.random = rand.New(rand.NewPCG(seed, 0)) }
 }
 
-// WithRepeats limits how often requests are sent once more.
-func WithRepeats(repeats Repeats) Option { return func(s *State) { s.repeats = repeats } }
+// WithRepeats limits how often requests are sent once more. Without a window, the default one applies.
+func WithRepeats(repeats Repeats) Option {
+	return func(s *State) {
+		s.repeats = repeats
+		s.repeats.Window = cmp.Or(repeats.Window, defaultWindow)
+	}
+}
 
 // State is what an entry daemon knows of servers and of requests in progress. It is not safe for concurrent
 // use.
@@ -55,8 +60,9 @@
 	policies []manifest.Service
 	// acceptance is that of all servers, for what slows this daemon itself down.
 	acceptance acceptance
-	costs      []float64
-	counts     Counts
+	// compared is the memory of candidates.
+	compared []candidate
+	counts   Counts
 }
 
 // service is a group of servers that answer the same requests.
@@ -170,7 +176,7 @@
 	srv := s.servers[member.ID]
 	if srv != nil && srv.member.Service == member.Service {
 		if srv.member.Incarnation != member.Incarnation {
-			srv.avoidUntil, srv.misses = time.Time{}, 0
+			srv.restarted()
 		}
 
 		srv.member = member
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -64,7 +64,7 @@
 	unknownSlowness = 1.3
 	// coldFactor is how much longer work takes at a server that has just started.
 	coldFactor = 2
-	// staleAfter is the age at which a report no longer says how busy a server is.
+	// staleAfter is the age at which a report no longer says how busy a server is, or that it is closed.
 	staleAfter = 2 * time.Second
 )
 
@@ -107,9 +107,12 @@
 	return max(1, srv.member.Slots)
 }
 
-// open reports whether the server takes new work as far as is known.
+// open reports whether the server takes new work as far as is known. A server that nobody watches says only in its
+// replies that it is open again, so that an old report does not keep requests away.
 func (srv *server) open(now time.Time) bool {
-	return srv.member.Usable() && (srv.heard.IsZero() || srv.report.Open) && !now.Before(srv.avoidUntil)
+	closed := !srv.heard.IsZero() && !srv.report.Open && now.Sub(srv.heard) <= staleAfter
+
+	return srv.member.Usable() && !closed && !now.Before(srv.avoidUntil)
 }
 
 // take stores a newer report.
@@ -149,6 +152,13 @@
 	srv.avoidUntil = now.Add(min(period, avoidMax))
 }
 
+// restarted forgets what was known of an earlier run of the daemon.
+func (srv *server) restarted() {
+	srv.answered()
+	srv.report, srv.heard = load.Report{}, time.Time{}
+	srv.unreported = len(srv.live)
+}
+
 func (srv *server) answered() {
 	srv.misses = 0
 	srv.avoidUntil = time.Time{}
