admission, routing: late requests wait behind all others; waiting requests are told by rank

And a daemon that compares servers counted everything that waits, also what the request would overtake. Change: ranks (nested, by priority, late) order the queue of a server; a full queue makes room for a better rank; reports state how many wait at each rank, and the wait of a request is estimated from those ahead of it. A late request waits like any other, at the last rank.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -9,6 +9,8 @@
 import (
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
@@ -67,12 +69,18 @@
 func (s *State) Running() int { return len(s.running) }
 
 // Waiting is the number of attempts in the queue.
-func (s *State) Waiting() int {
+func (s *State) Waiting() load.Waiting {
+	var counts load.Waiting
+
+	for _, w := range s.queue {
+		counts[w.Rank]++
+	}
+
 	if s.alone != nil {
-		return len(s.queue) + 1
+		counts[s.alone.Rank]++
 	}
 
-	return len(s.queue)
+	return counts
 }
 
 // Next is when Tick is due; the zero time if nothing waits.
@@ -98,21 +106,40 @@
 
 	w := &waiting{Arrived: e, since: now}
 
-	if reason, refused := s.refusal(now, e); refused {
+	if reason, refused := s.refusal(now, w); refused {
 		return []Effect{s.refuse(now, w, reason)}
 	}
 
+	var effects []Effect
+
 	if e.Alone {
 		s.alone = w
 	} else {
+		effects = s.displace(now)
 		s.queue.push(w)
 	}
 
 	if s.free() {
-		return s.startWaiting()
+		return append(effects, s.startWaiting()...)
 	}
 
-	return []Effect{Queued{Attempt: e.Attempt}}
+	return append(effects, Queued{Attempt: e.Attempt})
+}
+
+// displace refuses the last attempt of a full queue, to make room for one that goes before it. Calls are not displaced.
+func (s *State) displace(now time.Time) []Effect {
+	if len(s.queue) < max(1, s.queueLimit) || len(s.running) < s.slots {
+		return nil
+	}
+
+	last := s.queue[len(s.queue)-1]
+	if last.Rank == request.NestedRank {
+		return nil
+	}
+
+	s.queue.remove(last.Attempt)
+
+	return []Effect{s.refuse(now, last, QueueFull)}
 }
 
 // free reports whether what waits is about to start.
@@ -125,7 +152,8 @@
 }
 
 // refusal decides whether an arriving attempt is turned away at once.
-func (s *State) refusal(now time.Time, e Arrived) (Reason, bool) {
+func (s *State) refusal(now time.Time, w *waiting) (Reason, bool) {
+	e := w.Arrived
 	full := s.exclusive || s.alone != nil || len(s.running)+len(s.queue) >= s.slots
 
 	switch {
@@ -142,7 +170,7 @@
 	case e.Wait <= 0:
 		return Busy, true
 	default:
-		return QueueFull, len(s.queue) >= s.queueLimit && !e.Nested
+		return QueueFull, len(s.queue) >= s.queueLimit && e.Rank != request.NestedRank && !s.queue.endsBehind(w)
 	}
 }
 
@@ -287,7 +315,7 @@
 // Dump returns plain values.
 func (s *State) Dump() Dump {
 	return Dump{
-		Running: len(s.running), Waiting: s.Waiting(), Slots: s.slots, Closed: s.closed,
+		Running: len(s.running), Waiting: s.Waiting().Total(), Slots: s.slots, Closed: s.closed,
 		Slowness: s.slowness, Counts: s.counts,
 	}
 }
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -25,9 +25,9 @@
 	Arrived struct {
 		Attempt  Attempt
 		Deadline time.Time
-		// Nested calls go before new ones, so that work already begun completes.
-		Nested bool
-		// Priority orders the other attempts; 0 is the highest.
+		// Rank orders what waits.
+		Rank request.Rank
+		// Priority orders attempts of the same rank; 0 is the highest.
 		Priority int
 		// Alone asks to run while nothing else does.
 		Alone bool
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -22,8 +22,8 @@
 
 // before reports whether w gets a slot before other. Of equal rank, the one that came first does.
 func (w *waiting) before(other *waiting) bool {
-	if w.Nested != other.Nested {
-		return w.Nested
+	if w.Rank != other.Rank {
+		return w.Rank < other.Rank
 	}
 
 	return w.Priority < other.Priority
@@ -56,6 +56,9 @@
 	return len(*q) < before
 }
 
+// endsBehind reports whether the last attempt of the queue gets a slot after w.
+func (q queue) endsBehind(w *waiting) bool { return len(q) > 0 && w.before(q[len(q)-1]) }
+
 func (q queue) has(attempt Attempt) bool {
 	return slices.ContainsFunc(q, func(w *waiting) bool { return w.Attempt == attempt })
 }
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -42,7 +42,7 @@
 		return describe(r.state.Apply(now, admission.Arrived{
 			Attempt:  attemptOf(line.Word(0)),
 			Deadline: now.Add(line.Duration("deadline", time.Second)), Wait: line.Duration("wait", 100*time.Millisecond),
-			Nested: line.Has("nested"), Alone: line.Has("alone"), Priority: line.Int("priority", 0),
+			Rank: rankOf(line), Alone: line.Has("alone"), Priority: line.Int("priority", 0),
 			Slowest: line.Float("slowest", 0),
 		}))
 	case "done":
@@ -78,3 +78,13 @@
 
 	return lines
 }
+
+// rankOf reads nested, late or the priority.
+func rankOf(line script.Line) request.Rank {
+	r := request.Request{Priority: line.Int("priority", 0)}
+	if line.Has("nested") {
+		r.Depth = 1
+	}
+
+	return r.Rank(line.Has("late"))
+}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -53,6 +53,8 @@
 	Wait time.Duration
 	// Slowest is the slowness of the server above which the attempt is refused; zero for any.
 	Slowest float64
+	// Late is set if the request can no longer be answered within its target.
+	Late bool
 	// Repeat is set if the request may have reached another server before.
 	Repeat bool
 	// Timeout is the time left until the deadline when the call is sent.
@@ -122,6 +124,10 @@
 		values.Set("repeat", "1")
 	}
 
+	if c.Late {
+		values.Set("late", "1")
+	}
+
 	if c.Slowest > 0 {
 		values.Set("slowest", formatRatio(c.Slowest))
 	}
@@ -146,6 +152,7 @@
 		Wait:    fields.duration("wait"),
 		Slowest: fields.ratio("slowest"),
 		Repeat:  fields.text("repeat") != "",
+		Late:    fields.text("late") != "",
 		Timeout: fields.duration("timeout"),
 		From:    instance.ID(fields.text("from")),
 		To:      instance.ID(fields.text("to")),
@@ -186,7 +193,10 @@
 		"slowness": {formatRatio(r.Report.Slowness)},
 	}
 
-	setNumber(values, "waiting", r.Report.Waiting)
+	if queue := r.Report.Waiting.Pack(); queue > 0 {
+		values.Set("queue", strconv.FormatUint(queue, 10))
+	}
+
 	setNumber(values, "status", r.Status)
 	setText(values, "reason", r.Reason)
 	setText(values, "crash", r.Crash)
@@ -256,7 +266,7 @@
 			Counter:     uint64(fields.integer("counter")),
 			Open:        fields.text("open") != "",
 			Running:     int(fields.integer("running")),
-			Waiting:     int(fields.integer("waiting")),
+			Waiting:     load.UnpackWaiting(fields.unsigned("queue")),
 			Slots:       int(fields.integer("slots")),
 			Slowness:    fields.ratio("slowness"),
 			Failing:     fields.ratio("failing"),
@@ -323,6 +333,10 @@
 	return parse(f, name, func(text string) (int64, error) { return strconv.ParseInt(text, 10, 64) })
 }
 
+func (f *fieldSet) unsigned(name string) uint64 {
+	return parse(f, name, func(text string) (uint64, error) { return strconv.ParseUint(text, 10, 64) })
+}
+
 func (f *fieldSet) hexadecimal(name string) uint64 {
 	return parse(f, name, func(text string) (uint64, error) { return strconv.ParseUint(text, 16, 64) })
 }
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -31,7 +31,7 @@
 	return s.toAdmission(now, admission.Arrived{
 		Attempt:  e.Attempt,
 		Deadline: e.Request.Deadline,
-		Nested:   e.Request.Nested(),
+		Rank:     e.Request.Rank(e.Late),
 		Priority: e.Request.Priority,
 		Alone:    e.Request.Alone,
 		Wait:     e.Wait,
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -50,7 +50,7 @@
 		Stringer("verdict", ended.Ended.Verdict)
 
 	if reason != "" {
-		line = line.Str("reason", reason).Int("running", ended.Report.Running).Int("waiting", ended.Report.Waiting).
+		line = line.Str("reason", reason).Int("running", ended.Report.Running).Int("waiting", ended.Report.Waiting.Total()).
 			Int("slots", ended.Report.Slots).Float64("slowness", ended.Report.Slowness)
 	}
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/request"
 )
 
 // Report is the load of a backend server as the daemon beside it tells other daemons.
@@ -15,9 +16,11 @@
 	Counter uint64
 	// Open is set while the server takes new work.
 	Open bool
-	// Running is the number of requests at the backend server, Waiting the number that wait for a slot.
-	Running, Waiting int
-	Slots            int
+	// Running is the number of requests at the backend server.
+	Running int
+	// Waiting are those that wait for a slot.
+	Waiting Waiting
+	Slots   int
 	// Slowness is how long work takes at present relative to the usual time; 1 is as usual.
 	Slowness float64
 	// Failing is the share of requests that recently got no usable response.
@@ -43,7 +46,10 @@
 }
 
 // Busy is the number of requests at the server, those that wait included.
-func (r Report) Busy() int { return r.Running + r.Waiting }
+func (r Report) Busy() int { return r.Running + r.Waiting.Total() }
+
+// Ahead is the number of requests at the server that go before a new one of a rank.
+func (r Report) Ahead(rank request.Rank) int { return r.Running + r.Waiting.Ahead(rank) }
 
 const (
 	// slownessStep is the relative change of the slowness that matters to a choice between servers.
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -32,7 +32,7 @@
 	fieldVersion
 	fieldReport
 	fieldRunning
-	fieldWaiting
+	_ // a number that earlier versions sent
 	fieldReportSlots
 	fieldSlowness
 	fieldFailing
@@ -41,6 +41,7 @@
 	fieldMessage
 	fieldFoundSlots
 	fieldFoundLimit
+	fieldQueue
 )
 
 const (
@@ -91,7 +92,7 @@
 
 	out = appendNumber(out, fieldReport, b.Report.Counter)
 	out = appendNumber(out, fieldRunning, uint64(b.Report.Running))
-	out = appendNumber(out, fieldWaiting, uint64(b.Report.Waiting))
+	out = appendNumber(out, fieldQueue, b.Report.Waiting.Pack())
 	out = appendNumber(out, fieldReportSlots, uint64(b.Report.Slots))
 	out = appendNumber(out, fieldSlowness, toRatio(b.Report.Slowness))
 	out = appendNumber(out, fieldFailing, toRatio(b.Report.Failing))
@@ -124,7 +125,7 @@
 
 // smallFields are those that maxNumber bounds.
 var smallFields = []protowire.Number{
-	fieldSlots, fieldRunning, fieldWaiting, fieldReportSlots, fieldSlowness, fieldFailing, fieldCalls, fieldFoundSlots,
+	fieldSlots, fieldRunning, fieldReportSlots, fieldSlowness, fieldFailing, fieldCalls, fieldFoundSlots,
 	fieldFoundLimit, fieldCold,
 }
 
@@ -200,7 +201,7 @@
 	if numbers[fieldReport] > 0 {
 		beat.Report = load.Report{
 			Server: beat.From.ID, Incarnation: beat.From.Incarnation, Counter: numbers[fieldReport],
-			Open: flags&flagOpen != 0, Running: int(numbers[fieldRunning]), Waiting: int(numbers[fieldWaiting]),
+			Open: flags&flagOpen != 0, Running: int(numbers[fieldRunning]), Waiting: load.UnpackWaiting(numbers[fieldQueue]),
 			Slots: int(numbers[fieldReportSlots]), Slowness: float64(numbers[fieldSlowness]) / ratioScale,
 			Failing: float64(numbers[fieldFailing]) / ratioScale,
 			Calls:   float64(numbers[fieldCalls]) / ratioScale,
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/request"
 )
 
 const (
@@ -32,11 +34,11 @@
 	total float64
 }
 
-func (s *State) cost(now time.Time, f *flight, srv *server) cost {
+func (s *State) cost(now time.Time, f *flight, srv *server, rank request.Rank) cost {
 	work := f.estimate.workOrDefault().Seconds()
 	slow := srv.slowness(now)
 	slots := srv.slots()
-	ahead := srv.ahead(now)
+	ahead := srv.ahead(now, rank)
 
 	run := min(work*slow, work+spell.Seconds())
 	if float64(ahead+1) > nearFull*float64(slots) {
@@ -82,6 +84,8 @@
 	others bool
 	// candidates is the number of servers that were compared.
 	candidates int
+	// late is set if no response is expected within the target.
+	late bool
 }
 
 // candidate is a server that a flight may use.
@@ -90,10 +94,23 @@
 	cost   cost
 }
 
-// choose returns a server for the flight, or none. Other regions are considered only if the own one has no server that
-// is expected to respond in time: the link between regions is narrow and billed, and the load there is hardly known.
+// choose returns a server for the flight, or none. What goes before the request depends on whether it is late.
 func (s *State) choose(now time.Time, f *flight) choice {
-	all := s.candidates(now, f)
+	chosen := s.chooseAs(now, f, f.request.Rank(false))
+	if chosen.server == nil || f.request.Nested() || f.inTime(now, chosen.cost) {
+		return chosen
+	}
+
+	chosen = s.chooseAs(now, f, request.LateRank)
+	chosen.late = true
+
+	return chosen
+}
+
+// chooseAs returns a server for the flight at a rank. Other regions are considered only if the own one has no server
+// that is expected to respond in time: the link between regions is narrow and billed, and the load there is hardly known.
+func (s *State) chooseAs(now time.Time, f *flight, rank request.Rank) choice {
+	all := s.candidates(now, f, rank)
 	near := slices.IndexFunc(all, func(c candidate) bool { return c.server.distance == otherRegion })
 
 	if near < 0 {
@@ -109,23 +126,27 @@
 
 // inTime reports whether a response is expected within the target, or for a nested call within the deadline.
 func (f *flight) inTime(now time.Time, c cost) bool {
-	until := f.request.Deadline
+	return !now.Add(seconds(c.time)).After(f.until())
+}
+
+// until is when a response is due: the target, or the deadline of a nested call, whose parent waits for it.
+func (f *flight) until() time.Time {
 	if target := f.request.Target; !target.IsZero() && !f.request.Nested() {
-		until = target
+		return target
 	}
 
-	return !now.Add(seconds(c.time)).After(until)
+	return f.request.Deadline
 }
 
 // candidates lists the servers that a flight may use, those of other regions last. The list is valid until the next
 // call.
-func (s *State) candidates(now time.Time, f *flight) []candidate {
+func (s *State) candidates(now time.Time, f *flight, rank request.Rank) []candidate {
 	all := s.compared[:0]
 
 	for _, far := range []bool{false, true} {
 		for _, srv := range f.service.servers {
 			if far == (srv.distance == otherRegion) && srv.open(now) && !f.excludes(now, srv) && f.service.mayReach(now, srv) {
-				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv)})
+				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv, rank)})
 			}
 		}
 	}
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -85,6 +85,8 @@
 		Wait time.Duration
 		// Slowest is the slowness of the server above which it is to refuse the attempt; zero for any.
 		Slowest float64
+		// Late is set if no response is expected within the target.
+		Late bool
 		// Repeat is set if the request may have reached another server before.
 		Repeat bool
 		Why    Reason
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -20,7 +20,7 @@
 	}
 
 	a := &attempt{
-		flight: f, number: len(f.attempts), server: chosen.server, sent: now, advanced: now, late: f.isLate(now, chosen),
+		flight: f, number: len(f.attempts), server: chosen.server, sent: now, advanced: now, late: chosen.late,
 	}
 	f.attempts = append(f.attempts, a)
 	f.parked = time.Time{}
@@ -35,27 +35,17 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: a.number, Target: chosen.server.member,
-		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen), Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
+		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen), Late: a.late,
+		Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
 
-// isLate reports whether a response is expected after the target. A nested call is never late, because the work of
-// its parent would be lost.
-func (f *flight) isLate(now time.Time, chosen choice) bool {
-	target := f.request.Target
-
-	return !target.IsZero() && !f.request.Nested() && now.Add(seconds(chosen.cost.time)).After(target)
-}
-
-// longestWait is how long an attempt may wait for a slot: while it can still respond in time.
+// longestWait is how long an attempt may wait for a slot: while it can still respond in time, or if it is late, before
+// its deadline.
 func (a *attempt) longestWait(now time.Time, chosen choice) time.Duration {
+	until := a.flight.until()
 	if a.late {
-		return 0
-	}
-
-	until := a.flight.request.Deadline
-	if target := a.flight.request.Target; !target.IsZero() && !a.flight.request.Nested() {
-		until = target
+		until = a.flight.request.Deadline
 	}
 
 	wait := min(max(roundTime/time.Duration(max(1, chosen.candidates)), waitMin), waitMax)
@@ -66,7 +56,7 @@
 func (s *State) basis(now time.Time, f *flight, chosen choice) Basis {
 	srv := chosen.server
 	b := Basis{
-		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now) - 1, Slots: srv.slots(),
+		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now, f.request.Rank(chosen.late)) - 1, Slots: srv.slots(),
 		Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: -1, Candidates: chosen.candidates,
 		Budget: f.service.budget.left(now, s.repeats, s.daemons),
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/request"
 )
 
 // distance is how far a server is from this daemon.
@@ -90,13 +91,13 @@
 	return slow
 }
 
-// ahead is the number of requests that run or wait at the server.
-func (srv *server) ahead(now time.Time) int {
+// ahead is the number of requests at the server that run, or wait and go before one of a rank.
+func (srv *server) ahead(now time.Time, rank request.Rank) int {
 	if srv.heard.IsZero() || now.Sub(srv.heard) > staleAfter {
 		return len(srv.live)
 	}
 
-	return max(len(srv.live), srv.report.Busy()+srv.unreported)
+	return max(0, srv.report.Ahead(rank)+srv.unreported)
 }
 
 func (srv *server) slots() int {
