routing, backend, core: repeats are charged when they are sent, with the calls that they make

Change: a connection that ends later than 10 ms after the request was sent is no dropped one (TestLostAnswerIsNotRepeated); repeats are charged when they are sent and given back if they were refused before they reached a server; replies tell the calls by service, and each service has a part of its budget for calls of repeated requests (calls-of-repeats); no slack in the first window of a restarted daemon (restarted).

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -59,7 +59,7 @@
 			ID: "r-1", Service: "stock", Route: "stock/items", Kind: kind, Key: "k-1", Fingerprint: 0xfeedface12345678,
 			Priority: 2, Depth: 3, Origin: "orders",
 		},
-		Number: 4, Wait: 30 * time.Millisecond, Slowest: 1.5, Repeat: true, Timeout: time.Second, From: "a", To: "b",
+		Number: 4, Wait: 30 * time.Millisecond, Slowest: 1.5, Late: true, Timeout: time.Second, From: "a", To: "b",
 		Method: http.MethodPost, Target: "/items?x=1&y=%20", Host: "stock.example",
 		Header: http.Header{"X-Trace": {"7"}}, Body: []byte("order"),
 	}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,8 +56,6 @@
 	Slowest float64
 	// Late is set if the request can no longer be answered within its target.
 	Late bool
-	// Repeat is set if the request may have reached another server before.
-	Repeat bool
 	// Timeout is the time left until the deadline when the call is sent.
 	Timeout time.Duration
 	From    instance.ID
@@ -120,10 +119,6 @@
 		values.Set("alone", "1")
 	}
 
-	if c.Repeat {
-		values.Set("repeat", "1")
-	}
-
 	if c.Late {
 		values.Set("late", "1")
 	}
@@ -151,7 +146,6 @@
 		Number:  int(fields.integer("attempt")),
 		Wait:    fields.duration("wait"),
 		Slowest: fields.ratio("slowest"),
-		Repeat:  fields.text("repeat") != "",
 		Late:    fields.text("late") != "",
 		Timeout: fields.duration("timeout"),
 		From:    instance.ID(fields.text("from")),
@@ -221,8 +215,8 @@
 		values.Set("failing", formatRatio(r.Report.Failing))
 	}
 
-	if r.Report.Calls > 0 {
-		values.Set("calls", formatRatio(r.Report.Calls))
+	for _, calls := range r.Report.Calls {
+		values.Add("calls", formatRatio(calls.Rate)+" "+calls.Service)
 	}
 
 	if r.Report.ColdFor > 0 {
@@ -270,7 +264,7 @@
 			Slots:       int(fields.integer("slots")),
 			Slowness:    fields.ratio("slowness"),
 			Failing:     fields.ratio("failing"),
-			Calls:       fields.ratio("calls"),
+			Calls:       fields.calls("calls"),
 			ColdFor:     fields.duration("cold"),
 		},
 	}
@@ -345,6 +339,28 @@
 	return parse(f, name, func(text string) (float64, error) { return strconv.ParseFloat(text, 64) })
 }
 
+// calls reads a rate and a service from each value of a field.
+func (f *fieldSet) calls(name string) []load.Calls {
+	var all []load.Calls
+
+	for _, text := range f.values[name] {
+		rate, service, _ := strings.Cut(text, " ")
+
+		number, err := strconv.ParseFloat(rate, 64)
+		if err == nil && !(number > 0) {
+			err = errors.New("not a positive number")
+		}
+
+		if err != nil && f.err == nil {
+			f.err = errors.Mark(errors.Wrapf(err, "field %s", name), ErrMalformed)
+		}
+
+		all = append(all, load.Calls{Service: service, Rate: number})
+	}
+
+	return all
+}
+
 func (f *fieldSet) duration(name string) time.Duration {
 	return time.Duration(f.integer(name)) * time.Microsecond
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -89,6 +89,32 @@
 	}
 }
 
+// Guards against a request that runs once more, unseen by the budget for repeats, because its answer was lost on a
+// connection that had been used before.
+func TestLostAnswerIsNotRepeated(t *testing.T) {
+	const work = 50 * time.Millisecond
+
+	var calls atomic.Int64
+
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if calls.Add(1) == 2 {
+			time.Sleep(work)
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+
+	s := newServer(t, server.Listener.Addr().String(), dialect.Default())
+
+	response, err := s.Do(t.Context(), order("", false))
+	require.NoError(t, err)
+	read(t, response)
+
+	_, err = s.Do(t.Context(), order("", false))
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.EqualValues(t, 2, calls.Load())
+}
+
 // Guards against "may have run" for a server that cannot be connected to, which would forbid a retry.
 func TestRefusedConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -29,6 +29,9 @@
 	// onceIdle is the age up to which an unused connection serves a request that must not run twice. After a
 	// longer pause the server may have dropped it without a sign, and the request would be lost.
 	onceIdle = 500 * time.Millisecond
+	// dropTime is how soon a request meets the end of a connection that the server had dropped before it. If the
+	// connection ends later, the server may have run the request, and it is no matter of connections any more.
+	dropTime = 10 * time.Millisecond
 	// maxForeign is the number of responses to earlier requests that are skipped on one connection.
 	maxForeign = 4
 	// asyncBody is the size from which a body is sent while the response is awaited, because a server may
@@ -122,6 +125,8 @@
 			return nil, verdict.WithError(verdict.NotRun, errors.Mark(errors.Wrap(err, "backend server"), ErrUnreachable))
 		}
 
+		begun := time.Now()
+
 		response, err := s.exchange(ctx, c, call)
 		if err == nil {
 			return response, nil
@@ -131,7 +136,8 @@
 
 		// A server may drop an unused connection without notice. A request that may run twice is sent again on
 		// a new connection.
-		if call.Once || !c.Reused() || ctx.Err() != nil || !isDropped(err) {
+		dropped := c.Reused() && isDropped(err) && time.Since(begun) < dropTime
+		if call.Once || !dropped || ctx.Err() != nil {
 			return nil, verdict.WithError(verdict.MayHaveRun, errors.Wrap(err, "backend server"))
 		}
 
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -1,25 +1,51 @@
 package core
 
-// callRate estimates how many nested calls a request of the local backend server makes.
-type callRate struct{ runs, calls float64 }
+import (
+	"cmp"
+	"slices"
 
-// callWindow is the number of requests over which the estimate is taken.
-const callWindow = 200
+	"github.com/tarragonmill/tarragonmill/internal/load"
+)
 
-func (c *callRate) add(calls float64) { c.calls += calls }
+// callRates estimates how many calls a request of the local backend server makes to each service.
+type callRates struct {
+	runs  float64
+	calls map[string]float64
+}
+
+const (
+	// callWindow is the number of requests over which the estimate is taken.
+	callWindow = 200
+	// leastRate is the number of calls for each request below which a service is left out.
+	leastRate = 0.01
+)
 
-func (c *callRate) addRun() {
+func (c *callRates) add(service string) { c.calls[service]++ }
+
+func (c *callRates) addRun() {
 	c.runs++
 
-	if c.runs > callWindow {
-		c.runs, c.calls = c.runs/2, c.calls/2
+	if c.runs <= callWindow {
+		return
+	}
+
+	c.runs /= 2
+	for service := range c.calls {
+		c.calls[service] /= 2
 	}
 }
 
-func (c *callRate) perRun() float64 {
-	if c.runs == 0 {
-		return 0
+// perRun lists the services in a fixed order.
+func (c *callRates) perRun() []load.Calls {
+	var all []load.Calls
+
+	for service, calls := range c.calls {
+		if rate := calls / max(1, c.runs); rate >= leastRate {
+			all = append(all, load.Calls{Service: service, Rate: rate})
+		}
 	}
 
-	return c.calls / c.runs
+	slices.SortFunc(all, func(a, b load.Calls) int { return cmp.Compare(a.Service, b.Service) })
+
+	return all
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -73,7 +73,7 @@
 	// crashes counts the crashes of the local backend server.
 	crashes int
 	splits  map[string]*split
-	calls   callRate
+	calls   callRates
 	origins origins
 
 	version  uint64
@@ -98,8 +98,6 @@
 	started bool
 	// begun is when the server got it.
 	begun concurrency.Mark
-	// repeat is set if the request may have reached another server before.
-	repeat bool
 	// crash identifies the crash that the attempt met, or is empty.
 	crash string
 }
@@ -128,6 +126,7 @@
 		serving:    make(map[admission.Attempt]*served),
 		splits:     make(map[string]*split),
 		origins:    origins{callers: make(map[string]bool)},
+		calls:      callRates{calls: make(map[string]float64)},
 		replies:    rate.NewLimiter(0, 0),
 		replyCross: rate.NewLimiter(0, 0),
 	}
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -115,7 +115,7 @@
 		switch e := effect.(type) {
 		case keys.Admit:
 			s.keyed.admitted[e.Request.ID] = false
-			all = append(all, s.route(now, e.Request, 0)...)
+			all = append(all, s.route(now, e.Request)...)
 		case keys.Refuse:
 			delete(s.requests, e.ID)
 
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -22,7 +22,7 @@
 		ServerCrashed{}, ManifestRead{}, DrainStarted{}, Resumed{}, Tick{},
 
 		routing.Arrived{}, routing.Accepted{}, routing.Ended{}, routing.Cancelled{}, routing.Reported{},
-		routing.MembersChanged{}, routing.PolicyChanged{}, routing.Tick{},
+		routing.MembersChanged{}, routing.PolicyChanged{}, routing.Restarted{}, routing.Tick{},
 
 		admission.Arrived{}, admission.Done{}, admission.Cancelled{}, admission.ServerChanged{}, admission.Tick{},
 
--- a/internal/core/measuring.go
+++ b/internal/core/measuring.go
@@ -95,5 +95,8 @@
 		return load.Report{}
 	}
 
-	return s.loadReport(now)
+	report := s.loadReport(now)
+	report.Calls = s.calls.perRun()
+
+	return report
 }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -55,6 +55,7 @@
 
 	if e.Own.Member.ID == s.options.Self.ID {
 		s.origins.settled = now.Add(orphanTime)
+		s.routing.Apply(now, routing.Restarted{})
 	}
 
 	if e.Own.Member.ID == s.options.Self.ID && e.Own.Member.Incarnation >= s.options.Self.Incarnation {
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -55,8 +55,6 @@
 	AttemptArrived struct {
 		Attempt admission.Attempt
 		Request request.Request
-		// Repeat is set if the request may have reached another server before.
-		Repeat  bool
 		Wait    time.Duration
 		Slowest float64
 		// Late is set if the request can no longer be answered within its target.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -22,11 +22,8 @@
 		r.Depth = 1
 	}
 
-	repeated := 0.0
-
 	if r.Nested() {
-		s.calls.add(1)
-		repeated = s.repeatShare()
+		s.calls.add(r.Service)
 	}
 
 	s.requests[r.ID] = r
@@ -36,7 +33,7 @@
 		return append(effects, s.keyArrived(now, r)...)
 	}
 
-	return append(effects, s.route(now, r, repeated)...)
+	return append(effects, s.route(now, r)...)
 }
 
 // ownedArrived asks the key table about a request whose key this daemon owns, or has to refuse.
@@ -53,7 +50,7 @@
 }
 
 // route hands a request to routing after the check for suspects.
-func (s *State) route(now time.Time, r request.Request, repeated float64) []Effect {
+func (s *State) route(now time.Time, r request.Request) []Effect {
 	if s.suspects.Check(now, r) == suspects.Barred {
 		delete(s.requests, r.ID)
 
@@ -63,7 +60,7 @@
 		})
 	}
 
-	return s.fromRouting(now, s.routing.Apply(now, routing.Arrived{Request: r, Repeated: repeated}))
+	return s.fromRouting(now, s.routing.Apply(now, routing.Arrived{Request: r}))
 }
 
 func (s *State) requestCancelled(now time.Time, id request.ID) []Effect {
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -25,7 +25,7 @@
 	case suspects.Free:
 	}
 
-	s.serving[e.Attempt] = &served{request: e.Request, repeat: e.Repeat}
+	s.serving[e.Attempt] = &served{request: e.Request}
 	s.order = append(s.order, e.Attempt)
 
 	return s.toAdmission(now, admission.Arrived{
@@ -70,24 +70,6 @@
 	return all
 }
 
-// repeatShare is the share of the requests at the backend server that may have run elsewhere before. A nested
-// call cannot be told to which of them it belongs.
-func (s *State) repeatShare() float64 {
-	running, repeats := 0, 0
-
-	for _, at := range s.serving {
-		if at.started {
-			running++
-
-			if at.repeat {
-				repeats++
-			}
-		}
-	}
-
-	return float64(repeats) / float64(max(1, running))
-}
-
 func (s *State) forget(now time.Time, attempt admission.Attempt) {
 	at, ok := s.serving[attempt]
 	if !ok {
@@ -222,7 +204,7 @@
 		Open:    s.health.Closed() == "" && !s.draining,
 		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.slots,
 		Slowness: s.health.Slowness(), Failing: s.health.Failing(now), ColdFor: s.health.ColdFor(now),
-		Calls: s.calls.perRun(), Counter: s.counter(now), Found: s.concurrency.FoundHere(now),
+		Counter: s.counter(now), Found: s.concurrency.FoundHere(now),
 	}
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -25,8 +25,8 @@
 	Slowness float64
 	// Failing is the share of requests that recently got no usable response.
 	Failing float64
-	// Calls is the number of nested calls that a request of the server usually makes.
-	Calls float64
+	// Calls are those that a request of the server usually makes, by service. Only replies tell them.
+	Calls []Calls
 	// ColdFor is how much longer the server is slow after its start.
 	ColdFor time.Duration
 	// Found is the number of slots that were found to be worth using; its limit is zero if none was found yet.
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -37,7 +37,7 @@
 	fieldSlowness
 	fieldFailing
 	fieldCold
-	fieldCalls
+	_ // another one
 	fieldMessage
 	fieldFoundSlots
 	fieldFoundLimit
@@ -97,7 +97,6 @@
 	out = appendNumber(out, fieldSlowness, toRatio(b.Report.Slowness))
 	out = appendNumber(out, fieldFailing, toRatio(b.Report.Failing))
 
-	out = appendNumber(out, fieldCalls, toRatio(b.Report.Calls))
 	out = appendNumber(out, fieldFoundSlots, uint64(b.Report.Found.Slots))
 	out = appendNumber(out, fieldFoundLimit, uint64(b.Report.Found.Limit))
 
@@ -125,7 +124,7 @@
 
 // smallFields are those that maxNumber bounds.
 var smallFields = []protowire.Number{
-	fieldSlots, fieldRunning, fieldReportSlots, fieldSlowness, fieldFailing, fieldCalls, fieldFoundSlots,
+	fieldSlots, fieldRunning, fieldReportSlots, fieldSlowness, fieldFailing, fieldFoundSlots,
 	fieldFoundLimit, fieldCold,
 }
 
@@ -204,7 +203,6 @@
 			Open: flags&flagOpen != 0, Running: int(numbers[fieldRunning]), Waiting: load.UnpackWaiting(numbers[fieldQueue]),
 			Slots: int(numbers[fieldReportSlots]), Slowness: float64(numbers[fieldSlowness]) / ratioScale,
 			Failing: float64(numbers[fieldFailing]) / ratioScale,
-			Calls:   float64(numbers[fieldCalls]) / ratioScale,
 			ColdFor: time.Duration(numbers[fieldCold]) * time.Millisecond,
 			Found:   load.Finding{Slots: int(numbers[fieldFoundSlots]), Limit: int(numbers[fieldFoundLimit])},
 		}
--- a/internal/routing/dump.go
+++ b/internal/routing/dump.go
@@ -48,7 +48,7 @@
 	d := Dump{Flights: len(s.flights), Counts: s.counts, Budgets: make(map[string]float64, len(s.services))}
 
 	for name, svc := range s.services {
-		d.Budgets[name] = svc.budget.left(now, s.repeats, s.daemons)
+		d.Budgets[name] = s.repeatsLeft(now, svc)
 	}
 
 	for id, srv := range s.servers {
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -78,6 +78,8 @@
 	late bool
 	// silent is set if the daemon beside the server has not acknowledged it in time.
 	silent bool
+	// charged is set once it was taken from the budget for repeats.
+	charged bool
 }
 
 // advance adds the work done since the last call.
@@ -143,9 +145,8 @@
 	}
 	s.flights[e.Request.ID] = f
 	s.counts.Requests++
-	svc.budget.addRequest(now, s.repeats)
-	svc.hedges.addRequest(now, s.repeats)
-	svc.budget.addRepeats(now, s.repeats, e.Repeated)
+	svc.hedges.addRequests(now, s.repeats, 1)
+	s.countRequest(now, svc)
 
 	effects := s.send(now, f, First)
 	s.forget(f)
@@ -180,8 +181,7 @@
 	a.flight.reached++
 
 	if a.flight.reached > 1 {
-		a.flight.service.budget.addRepeats(now, s.repeats, 1+a.server.report.Calls)
-		s.counts.Repeats++
+		s.charge(now, a)
 	}
 }
 
@@ -248,12 +248,10 @@
 		if a.running {
 			// The server refused a request that had a slot; it has not run and made no calls.
 			a.flight.runs--
-
-			if a.flight.reached > 1 {
-				a.flight.service.budget.addRepeats(now, s.repeats, -srv.report.Calls)
-			}
 		}
 
+		s.refund(now, a)
+
 		a.running = false
 	}
 
@@ -346,6 +344,5 @@
 
 // mayRepeat reports whether the request may be run by one more server.
 func (s *State) mayRepeat(now time.Time, f *flight) bool {
-	return f.request.Idempotent() && f.mayRun() < f.limit() &&
-		f.service.budget.left(now, s.repeats, s.daemons) >= 1
+	return f.request.Idempotent() && f.mayRun() < f.limit() && s.affords(now, f.service, 1)
 }
--- a/internal/routing/hedge.go
+++ b/internal/routing/hedge.go
@@ -25,7 +25,7 @@
 func (s *State) hedgeOne(now time.Time, a *attempt) []Effect {
 	f := a.flight
 	if f.live() > 1 || !s.mayRepeat(now, f) ||
-		f.service.budget.left(now, s.repeats, s.daemons) < hedgeReserve || !s.mayHedge(now, f.service) {
+		!s.affords(now, f.service, hedgeReserve) || !s.mayHedge(now, f.service) {
 		return nil
 	}
 
@@ -63,7 +63,7 @@
 func (s *State) mayHedge(now time.Time, svc *service) bool {
 	requests, hedges := svc.hedges.counted(now, s.repeats)
 
-	return hedges+1 <= svc.hedgeShare*float64(requests)
+	return hedges+1 <= svc.hedgeShare*requests
 }
 
 // remaining is the time that a running attempt is expected to need further. An attempt that has taken much
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -39,11 +39,7 @@
 
 type (
 	// Arrived brings a request of a caller. Its service is already chosen.
-	Arrived struct {
-		Request request.Request
-		// Repeated is the probability that the request is a call of one that was sent once more.
-		Repeated float64
-	}
+	Arrived struct{ Request request.Request }
 	// Accepted reports that the daemon beside the server has read an attempt, and whether it runs.
 	Accepted struct {
 		ID      request.ID
@@ -71,6 +67,8 @@
 	MembersChanged struct{ Members []instance.Member }
 	// PolicyChanged brings the services of the manifest in force.
 	PolicyChanged struct{ Services []manifest.Service }
+	// Restarted says that an earlier run of the daemon may have sent requests once more just now.
+	Restarted struct{}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -86,11 +84,9 @@
 		// Slowest is the slowness of the server above which it is to refuse the attempt; zero for any.
 		Slowest float64
 		// Late is set if no response is expected within the target.
-		Late bool
-		// Repeat is set if the request may have reached another server before.
-		Repeat bool
-		Why    Reason
-		Basis  Basis
+		Late  bool
+		Why   Reason
+		Basis Basis
 	}
 	// CancelAttempt withdraws an attempt.
 	CancelAttempt struct {
@@ -155,6 +151,7 @@
 func (Reported) isEvent()       {}
 func (MembersChanged) isEvent() {}
 func (PolicyChanged) isEvent()  {}
+func (Restarted) isEvent()      {}
 func (Tick) isEvent()           {}
 
 func (Attempt) isEffect()       {}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
@@ -63,6 +64,8 @@
 	// compared is the memory of candidates.
 	compared []candidate
 	counts   Counts
+	// slackFrom is when the slack of the budgets may be used.
+	slackFrom time.Time
 }
 
 // service is a group of servers that answer the same requests.
@@ -71,6 +74,10 @@
 	servers  []*server
 	attempts int
 	budget   budget
+	// calls are those that a request of the service usually makes, and induced is the budget for the calls that repeated
+	// requests of other services make to this one.
+	calls   []load.Calls
+	induced budget
 	// hedges counts hedged attempts, of which there may be hedgeShare per request.
 	hedges     budget
 	hedgeShare float64
@@ -110,6 +117,8 @@
 		s.membersChanged(now, e.Members)
 	case PolicyChanged:
 		s.policyChanged(now, e.Services)
+	case Restarted:
+		s.slackFrom = now.Add(s.repeats.Window)
 	case Tick:
 		return s.tick(now)
 	}
@@ -221,5 +230,7 @@
 		return nil
 	}
 
+	srv.service.learnCalls(e.Report.Calls)
+
 	return s.hedge(now, srv)
 }
--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -109,6 +109,8 @@
 		}
 	case "ended":
 		return newEnded(line)
+	case "restarted":
+		return routing.Restarted{}
 	case "cancelled":
 		return routing.Cancelled{ID: request.ID(line.Word(0))}
 	default:
@@ -126,7 +128,7 @@
 		Server: id, Incarnation: 1, Counter: r.counters[id], Open: !line.Has("closed"),
 		Running: line.Int("running", 0), Slots: line.Int("slots", 4),
 		Waiting:  load.Waiting{request.UrgentRank: line.Int("waiting", 0), request.LateRank: line.Int("late", 0)},
-		Slowness: line.Float("slowness", 1), Failing: line.Float("failing", 0), Calls: line.Float("calls", 0),
+		Slowness: line.Float("slowness", 1), Failing: line.Float("failing", 0), Calls: callsOf(line),
 		ColdFor: line.Duration("cold", 0),
 	}
 }
@@ -150,6 +152,16 @@
 	return r
 }
 
+// callsOf reads the number of calls to the service route.
+func callsOf(line script.Line) []load.Calls {
+	rate := line.Float("calls", 0)
+	if rate == 0 {
+		return nil
+	}
+
+	return []load.Calls{{Service: "route", Rate: rate}}
+}
+
 // newEnded reads: ended ID [attempt=N] answered|refused|unreachable|broken|aborted [failure] [ran] [bytes=N].
 func newEnded(line script.Line) routing.Ended {
 	e := routing.Ended{
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -4,7 +4,7 @@
 
 // send starts an attempt at the best server, parks the request or gives it up.
 func (s *State) send(now time.Time, f *flight, why Reason) []Effect {
-	if f.reached > 0 && (f.reached > f.limit() || f.service.budget.left(now, s.repeats, s.daemons) < 1) {
+	if f.reached > 0 && (f.reached > f.limit() || !s.affords(now, f.service, 1)) {
 		if f.live() > 0 {
 			return nil
 		}
@@ -22,6 +22,10 @@
 	a := &attempt{
 		flight: f, number: len(f.attempts), server: chosen.server, sent: now, advanced: now, late: chosen.late,
 	}
+	if f.reached > 0 || f.live() > 0 {
+		s.charge(now, a)
+	}
+
 	f.attempts = append(f.attempts, a)
 	f.parked = time.Time{}
 	chosen.server.live = append(chosen.server.live, a)
@@ -36,7 +40,7 @@
 	return []Effect{Attempt{
 		Request: f.request, Number: a.number, Target: chosen.server.member,
 		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen), Late: a.late,
-		Repeat: f.reached > 0, Why: why, Basis: s.basis(now, f, chosen),
+		Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
 
@@ -58,7 +62,7 @@
 	b := Basis{
 		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now, f.request.Rank(chosen.late)) - 1, Slots: srv.slots(),
 		Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: -1, Candidates: chosen.candidates,
-		Budget: f.service.budget.left(now, s.repeats, s.daemons),
+		Budget: s.repeatsLeft(now, f.service),
 	}
 
 	if !srv.heard.IsZero() {
