health: a server that refuses some requests keeps its work

The breaker followed a moving average, which passed its limit after some seven refusals in a row, so that the servers were closed again and again for up to 2 s; 172 attempts were turned away as server-failing, 2,081 of 2,760 requests refused. Change: the breaker counts requests in a row; twelve have to be unserved (half-refused).

--- a/internal/health/breaker.go
+++ b/internal/health/breaker.go
@@ -3,11 +3,10 @@
 import "time"
 
 const (
-	// unservedWeight is the weight of one request in the share of requests that the server did not serve.
-	unservedWeight = 0.15
-	// unservedLimit is the share above which the server gets no work but trials. A server that fails only some
-	// of its requests stays below it; those who choose a server see how many it fails.
-	unservedLimit = 0.85
+	// unservedLimit is the number of requests in a row that the server did not serve after which it gets no work but
+	// trials. A server that fails only some of its requests hardly reaches it; those who choose a server see how many it
+	// fails.
+	unservedLimit = 12
 	// trialMin and trialMax bound the pause before a request tries the server again; it doubles with each trial
 	// that fails.
 	trialMin = 300 * time.Millisecond
@@ -17,8 +16,8 @@
 // breaker keeps work from a server that does not serve it, although it may accept connections and call itself
 // healthy. Such a server has free slots at all times and would otherwise draw requests.
 type breaker struct {
-	// unserved is the share of recent requests that the server refused, broke off or left without an answer.
-	unserved float64
+	// unserved is the number of requests in a row that the server refused, broke off or left without an answer.
+	unserved int
 	// open keeps all work away until trialAt; trial lets one request at a time through.
 	open, trial bool
 	trialAt     time.Time
@@ -27,13 +26,12 @@
 
 // ran takes the outcome of a request.
 func (b *breaker) ran(now time.Time, unserved bool) {
-	sample := 0.0
 	if unserved {
-		sample = 1
+		b.unserved++
+	} else {
+		b.unserved = 0
 	}
 
-	b.unserved += unservedWeight * (sample - b.unserved)
-
 	switch {
 	case b.open:
 		// A request that began before.
