core: a request that comes back after a refusal is known to be late

Cause: under overload, callers that were refused come back within some 200 ms, counted as new and went before requests whose first sending could still be answered in time. Both were then late. Change: a daemon remembers for 5 s the requests that it has refused as not run, by their fingerprint. One that comes again keeps the target of its first sending, which decides its rank (TestReturningCallers).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,8 @@
 	splits  map[string]*split
 	calls   callRates
 	origins origins
+	// returning are the requests that were refused here.
+	returning returning
 
 	version  uint64
 	services []manifest.Service
@@ -126,6 +128,7 @@
 		serving:    make(map[admission.Attempt]*served),
 		splits:     make(map[string]*split),
 		origins:    origins{callers: make(map[string]bool)},
+		returning:  returning{since: make(map[request.Fingerprint]sending)},
 		calls:      callRates{calls: make(map[string]float64)},
 		replies:    rate.NewLimiter(0, 0),
 		replyCross: rate.NewLimiter(0, 0),
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -24,6 +24,8 @@
 
 	if r.Nested() {
 		s.calls.add(r.Service)
+	} else {
+		r = r.WithSince(now, s.returning.first(now, r.Fingerprint))
 	}
 
 	s.requests[r.ID] = r
@@ -91,6 +93,10 @@
 
 			all = append(all, e)
 		case routing.GiveUp:
+			if r, known := s.requests[e.ID]; known && e.Verdict == verdict.NotRun && !r.Nested() {
+				s.returning.refused(now, r.Since, r.Fingerprint)
+			}
+
 			delete(s.requests, e.ID)
 
 			all = append(all, s.concludeKey(now, Refuse{
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -39,6 +39,8 @@
 	Deadline    time.Time
 	// Target is when a response is still of full use to the caller; zero if that is the deadline.
 	Target time.Time
+	// Since is when its caller first sent it, as far as is known; zero if that does not matter.
+	Since time.Time
 	// Route names the route or rule that applies, for estimates of its work.
 	Route string
 	// Attempts is the largest number of backend servers that may run the request; zero means that the
@@ -62,6 +64,17 @@
 // Idempotent reports whether the request may run more than once.
 func (r Request) Idempotent() bool { return r.Kind == manifest.Idempotent }
 
+// WithSince returns a copy that its caller first sent at a time, from which its target counts.
+func (r Request) WithSince(now, since time.Time) Request {
+	r.Since = since
+
+	if !r.Target.IsZero() {
+		r.Target = r.Target.Add(since.Sub(now))
+	}
+
+	return r
+}
+
 // WithAlone returns a copy that asks for a server of its own.
 func (r Request) WithAlone() Request {
 	r.Alone = true
