routing: a request that is late everywhere is refused at once unless a server has room to spare

Cause: under overload a request whose target was out of reach was offered to three servers and waited there. It took slots and places in queues from requests that could still be answered in time, and from calls, so that those were late, too. Its caller heard of the refusal up to 360 ms later. Change: such a request goes only to a server of its region with less than half of its slots taken, without a wait; else it is refused at once. The rank of late requests goes.

--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -79,12 +79,12 @@
 	return lines
 }
 
-// rankOf reads nested, late or the priority.
+// rankOf reads nested or the priority.
 func rankOf(line script.Line) request.Rank {
 	r := request.Request{Priority: line.Int("priority", 0)}
 	if line.Has("nested") {
 		r.Depth = 1
 	}
 
-	return r.Rank(line.Has("late"))
+	return r.Rank()
 }
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -59,7 +59,7 @@
 			ID: "r-1", Service: "stock", Route: "stock/items", Kind: kind, Key: "k-1", Fingerprint: 0xfeedface12345678,
 			Priority: 2, Depth: 3, Origin: "orders",
 		},
-		Number: 4, Wait: 30 * time.Millisecond, Slowest: 1.5, Late: true, Timeout: time.Second, From: "a", To: "b",
+		Number: 4, Wait: 30 * time.Millisecond, Slowest: 1.5, Timeout: time.Second, From: "a", To: "b",
 		Method: http.MethodPost, Target: "/items?x=1&y=%20", Host: "stock.example",
 		Header: http.Header{"X-Trace": {"7"}}, Body: []byte("order"),
 	}
@@ -72,7 +72,7 @@
 	return attempt.Answer{
 		Reply: attempt.Reply{
 			ID: call.Request.ID, Number: call.Number, Verdict: verdict.Answered, Delivery: verdict.Answered, Status: 201,
-			Report: load.Report{Server: "b", Incarnation: 9, Counter: 5, Open: true, Running: 2, Waiting: load.Waiting{0, 1, 0, 0, 255}, Slots: 6, Slowness: 1.25},
+			Report: load.Report{Server: "b", Incarnation: 9, Counter: 5, Open: true, Running: 2, Waiting: load.Waiting{0, 1, 0, 255}, Slots: 6, Slowness: 1.25},
 		},
 		Header: http.Header{"X-Answer": {"yes"}}, Body: io.NopCloser(strings.NewReader("done")), Length: 4,
 	}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -54,8 +54,6 @@
 	Wait time.Duration
 	// Slowest is the slowness of the server above which the attempt is refused; zero for any.
 	Slowest float64
-	// Late is set if the request can no longer be answered within its target.
-	Late bool
 	// Timeout is the time left until the deadline when the call is sent.
 	Timeout time.Duration
 	From    instance.ID
@@ -119,10 +117,6 @@
 		values.Set("alone", "1")
 	}
 
-	if c.Late {
-		values.Set("late", "1")
-	}
-
 	if c.Slowest > 0 {
 		values.Set("slowest", formatRatio(c.Slowest))
 	}
@@ -146,7 +140,6 @@
 		Number:  int(fields.integer("attempt")),
 		Wait:    fields.duration("wait"),
 		Slowest: fields.ratio("slowest"),
-		Late:    fields.text("late") != "",
 		Timeout: fields.duration("timeout"),
 		From:    instance.ID(fields.text("from")),
 		To:      instance.ID(fields.text("to")),
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -57,8 +57,6 @@
 		Request request.Request
 		Wait    time.Duration
 		Slowest float64
-		// Late is set if the request can no longer be answered within its target.
-		Late bool
 	}
 	// AttemptServed reports the end of an attempt at the backend server.
 	AttemptServed struct {
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -31,7 +31,7 @@
 	return s.toAdmission(now, admission.Arrived{
 		Attempt:  e.Attempt,
 		Deadline: e.Request.Deadline,
-		Rank:     e.Request.Rank(e.Late),
+		Rank:     e.Request.Rank(),
 		Priority: e.Request.Priority,
 		Alone:    e.Request.Alone,
 		Wait:     e.Wait,
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -118,7 +118,7 @@
 	}()
 
 	j := &job{decisions: make(chan decision, 2), cancel: cancel}
-	if !d.enter(id, j, core.AttemptArrived{Attempt: id, Request: call.Request, Wait: call.Wait, Slowest: call.Slowest, Late: call.Late}) {
+	if !d.enter(id, j, core.AttemptArrived{Attempt: id, Request: call.Request, Wait: call.Wait, Slowest: call.Slowest}) {
 		return d.refusal(call, verdict.MayHaveRun, duplicate)
 	}
 
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -24,7 +24,7 @@
 	f.Add(membership.EncodeBeat(membership.Beat{From: member(), Watch: true, Greeting: true, Version: 12}))
 	f.Add(membership.EncodeBeat(membership.Beat{
 		From: member(), Message: []byte("[]"),
-		Report: load.Report{Server: "a", Incarnation: 7, Counter: 9, Open: true, Running: 3, Waiting: load.Waiting{1, 2, 3, 4, 5}, Slots: 6, Slowness: 1.5},
+		Report: load.Report{Server: "a", Incarnation: 7, Counter: 9, Open: true, Running: 3, Waiting: load.Waiting{1, 2, 3, 4}, Slots: 6, Slowness: 1.5},
 	}))
 	// Numbers that are negative once they are read.
 	f.Add(membership.EncodeBeat(membership.Beat{
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/tarragonmill/tarragonmill/internal/request"
 )
 
 const (
@@ -34,11 +32,11 @@
 	total float64
 }
 
-func (s *State) cost(now time.Time, f *flight, srv *server, rank request.Rank) cost {
+func (s *State) cost(now time.Time, f *flight, srv *server) cost {
 	work := f.estimate.workOrDefault().Seconds()
 	slow := srv.slowness(now)
 	slots := srv.slots()
-	ahead := srv.ahead(now, rank)
+	ahead := srv.ahead(now, f.request.Rank())
 
 	run := min(work*slow, work+spell.Seconds())
 	if float64(ahead+1) > nearFull*float64(slots) {
@@ -84,7 +82,7 @@
 	others bool
 	// candidates is the number of servers that were compared.
 	candidates int
-	// late is set if no response is expected within the target.
+	// late is set if no response is expected within the target; the server then has room to spare.
 	late bool
 }
 
@@ -94,34 +92,30 @@
 	cost   cost
 }
 
-// choose returns a server for the flight, or none. What goes before the request depends on whether it is late.
+// choose returns a server for the flight, or none. Other regions are considered only if the own one has no server that
+// is expected to respond in time: the link between regions is narrow and billed, and the load there is hardly known. A
+// request that is late everywhere goes to a server of its region with room to spare only: it would make others late, too.
 func (s *State) choose(now time.Time, f *flight) choice {
-	chosen := s.chooseAs(now, f, f.request.Rank(false))
-	if chosen.server == nil || f.request.Nested() || f.inTime(now, chosen.cost) {
-		return chosen
-	}
-
-	chosen = s.chooseAs(now, f, request.LateRank)
-	chosen.late = true
-
-	return chosen
-}
+	all := s.candidates(now, f)
+	near := all
 
-// chooseAs returns a server for the flight at a rank. Other regions are considered only if the own one has no server
-// that is expected to respond in time: the link between regions is narrow and billed, and the load there is hardly known.
-func (s *State) chooseAs(now time.Time, f *flight, rank request.Rank) choice {
-	all := s.candidates(now, f, rank)
-	near := slices.IndexFunc(all, func(c candidate) bool { return c.server.distance == otherRegion })
+	if at := slices.IndexFunc(all, func(c candidate) bool { return c.server.distance == otherRegion }); at > 0 {
+		near = all[:at]
+	}
 
-	if near < 0 {
+	switch {
+	case len(all) == 0:
+		return choice{}
+	case f.inTime(now, cheapest(near).cost):
+		return s.pick(near)
+	case f.request.Nested(), f.inTime(now, cheapest(all).cost):
 		return s.pick(all)
 	}
 
-	if here := s.pick(all[:near]); here.server != nil && (f.inTime(now, here.cost) || !f.inTime(now, cheapest(all).cost)) {
-		return here
-	}
+	chosen := s.pick(slices.DeleteFunc(near, func(c candidate) bool { return !c.server.takesLate(now) }))
+	chosen.late = true
 
-	return s.pick(all)
+	return chosen
 }
 
 // inTime reports whether a response is expected within the target, or for a nested call within the deadline.
@@ -140,13 +134,13 @@
 
 // candidates lists the servers that a flight may use, those of other regions last. The list is valid until the next
 // call.
-func (s *State) candidates(now time.Time, f *flight, rank request.Rank) []candidate {
+func (s *State) candidates(now time.Time, f *flight) []candidate {
 	all := s.compared[:0]
 
 	for _, far := range []bool{false, true} {
 		for _, srv := range f.service.servers {
 			if far == (srv.distance == otherRegion) && srv.open(now) && !f.excludes(now, srv) && f.service.mayReach(now, srv) {
-				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv, rank)})
+				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv)})
 			}
 		}
 	}
@@ -156,7 +150,7 @@
 	return all
 }
 
-// cheapest returns the first candidate with the least cost.
+// cheapest returns the first candidate with the least cost. There has to be one.
 func cheapest(all []candidate) candidate {
 	return slices.MinFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost.total, b.cost.total) })
 }
--- a/internal/routing/dump.go
+++ b/internal/routing/dump.go
@@ -58,7 +58,7 @@
 		}
 
 		d.Servers = append(d.Servers, DumpServer{
-			ID: id, Service: srv.service.name, Open: srv.open(now), Ahead: srv.ahead(now, request.LateRank), Slots: srv.slots(),
+			ID: id, Service: srv.service.name, Open: srv.open(now), Ahead: srv.ahead(now, request.LowRank), Slots: srv.slots(),
 			Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: age,
 			Avoid: max(0, srv.avoidUntil.Sub(now)),
 		})
--- a/internal/routing/ending.go
+++ b/internal/routing/ending.go
@@ -55,7 +55,7 @@
 	shortest := time.Duration(0)
 
 	for _, srv := range f.service.servers {
-		excess := srv.ahead(now, f.request.Rank(false)) - srv.slots() + 1
+		excess := srv.ahead(now, f.request.Rank()) - srv.slots() + 1
 		work := f.service.work.workOrDefault().Seconds() * srv.slowness(now)
 		wait := time.Duration(work * float64(max(0, excess)) / float64(srv.slots()) * float64(time.Second))
 
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -17,9 +17,6 @@
 	waitMax = 120 * time.Millisecond
 	// refusalPeriod is how long a server that refused a request is not asked again for it.
 	refusalPeriod = 60 * time.Millisecond
-	// lateTries is the number of servers that are asked for a free slot once a request can no longer respond within
-	// its target. Its place in a queue would make another request late.
-	lateTries = 3
 	// parkPeriod is the pause after which a request that no server takes is tried again.
 	parkPeriod = 20 * time.Millisecond
 	// parkLimit bounds the pauses in a row; then the request is refused. A nested call goes on to its deadline,
@@ -55,8 +52,6 @@
 	done bool
 	// ending is the reason for giving the request up once its attempts have ended; empty if it goes on.
 	ending Reason
-	// late is the number of servers that had no slot for the request after its target was out of reach.
-	late int
 }
 
 // attempt is one sending of a request.
@@ -284,11 +279,7 @@
 	case Refused, Unreachable:
 		f.refusals[a.server] = now
 
-		if a.late {
-			f.late++
-		}
-
-		if f.late >= lateTries && f.live() == 0 {
+		if a.late && f.live() == 0 {
 			return s.giveUp(now, f, Overloaded)
 		}
 
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -83,10 +83,8 @@
 		Wait time.Duration
 		// Slowest is the slowness of the server above which it is to refuse the attempt; zero for any.
 		Slowest float64
-		// Late is set if no response is expected within the target.
-		Late  bool
-		Why   Reason
-		Basis Basis
+		Why     Reason
+		Basis   Basis
 	}
 	// CancelAttempt withdraws an attempt.
 	CancelAttempt struct {
--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -127,7 +127,7 @@
 	return load.Report{
 		Server: id, Incarnation: 1, Counter: r.counters[id], Open: !line.Has("closed"),
 		Running: line.Int("running", 0), Slots: line.Int("slots", 4),
-		Waiting:  load.Waiting{request.UrgentRank: line.Int("waiting", 0), request.LateRank: line.Int("late", 0)},
+		Waiting:  load.Waiting{request.UrgentRank: line.Int("waiting", 0), request.LowRank: line.Int("low", 0)},
 		Slowness: line.Float("slowness", 1), Failing: line.Float("failing", 0), Calls: callsOf(line),
 		ColdFor: line.Duration("cold", 0),
 	}
@@ -195,12 +195,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case routing.Attempt:
-			text := fmt.Sprintf("send %s/%d to %s: %s, wait %s", e.Request.ID, e.Number, e.Target.ID, e.Why, e.Wait)
-			if e.Late {
-				text += ", late"
-			}
-
-			lines = append(lines, text)
+			lines = append(lines, fmt.Sprintf("send %s/%d to %s: %s, wait %s", e.Request.ID, e.Number, e.Target.ID, e.Why, e.Wait))
 		case routing.CancelAttempt:
 			lines = append(lines, fmt.Sprintf("withdraw %s/%d: %s", e.ID, e.Number, e.Why))
 		case routing.Deliver:
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -39,19 +39,19 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: a.number, Target: chosen.server.member,
-		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen), Late: a.late,
+		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen),
 		Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
 
-// longestWait is how long an attempt may wait for a slot: while it can still respond in time, or if it is late, before
-// its deadline.
+// longestWait is how long an attempt may wait for a slot: while it can still respond in time.
 func (a *attempt) longestWait(now time.Time, chosen choice) time.Duration {
-	until := a.flight.until()
 	if a.late {
-		until = a.flight.request.Deadline
+		return 0
 	}
 
+	until := a.flight.until()
+
 	wait := min(max(roundTime/time.Duration(max(1, chosen.candidates)), waitMin), waitMax)
 
 	return max(0, min(wait, until.Sub(now)-seconds(chosen.cost.run)))
@@ -60,7 +60,7 @@
 func (s *State) basis(now time.Time, f *flight, chosen choice) Basis {
 	srv := chosen.server
 	b := Basis{
-		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now, f.request.Rank(chosen.late)) - 1, Slots: srv.slots(),
+		Expected: seconds(chosen.cost.time), Next: seconds(chosen.next), Ahead: srv.ahead(now, f.request.Rank()) - 1, Slots: srv.slots(),
 		Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: -1, Candidates: chosen.candidates,
 		Budget: s.repeatsLeft(now, f.service),
 	}
@@ -103,7 +103,7 @@
 		return s.giveUp(now, f, Exhausted)
 	case len(f.service.servers) == 0:
 		return s.giveUp(now, f, NoServers)
-	case chosen.server != nil || f.parks > parkLimit && !f.request.Nested():
+	case chosen.server != nil || chosen.late || f.parks > parkLimit && !f.request.Nested():
 		return s.giveUp(now, f, Overloaded)
 	}
 
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -100,6 +100,15 @@
 	return max(0, srv.report.Ahead(rank)+srv.unreported)
 }
 
+// lateShare is the share of its slots up to which a server takes requests that are late. The rest is kept for those that
+// can still be answered in time, and for calls.
+const lateShare = 0.5
+
+// takesLate reports whether the server has room for a request that is late.
+func (srv *server) takesLate(now time.Time) bool {
+	return float64(srv.ahead(now, request.LowRank)) < lateShare*float64(srv.slots())
+}
+
 func (srv *server) slots() int {
 	if srv.report.Slots > 0 {
 		return srv.report.Slots
