daemon, core, routing: a planned stop answers what is still in progress

Change: 200 ms before its end, a stopping daemon refuses what waits and ends the rest with what is known of it (closing, TestStopAnswersWhatWaits); a nested call that no server takes is given up after 50 pauses of 20 ms (stuck-call). Result: both tests fail before (EOF without an answer; held until the deadline).

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -48,12 +48,9 @@
 	return w
 }
 
-// remove takes an attempt out and reports whether it was there.
-func (q *queue) remove(attempt Attempt) bool {
-	before := len(*q)
+// remove takes an attempt out if it is there.
+func (q *queue) remove(attempt Attempt) {
 	*q = slices.DeleteFunc(*q, func(w *waiting) bool { return w.Attempt == attempt })
-
-	return len(*q) < before
 }
 
 // endsBehind reports whether the last attempt of the queue gets a slot after w.
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -72,7 +72,7 @@
 	return attempt.Answer{
 		Reply: attempt.Reply{
 			ID: call.Request.ID, Number: call.Number, Verdict: verdict.Answered, Delivery: verdict.Answered, Status: 201,
-			Report: load.Report{Server: "b", Incarnation: 9, Counter: 5, Open: true, Running: 2, Waiting: load.Waiting{0, 1, 0, 255}, Slots: 6, Slowness: 1.25},
+			Report: load.Report{Server: "b", Incarnation: 9, Counter: 5, Open: true, Running: 2, Calls: []load.Calls{{Service: "s t", Rate: 0.5}}, Waiting: load.Waiting{0, 1, 0, 255}, Slots: 6, Slowness: 1.25},
 		},
 		Header: http.Header{"X-Answer": {"yes"}}, Body: io.NopCloser(strings.NewReader("done")), Length: 4,
 	}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -334,7 +334,11 @@
 
 // calls reads a rate and a service from each value of a field.
 func (f *fieldSet) calls(name string) []load.Calls {
-	var all []load.Calls
+	if len(f.values[name]) == 0 {
+		return nil
+	}
+
+	all := make([]load.Calls, 0, len(f.values[name]))
 
 	for _, text := range f.values[name] {
 		rate, service, _ := strings.Cut(text, " ")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -84,6 +84,8 @@
 	replies, replyCross *rate.Limiter
 
 	draining bool
+	// closing is set once the backend server takes no work any more, because the daemon is about to end.
+	closing bool
 	// newer is the version that another daemon has, and when it is time to look for it.
 	newer   uint64
 	newerAt time.Time
@@ -166,6 +168,8 @@
 		return s.manifestRead(now, e)
 	case DrainStarted:
 		return s.drain(now)
+	case Closing:
+		return s.close(now)
 	case Resumed:
 		return s.fromMembership(now, s.membership.Apply(now, membership.Resumed{}))
 	case Tick:
@@ -289,6 +293,13 @@
 	return append(effects, s.fromMembership(now, s.membership.Apply(now, membership.SelfChanged{Entry: s.entry()}))...)
 }
 
+// close refuses what waits for the backend server and ends the requests of callers.
+func (s *State) close(now time.Time) []Effect {
+	s.closing = true
+
+	return append(s.tellAdmission(now), s.fromRouting(now, s.routing.Apply(now, routing.Closing{}))...)
+}
+
 // entry describes the daemon for the store.
 func (s *State) entry() membership.Entry {
 	entry := s.membership.Self()
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -19,10 +19,10 @@
 func EventKinds() (*trace.Kinds[Event], error) {
 	return trace.NewKinds[Event](
 		Started{}, RequestArrived{}, OwnedArrived{}, Answered{}, RequestCancelled{}, AttemptEnded{}, AttemptArrived{}, AttemptServed{},
-		ServerCrashed{}, ManifestRead{}, DrainStarted{}, Resumed{}, Tick{},
+		ServerCrashed{}, ManifestRead{}, DrainStarted{}, Closing{}, Resumed{}, Tick{},
 
 		routing.Arrived{}, routing.Accepted{}, routing.Ended{}, routing.Cancelled{}, routing.Reported{},
-		routing.MembersChanged{}, routing.PolicyChanged{}, routing.Restarted{}, routing.Tick{},
+		routing.MembersChanged{}, routing.PolicyChanged{}, routing.Restarted{}, routing.Closing{}, routing.Tick{},
 
 		admission.Arrived{}, admission.Done{}, admission.Cancelled{}, admission.ServerChanged{}, admission.Tick{},
 
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -75,6 +75,8 @@
 	}
 	// DrainStarted makes the daemon take no further work from others.
 	DrainStarted struct{}
+	// Closing ends all requests that are still in progress, because the daemon is about to end.
+	Closing struct{}
 	// Resumed reports that the process stood still for some time.
 	Resumed struct{}
 	// Tick lets time pass.
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -126,10 +126,19 @@
 
 	all = append(all, s.useSlots(now)...)
 
-	return append(all, s.toAdmission(now, admission.ServerChanged{
-		Closed: s.health.Closed(), Slots: s.slots,
-		Queue: s.queue(), Slowness: s.health.Slowness(),
-	})...)
+	return append(all, s.tellAdmission(now)...)
+}
+
+// tellAdmission tells admission what the backend server takes.
+func (s *State) tellAdmission(now time.Time) []Effect {
+	closed := s.health.Closed()
+	if s.closing {
+		closed = admission.IsDraining
+	}
+
+	return s.toAdmission(now, admission.ServerChanged{
+		Closed: closed, Slots: s.slots, Queue: s.queue(), Slowness: s.health.Slowness(),
+	})
 }
 
 // useSlots decides how many of the server's slots are used.
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -24,6 +24,9 @@
 	drainMargin = 400 * time.Millisecond
 	drainStep   = 25 * time.Millisecond
 	acceptPause = 20 * time.Millisecond
+	// answerTime is how long before the end of the drain what is still in progress gets an answer of the daemon. A
+	// connection that ends without one says less to its caller.
+	answerTime = 200 * time.Millisecond
 	// leaveWait is the time for the last call to the store.
 	leaveWait = 100 * time.Millisecond
 	// keysWait is how long a daemon without requests waits for its keys to be handed over, for which it needs the
@@ -59,13 +62,20 @@
 	d.peers.Stop()
 	d.apply(membership.Left{})
 
-	until := time.Now().Add(leaveWait)
-	for (d.busy() || time.Now().Before(until)) && time.Now().Before(limit) {
-		time.Sleep(drainStep)
+	time.Sleep(min(leaveWait, time.Until(limit)))
+	waitWhile(d.busy, limit.Add(-answerTime))
+
+	if d.busy() {
+		d.apply(core.Closing{})
+		waitWhile(d.busy, limit)
 	}
 
-	until = times.Earlier(time.Now().Add(keysWait), limit)
-	for !d.keysReleased() && time.Now().Before(until) {
+	waitWhile(d.holdsKeys, times.Earlier(time.Now().Add(keysWait), limit))
+}
+
+// waitWhile returns when a condition no longer holds, or at a time.
+func waitWhile(holds func() bool, until time.Time) {
+	for holds() && time.Now().Before(until) {
 		time.Sleep(drainStep)
 	}
 }
@@ -95,9 +105,9 @@
 	return d.state.Busy() > 0
 }
 
-func (d *Daemon) keysReleased() bool {
+func (d *Daemon) holdsKeys() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	return d.state.KeysReleased()
+	return !d.state.KeysReleased()
 }
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -1,6 +1,9 @@
 package daemon_test
 
 import (
+	"context"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,3 +34,75 @@
 	require.NoError(t, f.Stop())
 	require.Less(t, time.Since(begun), mostTime)
 }
+
+// Guards against a planned stop that closes the connection of a request without an answer, although it was read and
+// nothing has run: its caller cannot know that it may send the request again. One that runs gets an answer, too.
+func TestStopAnswersWhatWaits(t *testing.T) {
+	t.Parallel()
+
+	const (
+		stopGrace = 4 * time.Second
+		// waiting is the number of requests behind the one that runs.
+		waiting = 3
+	)
+
+	node := faultyNode(backend.None)
+	node.Slots, node.Grace, node.Behaviour.Service = 1, stopGrace, time.Minute
+
+	f, err := fleet.Start(t.Context(), []fleet.Node{node})
+	require.NoError(t, err)
+
+	_, err = f.Publish(t.Context(), fleet.Manifest)
+	require.NoError(t, err)
+
+	statuses := make(chan int, waiting+1)
+
+	var group sync.WaitGroup
+
+	send := func() {
+		defer group.Done()
+
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+
+		// Downloads have a deadline of 30 s.
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.Instances[0].Caller()+"/label/10", nil)
+		if err != nil {
+			return
+		}
+
+		r.Host = "stockdesk"
+
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Log(err)
+
+			return
+		}
+
+		_ = response.Body.Close()
+		statuses <- response.StatusCode
+	}
+
+	for range waiting + 1 {
+		group.Add(1)
+
+		go send()
+
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	begun := time.Now()
+	require.NoError(t, f.Stop())
+	require.Less(t, time.Since(begun), stopGrace)
+
+	group.Wait()
+	close(statuses)
+
+	counts := make(map[int]int)
+	for status := range statuses {
+		counts[status]++
+	}
+
+	require.Equal(t, map[int]int{http.StatusServiceUnavailable: waiting, http.StatusBadGateway: 1}, counts)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,8 +33,8 @@
 	publishTimeout = 10 * time.Second
 	// announceInterval is the time between two announcements of a backend server.
 	announceInterval = 200 * time.Millisecond
-	// grace is the time from the order to stop until a daemon cuts requests off.
-	grace = 10 * time.Second
+	// defaultGrace is the time from the order to stop until a daemon cuts requests off.
+	defaultGrace = 10 * time.Second
 )
 
 // Node describes one backend server with its daemon.
@@ -49,6 +49,8 @@
 	Behaviour backend.Behaviour
 	// Trace records the events of the daemon.
 	Trace settings.Trace
+	// Grace is the time from the order to stop until the daemon cuts requests off; zero for the default.
+	Grace time.Duration
 }
 
 // Fleet is a running fleet.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"time"
@@ -165,7 +166,7 @@
 			Announce: addressOf(sockets.Announce), Admin: addressOf(sockets.Admin),
 		},
 		Advertise: addressOf(sockets.Peer), Key: fleetKey, Store: f.Address, Trace: i.Node.Trace, Level: "info",
-		Fields: f.names, Repeat: settings.Repeat{Share: 0.2, Slack: 50, Window: 10 * time.Second}, Grace: grace,
+		Fields: f.names, Repeat: settings.Repeat{Share: 0.2, Slack: 50, Window: 10 * time.Second}, Grace: cmp.Or(i.Node.Grace, defaultGrace),
 		Backend: settings.Backend{
 			Address: i.Settings.Backend.Address, Slots: i.Node.Slots, Queue: i.Node.Slots * i.Node.Backlog,
 			Backlog: i.Node.Backlog, Connections: 100,
--- a/internal/routing/ending.go
+++ b/internal/routing/ending.go
@@ -30,6 +30,18 @@
 	return append(s.withdraw(f, -1, reason), s.conclude(now, f)...)
 }
 
+// closing gives all requests up, in a fixed order.
+func (s *State) closing(now time.Time) []Effect {
+	var effects []Effect
+
+	for _, f := range s.sorted(func(f *flight) bool { return !f.done }) {
+		effects = append(effects, s.giveUp(now, f, Stopping)...)
+		s.forget(f)
+	}
+
+	return effects
+}
+
 // conclude ends a request that is given up when the last of its attempts has ended: only then it is known
 // whether it may have run.
 func (s *State) conclude(now time.Time, f *flight) []Effect {
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -19,9 +19,10 @@
 	refusalPeriod = 60 * time.Millisecond
 	// parkPeriod is the pause after which a request that no server takes is tried again.
 	parkPeriod = 20 * time.Millisecond
-	// parkLimit bounds the pauses in a row; then the request is refused. A nested call goes on to its deadline,
-	// because the work of its parent would be lost.
-	parkLimit = 5
+	// parkLimit bounds the pauses; then the request is refused. A nested call goes on for longer, because the work of its
+	// parent would be lost.
+	parkLimit       = 5
+	nestedParkLimit = 50
 	// deadlineGrace is how long a response may arrive after the deadline, at which the server itself
 	// answers, before the request is given up.
 	deadlineGrace = 30 * time.Millisecond
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -69,6 +69,8 @@
 	PolicyChanged struct{ Services []manifest.Service }
 	// Restarted says that an earlier run of the daemon may have sent requests once more just now.
 	Restarted struct{}
+	// Closing ends all requests, because the daemon is about to end.
+	Closing struct{}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -140,6 +142,7 @@
 	Overloaded Reason = "overloaded"
 	Lost       Reason = "connection-lost"
 	Exhausted  Reason = "attempts-exhausted"
+	Stopping   Reason = "shutting-down"
 )
 
 func (Arrived) isEvent()        {}
@@ -150,6 +153,7 @@
 func (MembersChanged) isEvent() {}
 func (PolicyChanged) isEvent()  {}
 func (Restarted) isEvent()      {}
+func (Closing) isEvent()        {}
 func (Tick) isEvent()           {}
 
 func (Attempt) isEffect()       {}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -117,6 +117,8 @@
 		s.membersChanged(now, e.Members)
 	case PolicyChanged:
 		s.policyChanged(now, e.Services)
+	case Closing:
+		return s.closing(now)
 	case Restarted:
 		s.slackFrom = now.Add(s.repeats.Window)
 	case Tick:
--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -109,6 +109,8 @@
 		}
 	case "ended":
 		return newEnded(line)
+	case "closing":
+		return routing.Closing{}
 	case "restarted":
 		return routing.Restarted{}
 	case "cancelled":
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -90,6 +90,14 @@
 	return max(slowestMin, chosen.next/f.estimate.workOrDefault().Seconds())
 }
 
+func (f *flight) parkLimit() int {
+	if f.request.Nested() {
+		return nestedParkLimit
+	}
+
+	return parkLimit
+}
+
 // park keeps a request that no server can take for a moment, or gives it up.
 func (s *State) park(now time.Time, f *flight, chosen choice) []Effect {
 	if f.live() > 0 {
@@ -103,7 +111,7 @@
 		return s.giveUp(now, f, Exhausted)
 	case len(f.service.servers) == 0:
 		return s.giveUp(now, f, NoServers)
-	case chosen.server != nil || chosen.late || f.parks > parkLimit && !f.request.Nested():
+	case chosen.server != nil, chosen.late, f.parks > f.parkLimit():
 		return s.giveUp(now, f, Overloaded)
 	}
 
--- a/internal/routing/timers.go
+++ b/internal/routing/timers.go
@@ -54,16 +54,7 @@
 
 // tick decides what has become due, in a fixed order.
 func (s *State) tick(now time.Time) []Effect {
-	var pending []*flight
-
-	for _, f := range s.flights {
-		if !f.done && f.ending == "" && !now.Before(s.due(f)) {
-			pending = append(pending, f)
-		}
-	}
-
-	slices.SortFunc(pending, func(a, b *flight) int { return cmp.Compare(a.request.ID, b.request.ID) })
-
+	pending := s.sorted(func(f *flight) bool { return !f.done && f.ending == "" && !now.Before(s.due(f)) })
 	effects := make([]Effect, 0, len(pending))
 
 	for _, f := range pending {
@@ -74,6 +65,21 @@
 	return effects
 }
 
+// sorted lists the requests for which a condition holds, by their identifiers.
+func (s *State) sorted(holds func(f *flight) bool) []*flight {
+	var all []*flight
+
+	for _, f := range s.flights {
+		if holds(f) {
+			all = append(all, f)
+		}
+	}
+
+	slices.SortFunc(all, func(a, b *flight) int { return cmp.Compare(a.request.ID, b.request.ID) })
+
+	return all
+}
+
 func (s *State) expire(now time.Time, f *flight) []Effect {
 	if !now.Before(f.request.Deadline.Add(deadlineGrace)) {
 		return s.giveUp(now, f, Deadline)
