core: findings are counted for the own number of slots, in no order of a map

Change: only findings for as many slots as the own server has are counted, and again when that number becomes known; of equal ones the lower limit. Result: TestEqualFindings fails before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,8 +52,9 @@
 	routing   *routing.State
 	admission *admission.State
 	health    *health.State
-	// concurrency is that of the local backend server, slots the number of its slots that are used.
+	// concurrency is that of the local backend server, stated the number of its slots and slots how many are used.
 	concurrency *concurrency.State
+	stated      int
 	slots       int
 	// limit is the finding that the own entry has; zero for none.
 	limit    int
--- a/internal/core/findings.go
+++ b/internal/core/findings.go
@@ -19,18 +19,22 @@
 // findings are what daemons of the own service have found of their servers.
 type findings map[instance.ID]load.Finding
 
-// most returns the finding that most daemons have; its limit is zero if there is none.
-func (f findings) most() load.Finding {
-	var (
-		best   load.Finding
-		counts = make(map[load.Finding]int, len(f))
-	)
+// most returns the finding for a number of slots that most daemons have, of several the one with the lowest limit; its
+// limit is zero if there is none.
+func (f findings) most(slots int) load.Finding {
+	limits := make(map[int]int, len(f))
 
 	for _, found := range f {
-		counts[found]++
+		if found.Slots == slots {
+			limits[found.Limit]++
+		}
+	}
+
+	best := load.Finding{Slots: slots}
 
-		if count := counts[found]; count > counts[best] || count == counts[best] && found.Limit < best.Limit {
-			best = found
+	for limit, count := range limits {
+		if most := limits[best.Limit]; count > most || count == most && limit < best.Limit {
+			best.Limit = limit
 		}
 	}
 
@@ -58,7 +62,12 @@
 		s.findings.add(entry.Member.ID, load.Finding{Slots: entry.Member.Slots, Limit: entry.Limit})
 	}
 
-	s.concurrency.Take(now, s.findings.most())
+	s.useFindings(now)
+}
+
+// useFindings takes what most daemons have found for as many slots as the own server has.
+func (s *State) useFindings(now time.Time) {
+	s.concurrency.Take(now, s.findings.most(s.health.Slots()))
 }
 
 // findingHeard takes what another daemon of the service says.
@@ -70,7 +79,7 @@
 
 	if s.findings[report.Server] != report.Found {
 		s.findings.add(report.Server, report.Found)
-		s.concurrency.Take(now, s.findings.most())
+		s.useFindings(now)
 	}
 }
 
--- a/internal/core/findings_test.go
+++ b/internal/core/findings_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
@@ -23,6 +25,7 @@
 	found := func(ready membership.Ready, slots int) int {
 		s := New(Options{Self: instance.Member{ID: "self"}})
 		s.takeFindings(now, ready)
+		s.Apply(now, health.Announced{Announcement: backend.Announcement{ID: "i", Slots: slots, Sequence: 1}})
 
 		return s.concurrency.Limit(now, slots)
 	}
@@ -35,18 +38,18 @@
 // TestFindings guards against a finding that depends on the order in which daemons are heard.
 func TestFindings(t *testing.T) {
 	f := make(findings)
-	require.Zero(t, f.most())
+	require.Zero(t, f.most(9).Limit)
 
 	f.add("a", load.Finding{Slots: 9, Limit: 9})
 	f.add("b", load.Finding{Slots: 9, Limit: 7})
-	require.Equal(t, load.Finding{Slots: 9, Limit: 7}, f.most())
+	require.Equal(t, load.Finding{Slots: 9, Limit: 7}, f.most(9))
 
 	f.add("c", load.Finding{Slots: 9, Limit: 9})
-	require.Equal(t, load.Finding{Slots: 9, Limit: 9}, f.most())
+	require.Equal(t, load.Finding{Slots: 9, Limit: 9}, f.most(9))
 
 	f.add("a", load.Finding{})
 	f.add("c", load.Finding{})
-	require.Equal(t, load.Finding{Slots: 9, Limit: 7}, f.most())
+	require.Equal(t, load.Finding{Slots: 9, Limit: 7}, f.most(9))
 }
 
 // TestAssignTrials guards against a service none of whose daemons finds out, or all of whose do at the same time.
@@ -69,3 +72,19 @@
 
 	require.Equal(t, 4, trying)
 }
+
+// TestEqualFindings guards against a finding that depends on the order of a map, and against one for other servers that
+// outvotes those that fit.
+func TestEqualFindings(t *testing.T) {
+	// Of equal counts the lower limit is taken, whatever the order.
+	for range 50 {
+		equal := findings{"a": {Slots: 9, Limit: 9}, "b": {Slots: 9, Limit: 7}, "c": {Slots: 9, Limit: 8}}
+		require.Equal(t, load.Finding{Slots: 9, Limit: 7}, equal.most(9))
+	}
+
+	// What was found for other servers does not outvote what fits.
+	f := findings{"a": {Slots: 9, Limit: 7}}
+	f.add("d", load.Finding{Slots: 6, Limit: 6})
+	f.add("e", load.Finding{Slots: 6, Limit: 6})
+	require.Equal(t, load.Finding{Slots: 9, Limit: 7}, f.most(9))
+}
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -147,7 +147,12 @@
 
 	before := s.slots
 
-	s.slots = s.health.Slots()
+	if stated := s.health.Slots(); stated != s.stated {
+		s.stated = stated
+		s.useFindings(now)
+	}
+
+	s.slots = s.stated
 	if s.slots > 1 {
 		s.slots = s.concurrency.Limit(now, s.slots)
 	}
