--- a/internal/routing/ending.go
+++ b/internal/routing/ending.go
@@ -32,9 +32,10 @@
 
 // closing gives all requests up, in a fixed order.
 func (s *State) closing(now time.Time) []Effect {
-	var effects []Effect
+	flights := s.sorted(func(f *flight) bool { return !f.done })
+	effects := make([]Effect, 0, len(flights))
 
-	for _, f := range s.sorted(func(f *flight) bool { return !f.done }) {
+	for _, f := range flights {
 		effects = append(effects, s.giveUp(now, f, Stopping)...)
 		s.forget(f)
 	}
