backend: a connection ends after a refusal that names no request

Cause: a server's refusal may lack the identifier of its request, and so may a health answer. The connection was used again; a late copy of the refusal was taken for that of the next request, which ran and was sent again as not run. Change: such a connection is closed.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -195,6 +196,81 @@
 	}
 }
 
+// Guards against the late copy of a refusal, which names no request, that is taken for the refusal of the next request on
+// the connection: that one runs, and is sent again.
+func TestCopyOfRefusal(t *testing.T) {
+	names := platform.Dialect()
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", names.NotRun)
+
+	order1, order2 := order("a1", true), order("a2", true)
+	probe := backend.Call{Request: http1.Request{Method: http.MethodGet, Target: "/health", Bare: true}}
+
+	for name, first := range map[string]backend.Call{"request": order1, "probe": probe} {
+		t.Run(name, func(t *testing.T) {
+			// Each further request of a connection meets the copy.
+			address := serveRaw(t, func(number int, r *http.Request) string {
+				attempt := r.Header.Get(names.Attempt)
+				if number > 1 || attempt != order2.Attempt {
+					return refusal
+				}
+
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: 0\r\n\r\n",
+					names.Attempt, attempt, names.Seal)
+			})
+
+			s := newServer(t, address, names)
+
+			response, err := s.Do(t.Context(), first)
+			require.NoError(t, err)
+			read(t, response)
+			require.True(t, response.NotRun)
+
+			response, err = s.Do(t.Context(), order2)
+			require.NoError(t, err)
+			read(t, response)
+			require.False(t, response.NotRun, "the request has run")
+		})
+	}
+}
+
+// serveRaw answers each request with the text that respond returns for it and its number on its connection.
+func serveRaw(t *testing.T, respond func(number int, r *http.Request) string) string {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+
+	go func() {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+
+			go serveConnection(accepted, respond)
+		}
+	}()
+
+	return listener.Addr().String()
+}
+
+func serveConnection(connection net.Conn, respond func(number int, r *http.Request) string) {
+	defer connection.Close()
+
+	reader := bufio.NewReader(connection)
+
+	for number := 1; ; number++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(connection, respond(number, r))
+	}
+}
+
 // Guards against a wrong answer that is passed on as a success: one that is cut short, that does not prove to be the
 // server's, or that is none at all.
 func TestWrongAnswers(t *testing.T) {
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -169,8 +169,10 @@
 		return nil, err
 	}
 
-	// The server expects the rest of an unsent body on the connection.
-	body := c.Body(response.Body, stop, func() bool { return !response.Close && wasSent(sent) })
+	// The server expects the rest of an unsent body on the connection. A late copy of a refusal that names no request could
+	// not be told from the next response.
+	reusable := func() bool { return !response.Close && wasSent(sent) && s.isAttributable(response) }
+	body := c.Body(response.Body, stop, reusable)
 
 	return s.toResponse(response, call, body), nil
 }
@@ -242,6 +244,12 @@
 	return attempt == call.Attempt
 }
 
+// isAttributable reports whether a copy of a response can be told from the response to a later request. A success without
+// an identifier is never taken for the response to a request that has one.
+func (s *Server) isAttributable(response *http.Response) bool {
+	return s.dialect.Attempt == "" || s.dialect.AttemptOf(response.Header) != "" || isSuccess(response.StatusCode)
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
