daemon: versions in quick succession are read together; a restart asks a store that is down by one way

Cause, from the price of calls to the store on the large deployment: each daemon made one call for each version, 25 in a storm of 1.5 s, 4,900 of the fleet; and a daemon that started while the store was down read entries, wrote its own and read the configuration with retries of their own, of which the first two are of no use before the third. Change: a pause of 200 ms to 600 ms after a new version; after one failed call for entries, these wait until the store has answered the follower of the configuration; a waiting read lasts 30 s, the longest time that the store takes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -132,6 +132,11 @@
 	drain     atomic.Pointer[drain]
 	// manifested is closed when the first manifest is in force.
 	manifested chan struct{}
+	// answered is closed when the store has answered the follower of the configuration for the first time.
+	answered  chan struct{}
+	answering sync.Once
+	// entriesFailed is set once a call for entries has failed.
+	entriesFailed atomic.Bool
 	// reread tells the follower of the configuration that there may be a newer one.
 	reread chan struct{}
 
@@ -158,6 +163,7 @@
 		reread:   make(chan struct{}, 1),
 
 		manifested: make(chan struct{}),
+		answered:   make(chan struct{}),
 		entries:    make(map[request.ID]*entry),
 		jobs:       make(map[admission.Attempt]*job),
 	}
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// configWait is how long one read waits for a new configuration.
-	configWait = 25 * time.Second
+	// configWait is how long one read waits for a new configuration, the longest time that the store takes.
+	configWait = 30 * time.Second
+	// settleTime is the mean pause after a new configuration. Versions that come in quick succession would otherwise cost
+	// each daemon of the fleet one call each; the last one is still in force well within 3 s.
+	settleTime = 400 * time.Millisecond
 	// followMin and followMax bound the pause after a failed read. Calls are billed, also those that fail.
 	followMin = 150 * time.Millisecond
 	followMax = 3 * time.Second
@@ -46,13 +49,19 @@
 
 // step makes one call to the store.
 func (f *follower) step(ctx context.Context) {
+	listed := f.listed
 	page, err := f.read(ctx)
 
 	switch {
 	case err == nil:
 		f.pause = followMin
 		f.report(nil)
+		f.daemon.answering.Do(func() { close(f.daemon.answered) })
 		f.take(page)
+
+		if listed && len(page.Records) > 0 {
+			f.settle(ctx)
+		}
 	case errors.HasType(err, (*store.ExpiredError)(nil)):
 		f.listed = false
 	case ctx.Err() != nil:
@@ -66,6 +75,17 @@
 	}
 }
 
+// settle pauses for a random time, so that the daemons do not call the store at the same moment.
+func (f *follower) settle(ctx context.Context) {
+	timer := time.NewTimer(settleTime/2 + rand.N(settleTime))
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // wait pauses after a failed read, until another daemon has a newer configuration at most.
 func (f *follower) wait(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.pause/2+rand.N(f.pause))
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -15,14 +15,35 @@
 // entryTimeout bounds a call to the store for entries.
 const entryTimeout = 2 * time.Second
 
+// awaitStore returns at once unless a call for entries has failed before the store has answered this run of the daemon. It
+// then waits for that answer, which the follower of the configuration asks for: without a configuration nothing is served,
+// and calls that fail are billed, too. It returns false when ctx ends.
+func (d *Daemon) awaitStore(ctx context.Context) bool {
+	if !d.entriesFailed.Load() {
+		return true
+	}
+
+	select {
+	case <-d.answered:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // readEntries reads all entries of the store.
 func (d *Daemon) readEntries(ctx context.Context) {
+	if !d.awaitStore(ctx) {
+		return
+	}
+
 	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
 	defer cancel()
 
 	page, err := d.platform.Entries.Newest(ctx)
 	if err != nil {
 		d.log.Warn(eventlog.Lost).Str("what", "entries").AnErr("error", err).Send()
+		d.entriesFailed.Store(true)
 		d.apply(membership.EntriesRead{Failed: true})
 
 		return
@@ -49,12 +70,17 @@
 	record := store.Record{Key: string(e.Entry.Member.ID), Value: membership.EncodeEntry(e.Entry)}
 
 	d.start("write entry", func(ctx context.Context) {
+		if !d.awaitStore(ctx) {
+			return
+		}
+
 		ctx, cancel := context.WithTimeout(ctx, entryTimeout)
 		defer cancel()
 
 		err := d.platform.Entries.Append(ctx, record)
 		if err != nil {
 			d.log.Warn(eventlog.EntryNotStored).AnErr("error", err).Send()
+			d.entriesFailed.Store(true)
 		}
 
 		d.apply(membership.EntryWritten{Failed: err != nil})
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -18,10 +18,10 @@
 	"services":{"columns":["name"],"rows":[["stockdesk"]]}}`
 
 // startOnPlatform starts a fleet that speaks the platform's header fields and follows the operator's configuration.
-func startOnPlatform(t *testing.T) *fleet.Fleet {
+func startOnPlatform(t *testing.T, options ...fleet.Option) *fleet.Fleet {
 	t.Helper()
 
-	f, err := fleet.Start(t.Context(), fleet.Association(time.Millisecond), fleet.WithPlatform())
+	f, err := fleet.Start(t.Context(), fleet.Association(time.Millisecond), append(options, fleet.WithPlatform())...)
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, f.Stop()) })
 
