--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,6 +40,8 @@
 	QueuePerSlot int
 	// Seeds are daemons to start from besides those that the store names.
 	Seeds []netip.AddrPort
+	// Announced is set if the backend server announces itself.
+	Announced bool
 	// ProbeInterval is the age of the load at which a watched server is probed; zero for never.
 	ProbeInterval time.Duration
 	Repeats       routing.Repeats
@@ -148,7 +150,9 @@
 func (s *State) apply(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Started:
-		return s.fromMembership(now, s.membership.Apply(now, membership.Started{Seeds: s.options.Seeds}))
+		return s.fromMembership(now, s.membership.Apply(now, membership.Started{
+			Seeds: s.options.Seeds, Announced: s.options.Announced,
+		}))
 	case RequestArrived:
 		return s.requestArrived(now, e)
 	case OwnedArrived:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -193,7 +193,7 @@
 	}
 	d.options = core.Options{
 		Self: self, FixedSlots: chosen.Backend.Slots, Queue: chosen.Backend.Queue,
-		QueuePerSlot: chosen.Backend.Backlog, Seeds: chosen.Seeds,
+		QueuePerSlot: chosen.Backend.Backlog, Seeds: chosen.Seeds, Announced: platform.Announced != nil,
 		ProbeInterval: chosen.Backend.Interval,
 		Repeats: routing.Repeats{
 			Share: chosen.Repeat.Share, Slack: chosen.Repeat.Slack, Window: chosen.Repeat.Window,
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,7 +10,6 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -49,9 +48,10 @@
 	// greetMin and greetMax bound the time after which a greeting without an answer is repeated; it doubles each time.
 	greetMin = 700 * time.Millisecond
 	greetMax = 30 * time.Second
-	// firstWrite is how long the first write of the own entry waits for the backend server to announce itself,
-	// so that it need not be written again.
-	firstWrite = 400 * time.Millisecond
+	// firstWrite is the pause before the first write of the own entry. Servers that announce themselves do so within
+	// announceTime; an entry without the server would have to be written again.
+	firstWrite   = 400 * time.Millisecond
+	announceTime = 2 * time.Second
 	// retryMin and retryMax bound the pause after a failed call to the store.
 	retryMin = 150 * time.Millisecond
 	retryMax = 2 * time.Second
@@ -126,7 +126,7 @@
 func (s *State) Apply(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Started:
-		return s.start(now, e.Seeds)
+		return s.start(now, e)
 	case EntriesRead:
 		return s.entriesRead(now, e)
 	case EntryWritten:
@@ -156,11 +156,15 @@
 	}
 }
 
-func (s *State) start(now time.Time, seeds []netip.AddrPort) []Effect {
+func (s *State) start(now time.Time, e Started) []Effect {
 	s.writeAt = now.Add(firstWrite)
+	if e.Announced {
+		s.writeAt = now.Add(announceTime)
+	}
+
 	effects := append(s.read(now), s.members())
 
-	for _, seed := range seeds {
+	for _, seed := range e.Seeds {
 		if seed != s.self.Member.Peer {
 			effects = append(effects, SendBeat{To: seed, Beat: s.beat(false, true)})
 		}
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -49,8 +49,13 @@
 type Effect interface{ isEffect() }
 
 type (
-	// Started begins membership. Seeds are daemons that may be there.
-	Started struct{ Seeds []netip.AddrPort }
+	// Started begins membership.
+	Started struct {
+		// Seeds are daemons that may be there.
+		Seeds []netip.AddrPort
+		// Announced is set if the backend server announces itself.
+		Announced bool
+	}
 	// EntriesRead brings all entries of the store, or says that they could not be read.
 	EntriesRead struct {
 		Entries []Entry
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -65,7 +65,7 @@
 func newEvent(line script.Line) membership.Event {
 	switch line.Command {
 	case "start":
-		return membership.Started{}
+		return membership.Started{Announced: line.Has("announced")}
 	case "entries":
 		return newEntries(line)
 	case "written":
