membership: the first entry waits 4 s for the server

A daemon knows nobody that started at the same time before it has written; callers come later than that.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -48,10 +48,11 @@
 	// greetMin and greetMax bound the time after which a greeting without an answer is repeated; it doubles each time.
 	greetMin = 700 * time.Millisecond
 	greetMax = 30 * time.Second
-	// firstWrite is the pause before the first write of the own entry. Servers that announce themselves do so within
-	// announceTime; an entry without the server would have to be written again.
+	// firstWrite is the pause before the first write of the own entry, announceTime the one where the server announces
+	// itself: an entry without the server would have to be written again, and a server that starts together with its
+	// daemon takes some seconds.
 	firstWrite   = 400 * time.Millisecond
-	announceTime = 2 * time.Second
+	announceTime = 4 * time.Second
 	// retryMin and retryMax bound the pause after a failed call to the store.
 	retryMin = 150 * time.Millisecond
 	retryMax = 2 * time.Second
