routing: a member that has fallen silent is chosen with the time that its silence costs

Cause, found by a script for running requests at a silent daemon: a member that had been accused for 2 s was chosen like any other, so that a request lost the acceptance timeout there, again each time that the pause after a miss ended. Change: the acceptance timeout is part of the cost of an accused member. Result: silent-running fails before (a new request goes to the silent member). The script shows as well that running requests are neither sent again nor given up when their daemon falls silent and is forgotten.

--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/instance"
 )
 
 const (
@@ -44,6 +46,10 @@
 	}
 
 	total := run + srv.distance.trip().Seconds()
+	if srv.member.Status == instance.Accused {
+		// The attempt will most likely be sent again after it got no answer.
+		total += s.acceptTimeout(srv).Seconds()
+	}
 
 	if ahead >= slots {
 		usual := srv.service.work.workOrDefault().Seconds() * slow
--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -63,6 +63,10 @@
 	switch line.Command {
 	case "member":
 		return r.member(now, line)
+	case "forget":
+		r.members = slices.DeleteFunc(r.members, func(other instance.Member) bool { return string(other.ID) == line.Word(0) })
+
+		return describe(r.state.Apply(now, routing.MembersChanged{Members: r.members}))
 	case "budget":
 		r.state = routing.New(routing.WithSelf(self), routing.WithSeed(1), routing.WithRepeats(routing.Repeats{
 			Share: line.Float("share", 0), Slack: line.Float("slack", 0), Window: 10 * time.Second,
--- a/internal/routing/timers.go
+++ b/internal/routing/timers.go
@@ -30,11 +30,14 @@
 	return !a.ended && !a.withdrawn && !a.accepted && !a.silent && a.server.distance != sameInstance
 }
 
+// acceptTimeout is the time after which an attempt at a server counts as silent, beyond the round trip.
+func (s *State) acceptTimeout(srv *server) time.Duration {
+	return max(s.acceptance.timeout(), srv.acceptance.timeout())
+}
+
 // silentAt is when an attempt without a sign of life counts as silent. A new connection takes a round trip more.
 func (s *State) silentAt(a *attempt) time.Time {
-	usual := max(s.acceptance.timeout(), a.server.acceptance.timeout())
-
-	return a.sent.Add(usual + 2*a.server.distance.trip())
+	return a.sent.Add(s.acceptTimeout(a.server) + 2*a.server.distance.trip())
 }
 
 // Next is when Tick is due; the zero time if nothing waits.
