backend: a server that repeats the token of a call is protected from late copies of responses

Cause: with the project's own header fields no response names its request, so that a second copy that arrives after the next request was sent was taken for its response. Change: a server may repeat the token of a call, which it gets already. A response with another token is dropped; so is one without a token from a server that repeats it, on a connection in use again. Result: TestCopyWithoutToken fails before. The users' platform has an identifier of its own and is not touched.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -233,6 +233,53 @@
 	}
 }
 
+// Guards against the late copy of a response that is taken for the response to the next request, with a server that repeats
+// the token of a call. A server that does not repeat it is served as well.
+func TestCopyWithoutToken(t *testing.T) {
+	const field = "Tarragonmill-Call"
+
+	call := func(token string) backend.Call {
+		r := order("", true)
+		r.Request.Header.Set(field, token)
+
+		return r
+	}
+	respond := func(token, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", token, len(body), body)
+	}
+
+	for name, test := range map[string]struct{ first, copied string }{
+		"with the token of the first": {first: field + ": c1\r\n", copied: field + ": c1\r\n"},
+		"without a token":             {first: field + ": c1\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serveRaw(t, func(number int, _ *http.Request) string {
+				if number == 1 {
+					return respond(test.first, "1")
+				}
+
+				return respond(test.copied, "1") + respond(field+": c2\r\n", "2")
+			})
+			s := newServer(t, address, dialect.Default())
+
+			for n, token := range []string{"c1", "c2"} {
+				response, err := s.Do(t.Context(), call(token))
+				require.NoError(t, err)
+				require.Equal(t, fmt.Sprint(n+1), read(t, response))
+			}
+		})
+	}
+
+	address := serveRaw(t, func(number int, _ *http.Request) string { return respond("", fmt.Sprint(number)) })
+	s := newServer(t, address, dialect.Default())
+
+	for n, token := range []string{"c1", "c2"} {
+		response, err := s.Do(t.Context(), call(token))
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprint(n+1), read(t, response))
+	}
+}
+
 // serveRaw answers each request with the text that respond returns for it and its number on its connection.
 func serveRaw(t *testing.T, respond func(number int, r *http.Request) string) string {
 	t.Helper()
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -84,6 +84,8 @@
 	// idle is how long connections may be reused, in nanoseconds.
 	idle    atomic.Int64
 	foreign atomic.Int64
+	// repeating is set once the server has repeated the token of a call.
+	repeating atomic.Bool
 	dropped atomic.Int64
 }
 
@@ -103,7 +105,10 @@
 func (s *Server) Close() { s.pool.Close() }
 
 // Forget closes the unused connections after the server has been replaced.
-func (s *Server) Forget() { s.pool.Forget() }
+func (s *Server) Forget() {
+	s.pool.Forget()
+	s.repeating.Store(false)
+}
 
 // Dials returns the number of connections opened.
 func (s *Server) Dials() int64 { return s.pool.Dials() }
@@ -207,7 +212,7 @@
 			return nil, errors.Mark(err, errDropped)
 		}
 
-		if s.belongs(response, call) {
+		if s.belongs(response, call) && s.repeats(c, response, call) {
 			if call.Attempt != "" && !s.dialect.Sealed(response.Header) && isSuccess(response.StatusCode) {
 				return nil, ErrUnsealed
 			}
@@ -244,6 +249,21 @@
 	return attempt == call.Attempt
 }
 
+// repeats reports whether the token of a call in a response is that of the call. Servers need not repeat it, but one that
+// has done so is expected to do it always: on a connection in use again, a response without it is a late copy of another.
+func (s *Server) repeats(c *http1.ClientConn, response *http.Response, call Call) bool {
+	if s.dialect.Call == "" {
+		return true
+	}
+
+	token := response.Header.Get(s.dialect.Call)
+	if token != "" {
+		s.repeating.Store(true)
+	}
+
+	return token == call.Request.Header.Get(s.dialect.Call) || token == "" && !(s.repeating.Load() && c.Reused())
+}
+
 // isAttributable reports whether a copy of a response can be told from the response to a later request. A success without
 // an identifier is never taken for the response to a request that has one.
 func (s *Server) isAttributable(response *http.Response) bool {
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -28,7 +28,8 @@
 	NotRun string
 	// Origin is the service on whose instance a request began.
 	Origin string
-	// Call identifies a request in progress, for the nested calls of a backend server.
+	// Call identifies a request in progress, for the nested calls of a backend server. A server that repeats it in its
+	// responses is protected from late copies of them.
 	Call string
 	// State says with the value Draining that a backend server is about to leave.
 	State string
