--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -86,7 +86,7 @@
 	foreign atomic.Int64
 	// repeating is set once the server has repeated the token of a call.
 	repeating atomic.Bool
-	dropped atomic.Int64
+	dropped   atomic.Int64
 }
 
 // NewServer returns a server without connections; it keeps up to the given number of unused ones.
@@ -261,7 +261,11 @@
 		s.repeating.Store(true)
 	}
 
-	return token == call.Request.Header.Get(s.dialect.Call) || token == "" && !(s.repeating.Load() && c.Reused())
+	if token == "" && s.repeating.Load() && c.Reused() {
+		return call.Request.Header.Get(s.dialect.Call) == ""
+	}
+
+	return token == "" || token == call.Request.Header.Get(s.dialect.Call)
 }
 
 // isAttributable reports whether a copy of a response can be told from the response to a later request. A success without
