core: daemons begin anywhere in the sequence of a route's parts

Cause, found on reading for large fleets: after a start and after each change of weights, every daemon sent its first requests to the part of the largest weight. With some hundred daemons and a few requests a second each, the other parts got next to nothing in the first seconds. Change: a daemon moves on by a random number of steps when it begins a sequence; what chooses parts has a file of its own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 package core
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -76,6 +77,7 @@
 	// crashes counts the crashes of the local backend server.
 	crashes int
 	splits  map[string]*split
+	random  *rand.Rand
 	calls   callRates
 	origins origins
 	// returning are the requests that were refused here.
@@ -132,6 +134,7 @@
 		requests:   make(map[request.ID]request.Request),
 		serving:    make(map[admission.Attempt]*served),
 		splits:     make(map[string]*split),
+		random:     rand.New(rand.NewPCG(options.Seed, splitStream)),
 		origins:    origins{callers: make(map[string]bool)},
 		returning:  returning{since: make(map[request.Fingerprint]sending)},
 		calls:      callRates{calls: make(map[string]float64)},
@@ -320,48 +323,3 @@
 
 	return entry
 }
-
-// split spreads the requests of one route over its parts by weight.
-type split struct {
-	parts   []manifest.Part
-	current []int
-}
-
-// choosePart returns the service for the next request of a route. Each part gets its share of any run of
-// requests, whatever its servers can take: what does not fit is refused and not moved.
-func (s *State) choosePart(route string, parts []manifest.Part) string {
-	sp := s.splits[route]
-	if sp == nil || !equalParts(sp.parts, parts) {
-		sp = &split{parts: parts, current: make([]int, len(parts))}
-		s.splits[route] = sp
-	}
-
-	best, total := 0, 0
-
-	for i, part := range parts {
-		sp.current[i] += part.Weight
-		total += part.Weight
-
-		if sp.current[i] > sp.current[best] {
-			best = i
-		}
-	}
-
-	sp.current[best] -= total
-
-	return parts[best].Service
-}
-
-func equalParts(a, b []manifest.Part) bool {
-	if len(a) != len(b) {
-		return false
-	}
-
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-
-	return true
-}
