--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/store"
+	"github.com/tarragonmill/tarragonmill/internal/task"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
@@ -60,7 +61,8 @@
 		f.take(page)
 
 		if listed && len(page.Records) > 0 {
-			f.settle(ctx)
+			// Daemons that all were told now do not call the store again at the same moment.
+			task.Sleep(ctx, settleTime/2+rand.N(settleTime))
 		}
 	case errors.HasType(err, (*store.ExpiredError)(nil)):
 		f.listed = false
@@ -75,17 +77,6 @@
 	}
 }
 
-// settle pauses for a random time, so that the daemons do not call the store at the same moment.
-func (f *follower) settle(ctx context.Context) {
-	timer := time.NewTimer(settleTime/2 + rand.N(settleTime))
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // wait pauses after a failed read, until another daemon has a newer configuration at most.
 func (f *follower) wait(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.pause/2+rand.N(f.pause))
