daemon: how long slots are taken is told by outcome and by the pace of the server at the start

Logs and metrics could not tell whether slots under overload are taken by requests that are answered (the kind that ranks last has to go short), by failed calls, or by requests that end at their deadline: lines of failed requests had no slowness, and those of others only that at their end. New: begun_slowness in the lines, slot_milliseconds_total by outcome and pace.

--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -108,12 +108,20 @@
 		Int("waiting", report.Waiting).Int("slots", report.Slots).Float64("slowness", report.Slowness).Send()
 }
 
-func (d *Daemon) logServed(call attempt.Call, response *backend.Response, begun time.Time) {
-	d.metrics.serviceTime.RecordDuration(time.Since(begun))
+func (d *Daemon) logServed(call attempt.Call, response *backend.Response, begun visit) {
+	elapsed := time.Since(begun.begun)
+	d.metrics.serviceTime.RecordDuration(elapsed)
+
+	outcome := "answered"
+	if isFailure(response.Status) {
+		outcome = "failed"
+	}
+
+	d.metrics.slotTime(outcome, begun.slowness, elapsed)
 
 	line := d.about(eventlog.Served, !isFailure(response.Status), call.Request.ID).Int("attempt", call.Number).
 		Str("from", string(call.From)).Int("status", response.Status).
-		Float64("elapsed_ms", milliseconds(time.Since(begun)))
+		Float64("elapsed_ms", milliseconds(elapsed)).Float64("begun_slowness", begun.slowness)
 
 	if response.Loaded {
 		line = line.Float64("slowness", response.Load.Slowness)
@@ -122,14 +130,17 @@
 	line.Send()
 }
 
-func (d *Daemon) logServeFailed(call attempt.Call, reply attempt.Reply, begun time.Time, err error) {
+func (d *Daemon) logServeFailed(call attempt.Call, reply attempt.Reply, begun visit, err error) {
+	elapsed := time.Since(begun.begun)
 	d.metrics.countReason("serve_failures_total", reply.Reason)
+	d.metrics.slotTime(reply.Reason, begun.slowness, elapsed)
 	d.log.Notable(eventlog.ServeFailed).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
 		Str("from", string(call.From)).Str("reason", reply.Reason).Stringer("verdict", reply.Verdict).
-		Float64("elapsed_ms", milliseconds(time.Since(begun))).AnErr("error", err).Send()
+		Float64("elapsed_ms", milliseconds(elapsed)).Float64("begun_slowness", begun.slowness).AnErr("error", err).Send()
 }
 
-func (d *Daemon) logServerRefused(call attempt.Call, response *backend.Response) {
+func (d *Daemon) logServerRefused(call attempt.Call, response *backend.Response, begun visit) {
+	d.metrics.slotTime(serverShed, begun.slowness, time.Since(begun.begun))
 	d.log.Notable(eventlog.ServerRefused).Str("request", string(call.Request.ID)).Int("attempt", call.Number).
 		Str("from", string(call.From)).Int("status", response.Status).Str("server", string(response.Instance)).
 		Int("running", response.Load.Running).Int("waiting", response.Load.Waiting).Send()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -34,6 +34,7 @@
 	outcomeLabel = "outcome"
 	reasonLabel  = "reason"
 	statusLabel  = "status"
+	paceLabel    = "pace"
 )
 
 // StoreCounts are totals of the calls to the platform's store.
@@ -88,8 +89,21 @@
 	m.tagged(labels{reason: reason}).Counter(name).Inc(1)
 }
 
+// slowPace is the slowness from which on a server counts as slow in metrics.
+const slowPace = 2
+
+// slotTime adds the time that a request took a slot of the server, which worked with a slowness when it began.
+func (m *metrics) slotTime(outcome string, slowness float64, elapsed time.Duration) {
+	pace := "usual"
+	if slowness >= slowPace {
+		pace = "slow"
+	}
+
+	m.tagged(labels{outcome: outcome, pace: pace}).Counter("slot_milliseconds_total").Inc(elapsed.Milliseconds())
+}
+
 // labels of what is counted for each request; empty ones are left out.
-type labels struct{ service, kind, outcome, reason string }
+type labels struct{ service, kind, outcome, reason, pace string }
 
 // tagged returns the scope with the labels.
 func (m *metrics) tagged(l labels) tally.Scope {
@@ -103,6 +117,7 @@
 
 	for name, value := range map[string]string{
 		serviceLabel: l.service, kindLabel: l.kind, outcomeLabel: l.outcome, reasonLabel: l.reason,
+		paceLabel: l.pace,
 	} {
 		if value != "" {
 			tags[name] = value
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -24,3 +26,23 @@
 	require.NoError(t, m.exported.Close())
 	require.Empty(t, log.String())
 }
+
+// TestSlotTime guards against slots that are taken by requests without a response, which no metric shows: the time of
+// each outcome is told apart, and whether the server was slow when the request began.
+func TestSlotTime(t *testing.T) {
+	var log bytes.Buffer
+
+	m, err := newMetrics(zerolog.New(&log))
+	require.NoError(t, err)
+
+	m.slotTime("answered", 1, 160*time.Millisecond)
+	m.slotTime(timedOut, 7, 1200*time.Millisecond)
+	m.slotTime(timedOut, 7, 300*time.Millisecond)
+	require.NoError(t, m.exported.Close())
+
+	shown := httptest.NewRecorder()
+	m.exported.Handler().ServeHTTP(shown, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+
+	require.Contains(t, shown.Body.String(), `tarragonmill_slot_milliseconds_total{outcome="answered",pace="usual"} 160`)
+	require.Contains(t, shown.Body.String(), `tarragonmill_slot_milliseconds_total{outcome="deadline",pace="slow"} 1500`)
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -266,7 +266,7 @@
 		return d.refusal(call, verdict.NotRun, notCommitted)
 	}
 
-	begun := time.Now()
+	begun := d.begin()
 
 	response, err := d.backend.Do(ctx, d.backendCall(call, id))
 	if err != nil {
@@ -276,7 +276,7 @@
 	d.takeLoad(response)
 
 	if response.NotRun {
-		return d.shed(cancel, call, id, response)
+		return d.shed(cancel, call, id, begun, response)
 	}
 
 	body, length, err := readWhole(response.Body, response.Length)
@@ -297,6 +297,20 @@
 	}
 }
 
+// visit is a request at the backend server, from when it was sent there.
+type visit struct {
+	begun time.Time
+	// slowness of the server at that time.
+	slowness float64
+}
+
+func (d *Daemon) begin() visit {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return visit{begun: time.Now(), slowness: d.state.Admission().Slowness}
+}
+
 // backendCall describes a call to the backend server.
 func (d *Daemon) backendCall(call attempt.Call, id admission.Attempt) backend.Call {
 	names := d.platform.Dialect
@@ -343,14 +357,14 @@
 
 // shed treats a response that says that the server did not run the request.
 func (d *Daemon) shed(
-	cancel context.CancelFunc, call attempt.Call, id admission.Attempt, response *backend.Response,
+	cancel context.CancelFunc, call attempt.Call, id admission.Attempt, begun visit, response *backend.Response,
 ) attempt.Answer {
 	// Whether the body of a refusal is whole matters only to the connection.
 	_, _, _ = readWhole(response.Body, response.Length)
 
 	cancel()
 
-	d.logServerRefused(call, response)
+	d.logServerRefused(call, response, begun)
 
 	if response.Status == http.StatusMisdirectedRequest {
 		d.apply(health.Misdirected{ID: response.Instance})
@@ -364,7 +378,7 @@
 // failed answers an attempt that got no response. If the server broke the connection, it may
 // have crashed; what was in flight is then suspect.
 func (d *Daemon) failed(
-	ctx context.Context, cancel context.CancelFunc, call attempt.Call, id admission.Attempt, begun time.Time, err error,
+	ctx context.Context, cancel context.CancelFunc, call attempt.Call, id admission.Attempt, begun visit, err error,
 ) attempt.Answer {
 	judged := verdict.Of(err)
 	reply := attempt.Reply{Verdict: judged, Reason: serverBroke}
