--- /dev/null
+++ b/internal/simulation/result.go
@@ -0,0 +1,142 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Result is what callers and servers saw in a run.
+type Result struct {
+	fleet *Fleet
+	// Kinds are in the order of the pattern, Seconds those of the load.
+	Kinds   []KindResult
+	Seconds []SecondResult
+	Broken  []Broken
+	// Attempts between daemons, Beats, Probes and Calls to the store of the whole run.
+	Attempts, Beats, Probes, Calls int
+
+	attempts, beats, probes int
+}
+
+// KindResult is what became of the requests of one kind.
+type KindResult struct {
+	Name                         string
+	Sent                         int
+	InTarget, Late, Refused, Bad int
+	// Owed and Earned are worth.
+	Owed, Earned float64
+	// Latency of the successful ones in microseconds.
+	Latency *hdrhistogram.Histogram
+}
+
+// Share is the share of the worth that was earned; 1 if none was owed.
+func (k KindResult) Share() float64 {
+	if k.Owed == 0 {
+		return 1
+	}
+
+	return k.Earned / k.Owed
+}
+
+// SecondResult is what became of the requests that were first sent in one second.
+type SecondResult struct{ Owed, Earned float64 }
+
+// significant is the number of digits that latencies are kept with.
+const significant = 3
+
+func newResult(f *Fleet) *Result {
+	r := &Result{fleet: f, Seconds: make([]SecondResult, int(f.pattern.Length/time.Second)+1)}
+
+	for _, kind := range f.pattern.Kinds {
+		r.Kinds = append(r.Kinds, KindResult{
+			Name: kind.Name, Latency: hdrhistogram.New(1, time.Minute.Microseconds(), significant),
+		})
+	}
+
+	return r
+}
+
+func (r *Result) of(k *Kind) *KindResult {
+	for i := range r.Kinds {
+		if r.Kinds[i].Name == k.Name {
+			return &r.Kinds[i]
+		}
+	}
+
+	return nil
+}
+
+// secondOf returns the second in which a request was first sent.
+func (r *Result) secondOf(s *sending) *SecondResult {
+	second := int(s.first.Sub(origin.Add(r.fleet.pattern.Lead)) / time.Second)
+
+	return &r.Seconds[min(max(0, second), len(r.Seconds)-1)]
+}
+
+func (r *Result) owed(s *sending) {
+	k := r.of(s.kind)
+	k.Sent++
+	k.Owed += s.kind.Worth
+	r.secondOf(s).Owed += s.kind.Worth
+}
+
+// ended counts a request by what its caller got.
+func (r *Result) ended(s *sending, answer response) {
+	k := r.of(s.kind)
+	elapsed := r.fleet.clock.now.Sub(s.first)
+	earned := 0.0
+
+	switch {
+	case answer.refused:
+		k.Refused++
+	case answer.ending != answered:
+		k.Bad++
+	case elapsed <= s.kind.Target:
+		k.InTarget++
+		earned = s.kind.Worth
+	default:
+		k.Late++
+		earned = s.kind.Late
+	}
+
+	if !answer.refused && answer.ending == answered {
+		// Latencies beyond the largest one do not occur: callers leave before.
+		_ = k.Latency.RecordValue(elapsed.Microseconds())
+	}
+
+	k.Earned += earned
+	r.secondOf(s).Earned += earned
+}
+
+func (r *Result) close() {
+	r.Broken = r.fleet.promises.broken
+	r.Attempts, r.Beats, r.Probes, r.Calls = r.attempts, r.beats, r.probes, r.fleet.store.calls
+}
+
+// Kind returns the result of a kind by its name.
+func (r *Result) Kind(name string) KindResult {
+	for _, k := range r.Kinds {
+		if k.Name == name {
+			return k
+		}
+	}
+
+	return KindResult{}
+}
+
+// Share is the share of all worth that was earned.
+func (r *Result) Share() float64 {
+	owed, earned := 0.0, 0.0
+
+	for _, k := range r.Kinds {
+		owed += k.Owed
+		earned += k.Earned
+	}
+
+	if owed == 0 {
+		return 1
+	}
+
+	return earned / owed
+}
