routing: scripted tests show the slowness up to which a server may take an attempt

The bound decides where a request may run and was not seen by any script. Rewritten with -update on unchanged code; only the new word was added.

--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -201,7 +201,8 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case routing.Attempt:
-			lines = append(lines, fmt.Sprintf("send %s/%d to %s: %s, wait %s", e.Request.ID, e.Number, e.Target.ID, e.Why, e.Wait))
+			lines = append(lines, fmt.Sprintf("send %s/%d to %s: %s, wait %s, slowest %.1f",
+				e.Request.ID, e.Number, e.Target.ID, e.Why, e.Wait, e.Slowest))
 		case routing.CancelAttempt:
 			lines = append(lines, fmt.Sprintf("withdraw %s/%d: %s", e.ID, e.Number, e.Why))
 		case routing.Deliver:
