admission: an attempt that waits is not started at a server that has become too slow for it

What callers saw: under overload the kind that ranks last at its servers was refused, or got no response, although servers completed fewer requests than at other times. Cause: an attempt names the slowness above which it is to be refused, but that was compared at its arrival only. One that waited began whenever a slot was free, in a slow spell too, and kept the slot for seven times its work, beyond the end of the spell.

It now waits on, until the server is quicker or its wait has ended, and goes elsewhere then. turned-slow.txtar failed before ('start c' at 0s).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -264,8 +264,13 @@
 
 	var effects []Effect
 
-	for len(s.running) < s.slots && len(s.queue) > 0 {
-		effects = append(effects, s.start(s.queue.pop()))
+	for len(s.running) < s.slots {
+		next := s.queue.next(s.slowness)
+		if next == nil {
+			break
+		}
+
+		effects = append(effects, s.start(next))
 	}
 
 	return effects
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -41,9 +41,15 @@
 	*q = slices.Insert(*q, at, w)
 }
 
-func (q *queue) pop() *waiting {
-	w := (*q)[0]
-	*q = slices.Delete(*q, 0, 1)
+// next takes out the first attempt that a server of this slowness may run, or returns nil.
+func (q *queue) next(slowness float64) *waiting {
+	at := slices.IndexFunc(*q, func(w *waiting) bool { return w.Slowest <= 0 || slowness <= w.Slowest })
+	if at < 0 {
+		return nil
+	}
+
+	w := (*q)[at]
+	*q = slices.Delete(*q, at, at+1)
 
 	return w
 }
