routing: a request that was refused twice does not take a server at which it would be late

Cause: after two refusals an attempt named no bound for the slowness of the server, and no request did that had a single server to choose. Under overload most requests are refused twice, so that servers in a slow spell filled up with requests that ended at their deadlines, seven times their work later; the kind that ranks last went without.

The bound is now never higher than what still responds within the target, or within the deadline for calls and for requests that are late already. refused-twice.txtar failed before ('slowest 0.0').

--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -39,7 +39,7 @@
 
 	return []Effect{Attempt{
 		Request: f.request, Number: a.number, Target: chosen.server.member,
-		Wait: a.longestWait(now, chosen), Slowest: s.slowest(f, chosen),
+		Wait: a.longestWait(now, chosen), Slowest: s.slowest(now, f, chosen),
 		Why: why, Basis: s.basis(now, f, chosen),
 	}}
 }
@@ -77,17 +77,28 @@
 const (
 	// slowestMin is the slowness that is never a reason to refuse.
 	slowestMin = 1.6
-	// slowestRefusals is the number of refusals after which a request takes any server.
+	// slowestRefusals is the number of refusals after which a request takes any server that can respond in time.
 	slowestRefusals = 2
+	// leastWork keeps the bound finite for routes that need hardly any time.
+	leastWork = time.Millisecond
 )
 
-// slowest is the slowness above which the next best server is the better choice.
-func (s *State) slowest(f *flight, chosen choice) float64 {
-	if !chosen.others || len(f.refusals) >= slowestRefusals {
-		return 0
+// slowest is the slowness above which a server is to refuse the request: the next best one is the better choice then, or
+// the response would come too late and only keep a slot from others.
+func (s *State) slowest(now time.Time, f *flight, chosen choice) float64 {
+	until := f.until()
+	if chosen.late {
+		until = f.request.Deadline
+	}
+
+	work := max(leastWork, f.estimate.workOrDefault()).Seconds()
+	bound := until.Sub(now).Seconds() / work
+
+	if chosen.others && len(f.refusals) < slowestRefusals {
+		bound = min(bound, chosen.next/work)
 	}
 
-	return max(slowestMin, chosen.next/f.estimate.workOrDefault().Seconds())
+	return max(slowestMin, bound)
 }
 
 func (f *flight) parkLimit() int {
