routing: a request that is late does not take a server that is slower than believed

A request that can no longer respond within its target took any server with room that would respond by its deadline, so that one in a slow spell kept a slot for seven times its work for a response of little use, also beyond the spell. It now goes only where the server is about as quick as the choice rests on; if all are slow, that is what the choice rests on. late-slow.txtar failed before.

--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -79,22 +79,23 @@
 	slowestMin = 1.6
 	// slowestRefusals is the number of refusals after which a request takes any server that can respond in time.
 	slowestRefusals = 2
+	// lateMargin is how much slower than believed a server may be for a request that is late.
+	lateMargin = 1.25
 	// leastWork keeps the bound finite for routes that need hardly any time.
 	leastWork = time.Millisecond
 )
 
 // slowest is the slowness above which a server is to refuse the request: the next best one is the better choice then, or
-// the response would come too late and only keep a slot from others.
+// the response would come too late and only keep a slot from others. A request that is late anyway takes the slot of a
+// server only that is about as quick as the choice rests on.
 func (s *State) slowest(now time.Time, f *flight, chosen choice) float64 {
-	until := f.until()
-	if chosen.late {
-		until = f.request.Deadline
-	}
-
 	work := max(leastWork, f.estimate.workOrDefault()).Seconds()
-	bound := until.Sub(now).Seconds() / work
+	bound := f.until().Sub(now).Seconds() / work
 
-	if chosen.others && len(f.refusals) < slowestRefusals {
+	switch {
+	case chosen.late:
+		bound = min(f.request.Deadline.Sub(now).Seconds()/work, lateMargin*chosen.server.slowness(now))
+	case chosen.others && len(f.refusals) < slowestRefusals:
 		bound = min(bound, chosen.next/work)
 	}
 
