membership: a beat to a daemon that knows the sender has a reference instead of names and addresses

Cause of twice the target for control at rest: each beat repeated ID, service, region, domain and address of its sender, most of its bytes, although its receiver has known them since the first one. A beat now has a 32-bit reference to what the member has said of itself last, if the receiver was told before and has shown that it understands references.

--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/task"
@@ -32,7 +33,7 @@
 	buffer := make([]byte, maxBeat)
 
 	for ctx.Err() == nil {
-		n, _, err := d.sockets.Beats.ReadFromUDPAddrPort(buffer)
+		n, source, err := d.sockets.Beats.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			task.Sleep(ctx, acceptPause)
 
@@ -41,7 +42,7 @@
 
 		d.beatBytes.Add(int64(n))
 
-		if !d.protect("beat", func() { d.takeBeat(buffer[:n]) }) {
+		if !d.protect("beat", func() { d.takeBeat(buffer[:n], netip.AddrPortFrom(source.Addr().Unmap(), source.Port())) }) {
 			d.beatErrors.Add(1)
 		}
 	}
@@ -49,7 +50,7 @@
 	return nil
 }
 
-func (d *Daemon) takeBeat(data []byte) {
+func (d *Daemon) takeBeat(data []byte, source netip.AddrPort) {
 	beat, err := membership.DecodeBeat(data)
 	if err != nil {
 		d.beatErrors.Add(1)
@@ -57,5 +58,5 @@
 		return
 	}
 
-	d.apply(membership.BeatHeard{Beat: beat})
+	d.apply(membership.BeatHeard{Beat: beat, Source: source})
 }
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -11,8 +11,11 @@
 	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
-// beatBytes is what a beat takes on the network, with the headers of a datagram.
-const beatBytes = 130
+// beatBytes is what a beat takes on the network, with the headers of a datagram, referBytes if it has a reference.
+const (
+	beatBytes  = 130
+	referBytes = 70
+)
 
 // sendTo sends a beat to a peer. It renews the watch if the peer is watched.
 func (s *State) sendTo(now time.Time, p *peer, greeting bool) Effect {
@@ -21,19 +24,27 @@
 		p.asked = now
 	}
 
-	return SendBeat{To: p.member.Peer, Beat: s.beat(p.watched, greeting)}
+	return SendBeat{To: p.member.Peer, Beat: s.refer(p, s.beat(p.watched, greeting))}
 }
 
 // beat describes the daemon to another one.
 func (s *State) beat(watch, greeting bool) Beat {
-	return Beat{From: s.self.Member, Watch: watch, Greeting: greeting, Version: s.version, Report: s.report}
+	return Beat{
+		From: s.self.Member, References: true, Watch: watch, Greeting: greeting, Version: s.version, Report: s.report,
+	}
 }
 
-func (s *State) beatHeard(now time.Time, b Beat) []Effect {
-	if b.From.ID == s.self.Member.ID {
-		return nil
+func (s *State) beatHeard(now time.Time, e BeatHeard) []Effect {
+	b, known, effects := s.resolve(now, e)
+	if !known || b.From.ID == s.self.Member.ID {
+		return effects
 	}
 
+	return append(effects, s.memberHeard(now, b)...)
+}
+
+// memberHeard takes a beat whose sender is known.
+func (s *State) memberHeard(now time.Time, b Beat) []Effect {
 	var effects []Effect
 
 	known := s.peers[b.From.ID]
@@ -48,7 +59,7 @@
 		return effects
 	}
 
-	p.heard, p.greetAt = now, time.Time{}
+	p.heard, p.greetAt, p.references = now, time.Time{}, b.References
 
 	if p.member.Status == instance.Accused && s.accuse(now) {
 		effects = append(effects, s.members())
@@ -133,7 +144,7 @@
 		}
 
 		early := now.Before(p.told.Add(idleInterval))
-		if early && p.pending < memberNews && !s.budget.AllowN(now, beatBytes) {
+		if early && p.pending < memberNews && !s.budget.AllowN(now, s.bytesTo(p)) {
 			// The next idle beat tells it.
 			p.pending = noNews
 
@@ -146,6 +157,15 @@
 	return effects
 }
 
+// bytesTo is what a beat to a peer takes.
+func (s *State) bytesTo(p *peer) int {
+	if s.knows(p) {
+		return referBytes
+	}
+
+	return beatBytes
+}
+
 // worthTelling reports whether the number of requests at the server differs enough from what a peer was told.
 func (s *State) worthTelling(p *peer) bool {
 	step := int(math.Ceil(busyStep * float64(max(1, s.report.Slots))))
@@ -207,7 +227,7 @@
 	p.greetPause = min(max(greetMin, 2*p.greetPause), greetMax)
 	p.greetAt = now.Add(p.greetPause)
 
-	return SendBeat{To: p.member.Peer, Beat: s.beat(p.watched, true)}
+	return SendBeat{To: p.member.Peer, Beat: s.refer(p, s.beat(p.watched, true))}
 }
 
 // greetAgain greets members that have not answered.
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -42,12 +42,14 @@
 	fieldFoundSlots
 	fieldFoundLimit
 	fieldQueue
+	fieldReference
 )
 
 const (
 	flagWatch = 1 << iota
 	flagGreeting
 	flagOpen
+	flagReferences
 )
 
 // ratioScale keeps three decimals of a ratio.
@@ -56,15 +58,13 @@
 // EncodeBeat returns the datagram of a beat.
 func EncodeBeat(b Beat) []byte {
 	out := make([]byte, 0, 160)
-	out = appendText(out, fieldID, string(b.From.ID))
-	out = appendNumber(out, fieldRun, uint64(b.From.Incarnation))
-	out = appendNumber(out, fieldCounter, b.From.Counter)
-	out = appendNumber(out, fieldStatus, uint64(b.From.Status))
-	out = appendText(out, fieldService, b.From.Service)
-	out = appendText(out, fieldRegion, b.From.Place.Region)
-	out = appendText(out, fieldDomain, b.From.Place.Domain)
-	out = appendText(out, fieldPeer, b.From.Peer.String())
-	out = appendNumber(out, fieldSlots, uint64(max(0, b.From.Slots)))
+
+	if b.Reference != 0 {
+		out = appendNumber(out, fieldReference, uint64(b.Reference))
+	} else {
+		out = appendMember(out, b.From)
+	}
+
 	out = appendNumber(out, fieldVersion, b.Version)
 
 	flags := uint64(0)
@@ -80,13 +80,17 @@
 		flags |= flagOpen
 	}
 
+	if b.References {
+		flags |= flagReferences
+	}
+
 	out = appendNumber(out, fieldFlags, flags)
 
 	if len(b.Message) > 0 {
 		out = appendText(out, fieldMessage, string(b.Message))
 	}
 
-	if b.Report.Server == "" {
+	if b.Report.Counter == 0 {
 		return out
 	}
 
@@ -103,6 +107,19 @@
 	return appendNumber(out, fieldCold, uint64(b.Report.ColdFor.Milliseconds()))
 }
 
+func appendMember(out []byte, m instance.Member) []byte {
+	out = appendText(out, fieldID, string(m.ID))
+	out = appendNumber(out, fieldRun, uint64(m.Incarnation))
+	out = appendNumber(out, fieldCounter, m.Counter)
+	out = appendNumber(out, fieldStatus, uint64(m.Status))
+	out = appendText(out, fieldService, m.Service)
+	out = appendText(out, fieldRegion, m.Place.Region)
+	out = appendText(out, fieldDomain, m.Place.Domain)
+	out = appendText(out, fieldPeer, m.Peer.String())
+
+	return appendNumber(out, fieldSlots, uint64(max(0, m.Slots)))
+}
+
 func toRatio(ratio float64) uint64 { return uint64(math.Round(max(0, ratio) * ratioScale)) }
 
 // appendNumber leaves out zeros.
@@ -170,11 +187,6 @@
 }
 
 func toBeat(numbers map[protowire.Number]uint64, texts map[protowire.Number]string) (Beat, error) {
-	peer, err := netip.ParseAddrPort(texts[fieldPeer])
-	if err != nil || texts[fieldID] == "" || numbers[fieldStatus] > uint64(instance.Left) {
-		return Beat{}, errors.Wrap(errBadBeat, "sender")
-	}
-
 	for _, field := range smallFields {
 		if numbers[field] > maxNumber {
 			return Beat{}, errors.Wrapf(errBadBeat, "field %d", field)
@@ -183,14 +195,22 @@
 
 	flags := numbers[fieldFlags]
 	beat := Beat{
-		From: instance.Member{
-			ID: instance.ID(texts[fieldID]), Incarnation: instance.Incarnation(numbers[fieldRun]),
-			Counter: numbers[fieldCounter], Status: instance.Status(numbers[fieldStatus]),
-			Service: texts[fieldService],
-			Place:   instance.Place{Region: texts[fieldRegion], Domain: texts[fieldDomain]},
-			Peer:    peer, Slots: int(numbers[fieldSlots]),
-		},
-		Watch: flags&flagWatch != 0, Greeting: flags&flagGreeting != 0, Version: numbers[fieldVersion],
+		References: flags&flagReferences != 0, Watch: flags&flagWatch != 0, Greeting: flags&flagGreeting != 0,
+		Version: numbers[fieldVersion],
+	}
+
+	switch reference := numbers[fieldReference]; {
+	case reference > math.MaxUint32:
+		return Beat{}, errors.Wrap(errBadBeat, "reference")
+	case reference > 0:
+		beat.Reference = Reference(reference)
+	default:
+		from, err := toMember(numbers, texts)
+		if err != nil {
+			return Beat{}, err
+		}
+
+		beat.From = from
 	}
 
 	if text := texts[fieldMessage]; text != "" {
@@ -211,6 +231,20 @@
 	return beat, nil
 }
 
+func toMember(numbers map[protowire.Number]uint64, texts map[protowire.Number]string) (instance.Member, error) {
+	peer, err := netip.ParseAddrPort(texts[fieldPeer])
+	if err != nil || texts[fieldID] == "" || numbers[fieldStatus] > uint64(instance.Left) {
+		return instance.Member{}, errors.Wrap(errBadBeat, "sender")
+	}
+
+	return instance.Member{
+		ID: instance.ID(texts[fieldID]), Incarnation: instance.Incarnation(numbers[fieldRun]),
+		Counter: numbers[fieldCounter], Status: instance.Status(numbers[fieldStatus]),
+		Service: texts[fieldService], Place: instance.Place{Region: texts[fieldRegion], Domain: texts[fieldDomain]},
+		Peer: peer, Slots: int(numbers[fieldSlots]),
+	}, nil
+}
+
 // storedEntry is the form of an entry in the store.
 type storedEntry struct {
 	ID      string `json:"id"`
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -26,6 +26,9 @@
 		From: member(), Message: []byte("[]"),
 		Report: load.Report{Server: "a", Incarnation: 7, Counter: 9, Open: true, Running: 3, Waiting: load.Waiting{1, 2, 3, 4}, Slots: 6, Slowness: 1.5},
 	}))
+	f.Add(membership.EncodeBeat(membership.Beat{
+		Reference: membership.ReferenceOf(member()), References: true, Watch: true, Report: load.Report{Counter: 9, Slots: 6},
+	}))
 	// Numbers that are negative once they are read.
 	f.Add(membership.EncodeBeat(membership.Beat{
 		From: member(), Report: load.Report{Server: "a", Counter: 1, Running: -5, Slots: -1, ColdFor: -time.Second},
--- a/internal/membership/learn.go
+++ b/internal/membership/learn.go
@@ -24,6 +24,8 @@
 
 		p = &peer{member: member}
 		s.peers[member.ID] = p
+		s.index.add(p)
+
 		s.order = append(s.order, p)
 		slices.SortFunc(s.order, func(a, b *peer) int { return cmp.Compare(a.member.ID, b.member.ID) })
 
@@ -34,7 +36,14 @@
 		return false
 	}
 
+	if member.Incarnation != p.member.Incarnation {
+		// Its new run knows nothing of this daemon.
+		p.introduced = 0
+	}
+
+	s.index.remove(p)
 	p.member = member
+	s.index.add(p)
 
 	if member.Status == instance.Left {
 		s.forget(p)
@@ -72,6 +81,7 @@
 }
 
 func (s *State) forget(p *peer) {
+	s.index.remove(p)
 	delete(s.peers, p.member.ID)
 	s.order = slices.DeleteFunc(s.order, func(other *peer) bool { return other == p })
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -69,6 +70,9 @@
 	peers   map[instance.ID]*peer
 	// order lists the peers by ID, so that effects do not depend on map order.
 	order []*peer
+	index index
+	// asked is when an address was asked who is there.
+	asked map[netip.AddrPort]time.Time
 	// services are those that this daemon sends requests of.
 	services map[string]bool
 
@@ -112,6 +116,9 @@
 	// greetAt is when it is greeted again, after a pause that grows; zero if it has answered or was never greeted.
 	greetAt    time.Time
 	greetPause time.Duration
+	// references is set if it understands them, introduced is the reference to what it was told of this daemon last.
+	references bool
+	introduced Reference
 }
 
 // New returns a state that knows only the daemon itself.
@@ -119,6 +126,7 @@
 	return &State{
 		self: Entry{Member: self}, random: rand.New(rand.NewPCG(seed, 1)),
 		peers: make(map[instance.ID]*peer), services: make(map[string]bool), retry: retryMin, reread: rereadMin,
+		index: make(index), asked: make(map[netip.AddrPort]time.Time),
 		budget: rate.NewLimiter(0, 0),
 	}
 }
@@ -133,7 +141,7 @@
 	case EntryWritten:
 		return s.entryWritten(now, e)
 	case BeatHeard:
-		return s.beatHeard(now, e.Beat)
+		return s.beatHeard(now, e)
 	case SelfChanged:
 		return s.selfChanged(now, e.Entry)
 	case LoadChanged:
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -31,6 +31,10 @@
 // Beat is a datagram from one daemon to another.
 type Beat struct {
 	From instance.Member
+	// Reference stands for From if it is not zero: the receiver knows the member already.
+	Reference Reference
+	// References says that the sender understands references.
+	References bool
 	// Watch asks for the receiver's beats for some seconds.
 	Watch bool
 	// Greeting asks for one beat in return.
@@ -63,8 +67,11 @@
 	}
 	// EntryWritten is the outcome of WriteEntry.
 	EntryWritten struct{ Failed bool }
-	// BeatHeard brings a beat.
-	BeatHeard struct{ Beat Beat }
+	// BeatHeard brings a beat and the address that it was sent from.
+	BeatHeard struct {
+		Beat   Beat
+		Source netip.AddrPort
+	}
 	// SelfChanged brings a change of the daemon's own entry.
 	SelfChanged struct{ Entry Entry }
 	// LoadChanged brings the load of the daemon's own server and the version in force.
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -71,10 +71,7 @@
 	case "written":
 		return membership.EntryWritten{Failed: line.Has("failed")}
 	case "beat":
-		return membership.BeatHeard{Beat: membership.Beat{
-			From: memberOf(line), Watch: line.Has("watch"), Greeting: line.Has("greeting"),
-			Version: uint64(line.Int("version", 0)),
-		}}
+		return newBeat(line)
 	case "server":
 		return membership.SelfChanged{Entry: membership.Entry{Member: newMember("me", 1, 5), Server: line.Word(0)}}
 	case "load":
@@ -100,6 +97,21 @@
 	}
 }
 
+// newBeat reads: beat MEMBER [watch] [greeting] [version=N] [references] [reference].
+func newBeat(line script.Line) membership.Event {
+	from := memberOf(line)
+	beat := membership.Beat{
+		From: from, Watch: line.Has("watch"), Greeting: line.Has("greeting"), Version: uint64(line.Int("version", 0)),
+		References: line.Has("references") || line.Has("reference"),
+	}
+
+	if line.Has("reference") {
+		beat.From, beat.Reference = instance.Member{}, membership.ReferenceOf(from)
+	}
+
+	return membership.BeatHeard{Beat: beat, Source: from.Peer}
+}
+
 // newEntries reads: entries [failed] [ID:PORT ...].
 func newEntries(line script.Line) membership.Event {
 	read := membership.EntriesRead{Failed: line.Has("failed")}
@@ -129,8 +141,13 @@
 		case membership.WriteEntry:
 			lines = append(lines, fmt.Sprintf("write entry with server %q", e.Entry.Server))
 		case membership.SendBeat:
+			sender := e.Beat.From.Status.String()
+			if e.Beat.Reference != 0 {
+				sender = "reference"
+			}
+
 			lines = append(lines, fmt.Sprintf("beat to %d: watch=%t greeting=%t %s running=%d",
-				e.To.Port(), e.Beat.Watch, e.Beat.Greeting, e.Beat.From.Status, e.Beat.Report.Running))
+				e.To.Port(), e.Beat.Watch, e.Beat.Greeting, sender, e.Beat.Report.Running))
 		case membership.MembersChanged:
 			lines = append(lines, "members"+list(e.Members))
 		case membership.VersionHeard:
--- a/internal/simulation/daemon.go
+++ b/internal/simulation/daemon.go
@@ -23,6 +23,8 @@
 	// probeInterval and queuePerSlot are the settings of the daemons.
 	probeInterval = 100 * time.Millisecond
 	queuePerSlot  = 2
+	// datagramHead is the bytes that the network adds to a datagram.
+	datagramHead = 28
 )
 
 // daemon is the place of a daemon: an instance with its server.
@@ -198,7 +200,9 @@
 
 func (r *run) sendBeat(e membership.SendBeat) {
 	fleet := r.daemon.fleet
+	data := membership.EncodeBeat(e.Beat)
 	fleet.result.beats++
+	fleet.result.beatBytes += len(data) + datagramHead
 
 	to := fleet.byPeer[e.To]
 	if to == nil {
@@ -206,9 +210,10 @@
 	}
 
 	fleet.network.datagram(r.daemon, to, func() {
-		if to.run != nil {
-			peer := to.run
-			peer.receive(func() { peer.apply(membership.BeatHeard{Beat: e.Beat}) })
+		// Decoding is part of what a daemon does.
+		beat, err := membership.DecodeBeat(data)
+		if peer := to.run; peer != nil && err == nil {
+			peer.receive(func() { peer.apply(membership.BeatHeard{Beat: beat, Source: r.daemon.peer}) })
 		}
 	})
 }
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -13,10 +13,10 @@
 	Kinds   []KindResult
 	Seconds []SecondResult
 	Broken  []Broken
-	// Attempts between daemons, Beats, Probes and Calls to the store of the whole run.
-	Attempts, Beats, Probes, Calls int
+	// Attempts between daemons, Beats and their bytes, Probes and Calls to the store of the whole run.
+	Attempts, Beats, BeatBytes, Probes, Calls int
 
-	attempts, beats, probes int
+	attempts, beats, beatBytes, probes int
 }
 
 // KindResult is what became of the requests of one kind.
@@ -111,7 +111,8 @@
 
 func (r *Result) close() {
 	r.Broken = r.fleet.promises.broken
-	r.Attempts, r.Beats, r.Probes, r.Calls = r.attempts, r.beats, r.probes, r.fleet.store.calls
+	r.Attempts, r.Probes, r.Calls = r.attempts, r.probes, r.fleet.store.calls
+	r.Beats, r.BeatBytes = r.beats, r.beatBytes
 }
 
 // Kind returns the result of a kind by its name.
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -50,3 +50,21 @@
 	require.Equal(t, first.Attempts, second.Attempts)
 	require.Equal(t, first.Beats, second.Beats)
 }
+
+// TestControlBytesAtRest guards against daemons that spend more on telling each other of themselves than the target allows
+// for all control, while nothing changes. Bytes are counted at both ends.
+func TestControlBytesAtRest(t *testing.T) {
+	const target = 6_000 // bytes a second and daemon
+
+	p := load(t, "rest")
+	result := simulation.Run(p, 1)
+
+	daemons := 0
+	for _, service := range p.Services {
+		daemons += service.Servers
+	}
+
+	seconds := (p.Lead + p.Length).Seconds()
+	require.Less(t, 2*float64(result.BeatBytes)/seconds/float64(daemons), float64(target))
+	require.GreaterOrEqual(t, result.Share(), 0.99)
+}
