daemon: logs and metrics of the ways by which a configuration arrives

Cause: a configuration that is late, refused as a whole or delayed by pauses left the same log: one line for the first failed read of an outage, without its duration. No logic is changed. Evidence: tests of internal/daemon and platform pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,6 +152,7 @@
 	entryCallFailed atomic.Bool
 	// rereadConfig receives a value when the store may have a newer configuration.
 	rereadConfig chan struct{}
+	configReads  configReads
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -53,10 +53,13 @@
 // poll makes one call to the store, applies the configuration that it returns, and pauses.
 func (f *follower) poll(ctx context.Context) {
 	hadOffset := f.hasOffset
+	started := time.Now()
 	page, err := f.read(ctx)
+	f.daemon.configReads.count(ctx, err)
 
 	switch {
 	case err == nil:
+		f.logRead(page, hadOffset, time.Since(started))
 		f.retryPause = minRetryPause
 		f.logAvailability(nil)
 		f.daemon.storeAnsweredOnce.Do(func() { close(f.daemon.storeAnswered) })
@@ -73,6 +76,8 @@
 		f.hasOffset = false
 	default:
 		f.logAvailability(err)
+		f.daemon.log.Notable(eventlog.OperationFailed).Str("what", "configuration").
+			Float64("elapsed_ms", milliseconds(time.Since(started))).AnErr("error", err).Send()
 		f.backOff(ctx)
 		// Reading the newest records is faster than reading all that were missed.
 		f.hasOffset = false
@@ -146,6 +151,7 @@
 
 		version, m, err := f.decode(record.Value)
 		if err != nil {
+			d.configReads.rejected.Add(1)
 			d.log.Warn(eventlog.BadRecord).Str("key", record.Key).Int64("offset", record.Offset).AnErr("error", err).Send()
 
 			continue
@@ -156,6 +162,17 @@
 }
 
 // errDecoderPanicked is returned for a record at which the decoder panicked. Decoding it again would panic again.
+// logRead logs a read that brought records. waited is set for a read that waited for a new record, and elapsed is how
+// long the read took.
+func (f *follower) logRead(page store.Page, waited bool, elapsed time.Duration) {
+	if len(page.Records) == 0 {
+		return
+	}
+
+	f.daemon.log.Notable(eventlog.ConfigurationRead).Bool("waited", waited).
+		Float64("elapsed_ms", milliseconds(elapsed)).Int("records", len(page.Records)).Int64("end", page.End).Send()
+}
+
 var errDecoderPanicked = errors.New("configuration decoder panicked")
 
 // decode decodes a configuration and validates it.
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -110,10 +110,8 @@
 	case core.ManifestChanged:
 		d.changeManifest(e)
 	case core.RereadManifest:
-		select {
-		case d.rereadConfig <- struct{}{}:
-		default:
-		}
+		d.log.Notable(eventlog.ConfigurationBehind).Uint64("version", d.version.Load()).Uint64("newest", e.Version).Send()
+		d.requestReread()
 	case core.ServerReplaced:
 		d.backend.Reset()
 	case core.ServerChanged:
@@ -122,6 +120,14 @@
 	}
 }
 
+// requestReread makes the follower of the configuration read the store at once.
+func (d *Daemon) requestReread() {
+	select {
+	case d.rereadConfig <- struct{}{}:
+	default:
+	}
+}
+
 func (d *Daemon) performRouting(effect routing.Effect) {
 	switch e := effect.(type) {
 	case routing.Attempt:
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -196,6 +196,7 @@
 	m.exportTotal("foreign_responses_total", "", "", traffic.Foreign)
 	m.exportTotal("beat_errors_total", "", "", traffic.BeatErrors)
 	m.exportTotal("log_lines_left_out_total", "", "", int64(traffic.LinesLeftOut))
+	d.configReads.export(m)
 	d.exportStore()
 }
 
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -50,6 +50,10 @@
 	Resumed Event = "resumed"
 	// Configuration reports that a new configuration is in force.
 	Configuration Event = "configuration"
+	// ConfigurationRead reports a read from the store that brought records of configurations.
+	ConfigurationRead Event = "configuration-read"
+	// ConfigurationBehind reports that another daemon has a newer configuration.
+	ConfigurationBehind Event = "configuration-behind"
 	// BadRecord reports an invalid configuration or membership entry in the store.
 	BadRecord Event = "bad-record"
 	// Members reports changes of the members of the fleet.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,6 +25,8 @@
 	// ErrRejected is returned if the log states that it did not perform a call. After any other error, the call may have
 	// been performed, or may still be performed later.
 	ErrRejected = errors.New("log did not perform the call")
+	// ErrSilent is returned if the response to a call does not begin in time, pauses or takes too long.
+	ErrSilent = errors.New("log has stopped answering")
 )
 
 // Record is a record of a topic.
