core: a new version of the configuration reaches the beats at once

Cause: membership learns the version only together with a load report, and a load report was passed on only if the load had changed enough. A daemon whose server is calm went on to state the older version in its beats, so that nobody reread the store. Change: a new version is published like a changed load, and sent to the watchers as one. Evidence: TestVersionInBeats failed before (no beat with version 9), passes now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -108,8 +108,10 @@
 	newestVersion uint64
 	// rereadAt is when to read the manifest again; zero if no daemon has a newer one.
 	rereadAt time.Time
-	// publishedReport is the load report that routing and the other daemons received last.
-	publishedReport load.Report
+	// publishedReport is the load report that routing and the other daemons received last, and publishedVersion the
+	// version of the manifest that the other daemons received with it.
+	publishedReport  load.Report
+	publishedVersion uint64
 	// reportedServer is the backend server that the last ServerReplaced named.
 	reportedServer   backend.ID
 	nextSuspectsTick time.Time
--- a/internal/core/manifest_test.go
+++ b/internal/core/manifest_test.go
@@ -1,12 +1,14 @@
 package core
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
@@ -33,3 +35,31 @@
 	require.EqualValues(t, 7, s.Version())
 	require.True(t, read(9))
 }
+
+// TestVersionInBeats guards against beats that go on to state an older version of the configuration while the load of
+// the server does not change, so that a daemon without the newer version does not learn of it.
+func TestVersionInBeats(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	watcher := instance.Member{
+		ID: "watcher", Incarnation: 1, Service: "stockdesk", Peer: netip.MustParseAddrPort("10.0.0.2:1"),
+	}
+	s := New(Options{Self: instance.Member{ID: "self", Incarnation: 1, Service: "stockdesk"}})
+	s.Apply(now, Started{})
+	s.Apply(now, membership.EntriesRead{})
+	s.Apply(now, membership.BeatHeard{Beat: membership.Beat{From: watcher, Watch: true}, Source: watcher.Peer})
+	s.Apply(now, ManifestRead{Version: 7, Manifest: manifest.Manifest{}})
+
+	// The first report is sent with the first version; the load never changes after it.
+	now = now.Add(10 * time.Second)
+	s.Apply(now, membership.BeatHeard{Beat: membership.Beat{From: watcher, Watch: true}, Source: watcher.Peer})
+
+	stated := uint64(0)
+
+	for _, effect := range s.Apply(now, ManifestRead{Version: 9, Manifest: manifest.Manifest{}}) {
+		if sent, ok := effect.(membership.SendBeat); ok && sent.To == watcher.Peer {
+			stated = sent.Beat.Version
+		}
+	}
+
+	require.EqualValues(t, 9, stated)
+}
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -189,7 +189,8 @@
 	return s.options.QueuePerSlot * s.slotLimit
 }
 
-// publishLoad reports the load of the local server to routing and the other daemons if it has changed enough.
+// publishLoad reports the load of the local server to routing and the other daemons if it has changed enough, or if
+// there is another version of the manifest, which the other daemons learn with it.
 func (s *State) publishLoad(now time.Time) []Effect {
 	s.concurrency.SetLoad(now, s.admission.Running(), s.health.Slowness())
 
@@ -197,11 +198,11 @@
 	effects := s.setWatched(now, watched)
 
 	report := s.loadReport(now)
-	if !changedSignificantly(s.publishedReport, report) {
+	if s.publishedVersion == s.version && !changedSignificantly(s.publishedReport, report) {
 		return effects
 	}
 
-	s.publishedReport = report
+	s.publishedReport, s.publishedVersion = report, s.version
 
 	ownReport := report
 	// A draining daemon tells others to send no more work, but still uses its own server.
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -92,6 +92,10 @@
 
 func (s *State) loadChanged(now time.Time, e LoadChanged) []Effect {
 	kind := classifyChange(s.baseline, e.Report)
+	if e.Version != s.version {
+		kind = max(kind, loadChange)
+	}
+
 	s.report, s.version = e.Report, e.Version
 
 	if kind > requestCountChange {
@@ -108,7 +112,7 @@
 	noChange change = iota
 	// requestCountChange is a changed number of requests at the server.
 	requestCountChange
-	// loadChange is another change of the load. Like requestCountChange, it is left to the next idle beat if the budget
+	// loadChange is another change of the load, or another version of the configuration. Like requestCountChange, it is left to the next idle beat if the budget
 	// is spent.
 	loadChange
 	// urgentChange is sent regardless of the budget: without it, others would send requests to a daemon that does not
