daemon: a configuration arrives although connections to the store are silent

Callers saw: requests handled by an older configuration long after a newer one was acknowledged (CONFIG, late). Cause: a daemon learns of a version by one read that waits at the store for 30 s. If its connection goes silent without a reset, the read ended after 32 s, or by TCP keep-alive after 2 s to 3 s if the peer's kernel is silent, too. Beats help only if another daemon has the version; if all connections go silent at once, none has. The read after that could take another unused connection, which was silent as well, and waited 2 s there. Class: a wait without a bound on a connection that nobody checks. Evidence: the stand-in can make open connections silent.

--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -83,6 +83,9 @@
 // MemberCount returns the number of members, this daemon included.
 func (s *State) MemberCount() int { return s.membership.MemberCount() }
 
+// RankAmongHeard returns the number of members with a lower ID than this daemon whose beats arrive regularly.
+func (s *State) RankAmongHeard(now time.Time) int { return s.membership.RankAmongHeard(now) }
+
 // Member returns a member by its ID.
 func (s *State) Member(id instance.ID) (instance.Member, bool) { return s.membership.Member(id) }
 
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	// pollTimeout is how long one read waits for a new record, the longest time that the store allows.
-	pollTimeout = 30 * time.Second
+	// shortWait and longWait are how long one read waits for a new record. The end of a wait shows that the connection
+	// still works. Only a few daemons look so often that a version is in force within 3 s although connections have gone
+	// silent, because the store bills calls; the others hear of the version from them.
+	shortWait = time.Second
+	longWait  = 15 * time.Second
+	// frequentReaders is the number of daemons that use shortWait, among those that hear each other.
+	frequentReaders = 2
 	// updatePause is the mean pause after a new configuration. Without it, each daemon of the fleet would make one call
 	// for each of several versions in quick succession. The last one must still be in force within 3 s.
 	updatePause = 400 * time.Millisecond
@@ -74,10 +79,13 @@
 	case ctx.Err() != nil:
 	case errors.Is(err, errNewerConfig):
 		f.hasOffset = false
+	case errors.Is(err, store.ErrSilent) && f.hasOffset:
+		// The connection of the waiting read was lost. A new one may work at once.
+		f.logFailure(err, time.Since(started))
+		f.hasOffset = false
 	default:
 		f.logAvailability(err)
-		f.daemon.log.Notable(eventlog.OperationFailed).Str("what", "configuration").
-			Float64("elapsed_ms", milliseconds(time.Since(started))).AnErr("error", err).Send()
+		f.logFailure(err, time.Since(started))
 		f.backOff(ctx)
 		// Reading the newest records is faster than reading all that were missed.
 		f.hasOffset = false
@@ -130,7 +138,7 @@
 		}
 	}()
 
-	page, err := f.daemon.platform.Configuration.Await(ctx, waiting, f.nextOffset, pollTimeout)
+	page, err := f.daemon.platform.Configuration.Await(ctx, waiting, f.nextOffset, f.daemon.configurationWait())
 	if err == nil {
 		f.nextOffset = page.NextOffset(f.nextOffset)
 	} else if errors.Is(context.Cause(waiting), errNewerConfig) {
@@ -162,6 +170,24 @@
 }
 
 // errDecoderPanicked is returned for a record at which the decoder panicked. Decoding it again would panic again.
+// configurationWait returns how long a read of the configuration waits for a new record.
+func (d *Daemon) configurationWait() time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.state.RankAmongHeard(d.now()) < frequentReaders {
+		return shortWait
+	}
+
+	return longWait
+}
+
+// logFailure logs a failed read and how long it took.
+func (f *follower) logFailure(err error, elapsed time.Duration) {
+	f.daemon.log.Notable(eventlog.OperationFailed).Str("what", "configuration").
+		Float64("elapsed_ms", milliseconds(elapsed)).AnErr("error", err).Send()
+}
+
 // logRead logs a read that brought records. waited is set for a read that waited for a new record, and elapsed is how
 // long the read took.
 func (f *follower) logRead(page store.Page, waited bool, elapsed time.Duration) {
--- a/internal/daemon/grants.go
+++ b/internal/daemon/grants.go
@@ -45,7 +45,7 @@
 		case err == nil:
 			d.apply(decodeGrants(page, from))
 
-			from, wait = page.NextOffset(from), pollTimeout
+			from, wait = page.NextOffset(from), longWait
 		case errors.As(err, &expired):
 			d.offerBase(ctx)
 
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +19,11 @@
 		"rows":[["lookup","shop.example","/stock/","safe",1500,"stockdesk",2]]},
 	"services":{"columns":["name"],"rows":[["stockdesk"]]}}`
 
+// operatorConfigOf returns operatorConfig with another version.
+func operatorConfigOf(version int) []byte {
+	return []byte(strings.Replace(operatorConfig, `"r7"`, fmt.Sprintf(`"r%d"`, version), 1))
+}
+
 // startOnPlatform starts a fleet that uses the platform's header fields and follows the operator's configuration. It
 // returns when the configuration is in force at all daemons.
 func startOnPlatform(t *testing.T, options ...fleet.Option) *fleet.Fleet {
--- /dev/null
+++ b/internal/daemon/silence_test.go
@@ -0,0 +1,103 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/task"
+	"github.com/tarragonmill/tarragonmill/platform"
+)
+
+// maxConfigDelay is the time within which a published configuration has to be in force everywhere.
+const maxConfigDelay = 3 * time.Second
+
+// keepLookingUp sends lookups to all daemons until ctx ends, so that they watch each other.
+func keepLookingUp(ctx context.Context, f *fleet.Fleet) <-chan struct{} {
+	ended := make(chan struct{})
+
+	go func() {
+		defer close(ended)
+
+		client := &http.Client{Timeout: time.Second}
+		defer client.CloseIdleConnections()
+
+		for number := 0; task.Sleep(ctx, 20*time.Millisecond); number++ {
+			for _, i := range f.Instances {
+				lookUpOnPlatform(client, i, fmt.Sprint(number))
+			}
+		}
+	}()
+
+	return ended
+}
+
+// lookUpOnPlatform sends one lookup with the header fields of the platform. Its result does not matter.
+func lookUpOnPlatform(client *http.Client, entry *fleet.Instance, id string) {
+	r, err := http.NewRequest(http.MethodGet, entry.CallerURL()+"/stock/5", nil)
+	if err != nil {
+		return
+	}
+
+	r.Host = "shop.example"
+	r.Header.Set(platform.Dialect().Attempt, id)
+
+	response, err := client.Do(r)
+	if err != nil {
+		return
+	}
+
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
+
+// publishDuringSilence makes all connections to the store silent, publishes a version, and checks that all daemons use
+// it in time.
+func publishDuringSilence(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+
+	// All daemons wait for the next version.
+	time.Sleep(time.Second)
+	f.Store.SilenceConnections()
+	f.Store.Put(platform.ConfigTopic, platform.ConfigKey, operatorConfigOf(8))
+
+	ctx, cancel := context.WithTimeout(t.Context(), maxConfigDelay)
+	defer cancel()
+
+	require.NoError(t, f.Wait(ctx, func() bool {
+		for _, i := range f.Instances {
+			if i.Daemon.Version() < 8 {
+				return false
+			}
+		}
+
+		return true
+	}))
+}
+
+// TestSilentStoreConnections guards against a configuration that is in force late because the connections to the store
+// of all daemons have gone silent without a reset, while new connections work.
+func TestSilentStoreConnections(t *testing.T) {
+	f := startOnPlatform(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := keepLookingUp(ctx, f)
+
+	defer func() {
+		cancel()
+		<-ended
+	}()
+
+	publishDuringSilence(t, f)
+}
+
+// TestSilentStoreConnectionsOfIdleDaemons guards against the same in a fleet without requests, whose daemons hear
+// nothing of each other.
+func TestSilentStoreConnectionsOfIdleDaemons(t *testing.T) {
+	publishDuringSilence(t, startOnPlatform(t))
+}
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -92,19 +92,33 @@
 
 func (s *State) loadChanged(now time.Time, e LoadChanged) []Effect {
 	kind := classifyChange(s.baseline, e.Report)
-	if e.Version != s.version {
-		kind = max(kind, loadChange)
-	}
-
+	newVersion := e.Version != s.version
 	s.report, s.version = e.Report, e.Version
 
 	if kind > requestCountChange {
 		s.baseline = e.Report
 	}
 
+	if newVersion {
+		return append(s.notifyWatchers(now, loadChange), s.notifyWatched(now)...)
+	}
+
 	return s.notifyWatchers(now, kind)
 }
 
+// notifyWatched sends a beat to each watched member that does not get one as a watcher.
+func (s *State) notifyWatched(now time.Time) []Effect {
+	var effects []Effect
+
+	for _, p := range s.order {
+		if p.watched && !now.Before(p.watchesUntil) {
+			effects = append(effects, s.sendTo(now, p, false))
+		}
+	}
+
+	return effects
+}
+
 // change classifies what has changed since the last beat to a watcher, in ascending order of importance.
 type change uint8
 
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -103,3 +103,22 @@
 
 	return dropped
 }
+
+// RankAmongHeard returns the number of members with a lower ID than this daemon whose beats arrive regularly.
+func (s *State) RankAmongHeard(now time.Time) int {
+	rank := 0
+
+	for _, p := range s.order {
+		if p.member.ID < s.self.Member.ID && p.heardRegularly(now) {
+			rank++
+		}
+	}
+
+	return rank
+}
+
+// heardRegularly reports whether a peer has sent a beat within beatTimeout and is expected to send more, because one of
+// the two watches the other.
+func (p *peer) heardRegularly(now time.Time) bool {
+	return (p.watched || now.Before(p.watchesUntil)) && !p.heardAt.IsZero() && now.Sub(p.heardAt) < beatTimeout
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -68,6 +68,8 @@
 	topics map[string]*topic
 	faults Faults
 	counts Counts
+	// silences records which connections are silent. It has its own lock.
+	silences silences
 }
 
 // New returns an empty store.
@@ -76,7 +78,7 @@
 // Serve handles calls on a listener until ctx ends. The records stay.
 func (s *Store) Serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler: s.Handler(), ReadHeaderTimeout: time.Second,
+		Handler: s.Handler(), ReadHeaderTimeout: time.Second, ConnContext: s.silences.numberConnection,
 		// Waiting reads end when the store stops.
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
@@ -92,8 +94,8 @@
 	mux.HandleFunc("GET /log-newest", s.serveNewest)
 
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.injectFaults(w, r) {
-			mux.ServeHTTP(w, r)
+		if s.silences.awaitCall(r) && s.injectFaults(w, r) {
+			mux.ServeHTTP(s.silences.watch(w, r), r)
 		}
 	})
 }
