manifest: a service that no route names does not invalidate the manifest

Callers saw: requests handled by an older configuration, and routes that were added with it not served (CONFIG, late and not served): each daemon logs bad-record and keeps the older version until the next valid one. Cause: a service without hosts and rules of its own was valid only while a route named it. On the users' platform no service has hosts, so a configuration that the store has accepted was refused as a whole as soon as it moved the last route away from a service, or declared a service before its routes. Class: one entry that cannot be used takes all others with it. Change: in a manifest with routes, such a service is valid and gets no requests. A service without hosts in a manifest without routes is still an error.

--- a/pkg/manifest/validate.go
+++ b/pkg/manifest/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -133,8 +132,8 @@
 
 		c.checkServiceLimits(service)
 
-		// A service that receives requests only through routes has neither hosts nor rules.
-		if len(service.Hosts) == 0 && len(service.Rules) == 0 && m.isRouted(service.Name) {
+		// A service that receives requests only through routes has neither hosts nor rules. At times, no route names it.
+		if len(service.Hosts) == 0 && len(service.Rules) == 0 && len(m.Routes) > 0 {
 			continue
 		}
 
@@ -146,12 +145,6 @@
 	return Matcher{hosts: hosts, routes: c.compileRoutes(m)}, c.problems
 }
 
-func (m Manifest) isRouted(service string) bool {
-	return slices.ContainsFunc(m.Routes, func(r Route) bool {
-		return slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Service == service })
-	})
-}
-
 func (c *checker) checkKeys(keys Keys) {
 	if keys == (Keys{}) {
 		return
