daemon: pauses between failed reads of the configuration end within 1.8 s

Callers saw: requests handled by an older configuration after the store had returned (CONFIG, late), at daemons that hear of the newer one from nobody. Cause: after failed reads the mean pause grew to 3 s and a single one to 4.5 s, beyond the 3 s within which a version has to be in force. Only a beat from a daemon with a newer version cut it short; if all daemons were refused, or the links between them are cut as well, there is none. Change: the mean pause ends at 1.55 s, and a pause is 15 % shorter or longer, 1.8 s at most. With 1 s to connect, a daemon reads within 3 s.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -25,9 +25,13 @@
 	// updatePause is the mean pause after a new configuration. Without it, each daemon of the fleet would make one call
 	// for each of several versions in quick succession. The last one must still be in force within 3 s.
 	updatePause = 400 * time.Millisecond
-	// minRetryPause and maxRetryPause bound the pause after a failed read. The store bills calls, also those that fail.
+	// minRetryPause and maxRetryPause bound the mean pause after a failed read. The store bills calls, also those that
+	// fail, but a configuration has to be in force within 3 s after the store has returned, and connecting may take 1 s.
 	minRetryPause = 150 * time.Millisecond
-	maxRetryPause = 3 * time.Second
+	maxRetryPause = 1550 * time.Millisecond
+	// retryJitter is the largest part of the mean by which a pause is shorter or longer, so that the daemons do not all
+	// call the store at the same moment.
+	retryJitter = 0.15
 	// maxFirstRetryPause replaces maxRetryPause until the first configuration is in force, because the daemon serves no
 	// requests before.
 	maxFirstRetryPause = 800 * time.Millisecond
@@ -94,7 +98,9 @@
 
 // backOff pauses after a failed read. It returns early if another daemon has a newer configuration.
 func (f *follower) backOff(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, f.retryPause/2+rand.N(f.retryPause))
+	pause := time.Duration(float64(f.retryPause) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
+
+	ctx, cancel := context.WithTimeout(ctx, pause)
 	defer cancel()
 
 	select {
--- a/internal/daemon/follow_test.go
+++ b/internal/daemon/follow_test.go
@@ -143,3 +143,57 @@
 		require.NoError(t, <-ended)
 	})
 }
+
+// returningTopic is a topic of a store that refuses all calls until a time. It records the time of the first answer.
+type returningTopic struct {
+	ConfigurationTopic
+
+	returns, answered time.Time
+}
+
+func (r *returningTopic) Newest(context.Context) (store.Page, error) {
+	if time.Now().Before(r.returns) {
+		return store.Page{}, errors.New("refused")
+	}
+
+	if r.answered.IsZero() {
+		r.answered = time.Now()
+	}
+
+	return store.Page{}, nil
+}
+
+func (r *returningTopic) Await(_, waiting context.Context, _ int64, _ time.Duration) (store.Page, error) {
+	<-waiting.Done()
+
+	return store.Page{}, waiting.Err()
+}
+
+// Guards against a configuration that is in force late after an outage of the store because a daemon that hears of it
+// from no other one pauses for too long between its reads.
+func TestFollowAfterOutage(t *testing.T) {
+	// The configuration has to be in force 3 s after the return of the store, and connecting may take one of them.
+	const maxPause = 2 * time.Second
+
+	for seconds := range 24 {
+		synctest.Test(t, func(t *testing.T) {
+			topic := &returningTopic{returns: time.Now().Add(time.Duration(seconds) * time.Second)}
+			d := &Daemon{
+				platform: Platform{Configuration: topic}, log: eventlog.New(zerolog.Nop()),
+				rereadConfig: make(chan struct{}, 1), storeAnswered: make(chan struct{}), state: core.New(core.Options{}),
+			}
+			d.version.Store(4)
+
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+
+			go func() { ended <- d.followConfiguration(ctx) }()
+
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			cancel()
+			require.NoError(t, <-ended)
+			require.LessOrEqual(t, topic.answered.Sub(topic.returns), maxPause)
+		})
+	}
+}
