daemon: a list that is older than its end does not hide a configuration

Callers saw: requests handled by an older configuration until the next version (CONFIG, late), after the store had dropped its history and returned old lists. Cause: after a lost position the daemon lists the newest records and waits for records from the end that comes with the list. If the list is older than that end, the records between them are never read. If the end is old as well and the history is gone, each read fails as expired and the list was read again without a pause. Change: a list without the last record of the topic is repeated, with the pauses after failed reads, up to 7 times in about 7 s; an expired read right after a list pauses as well.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,9 @@
 	// retryJitter is the largest part of the mean by which a pause is shorter or longer, so that the daemons do not all
 	// call the store at the same moment.
 	retryJitter = 0.15
+	// maxRelists is how often a list is repeated that may be older than the end of the topic. With the pauses, the last
+	// one is read about 7 s after the first.
+	maxRelists = 7
 	// maxFirstRetryPause replaces maxRetryPause until the first configuration is in force, because the daemon serves no
 	// requests before.
 	maxFirstRetryPause = 800 * time.Millisecond
@@ -54,6 +58,10 @@
 	// nextOffset is the offset to read next. It is valid if hasOffset is set.
 	nextOffset int64
 	hasOffset  bool
+	// listed is set if the last answer of the store was a list of the newest records. relists counts the repetitions of
+	// a list that may be outdated.
+	listed  bool
+	relists int
 	// retryPause is the mean pause after the next failed read.
 	retryPause     time.Duration
 	storeAvailable bool
@@ -69,16 +77,16 @@
 	switch {
 	case err == nil:
 		f.logRead(page, hadOffset, time.Since(started))
-		f.retryPause = minRetryPause
 		f.logAvailability(nil)
 		f.daemon.storeAnsweredOnce.Do(func() { close(f.daemon.storeAnswered) })
 		f.applyPage(page)
-
-		if hadOffset && len(page.Records) > 0 {
-			// The random part keeps the daemons, which all get the record now, from calling the store at the same moment.
-			task.Sleep(ctx, updatePause/2+rand.N(updatePause))
-		}
+		f.pauseAfter(ctx, page, hadOffset)
 	case errors.HasType(err, (*store.ExpiredError)(nil)):
+		if f.listed {
+			// The end of the list has expired, so the list is outdated.
+			f.backOff(ctx)
+		}
+
 		f.hasOffset = false
 	case ctx.Err() != nil:
 	case errors.Is(err, errNewerConfig):
@@ -97,6 +105,29 @@
 }
 
 // backOff pauses after a failed read. It returns early if another daemon has a newer configuration.
+// pauseAfter pauses after an answer, and makes the next read repeat a list that may be outdated. waited is set if the
+// answer was that of a read that waited for a new record.
+func (f *follower) pauseAfter(ctx context.Context, page store.Page, waited bool) {
+	switch {
+	case !waited && mayBeOutdated(page) && f.relists < maxRelists:
+		f.relists++
+		f.backOff(ctx)
+		f.hasOffset = false
+	case waited && len(page.Records) > 0:
+		f.retryPause, f.relists = minRetryPause, 0
+		// The random part keeps the daemons, which all get the record now, from calling the store at the same moment.
+		task.Sleep(ctx, updatePause/2+rand.N(updatePause))
+	default:
+		f.retryPause, f.relists = minRetryPause, 0
+	}
+}
+
+// mayBeOutdated reports whether a list of the newest records lacks the last record of the topic. It does so if the list
+// is older than the end that comes with it, or if the last record was a deletion.
+func mayBeOutdated(list store.Page) bool {
+	return !slices.ContainsFunc(list.Records, func(r store.Record) bool { return r.Offset >= list.End-1 }) && list.End > 0
+}
+
 func (f *follower) backOff(ctx context.Context) {
 	pause := time.Duration(float64(f.retryPause) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
 
@@ -124,7 +155,7 @@
 	if !f.hasOffset {
 		page, err := f.daemon.platform.Configuration.Newest(ctx)
 		if err == nil {
-			f.nextOffset, f.hasOffset = page.End, true
+			f.nextOffset, f.hasOffset, f.listed = page.End, true, true
 		}
 
 		return page, err
@@ -146,7 +177,7 @@
 
 	page, err := f.daemon.platform.Configuration.Await(ctx, waiting, f.nextOffset, f.daemon.configurationWait())
 	if err == nil {
-		f.nextOffset = page.NextOffset(f.nextOffset)
+		f.nextOffset, f.listed = page.NextOffset(f.nextOffset), false
 	} else if errors.Is(context.Cause(waiting), errNewerConfig) {
 		return page, errNewerConfig
 	}
--- a/internal/daemon/silence_test.go
+++ b/internal/daemon/silence_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/standin/store"
 	"github.com/tarragonmill/tarragonmill/internal/task"
 	"github.com/tarragonmill/tarragonmill/platform"
 )
@@ -101,3 +102,41 @@
 func TestSilentStoreConnectionsOfIdleDaemons(t *testing.T) {
 	publishDuringSilence(t, startOnPlatform(t))
 }
+
+// TestStaleListWithoutHistory guards against a daemon that calls the store without pauses while the store returns old
+// lists of records and has dropped the records after them, and against one that does not use the newest configuration
+// in time once the lists are up to date.
+func TestStaleListWithoutHistory(t *testing.T) {
+	const (
+		staleness = 3 * time.Second
+		// maxCalls is the number of calls of one daemon in that time, which bounds what the store bills.
+		maxCalls = 20
+	)
+
+	f := startOnPlatform(t)
+	before := f.Store.Counts()
+
+	f.Store.SetFaults(store.Faults{Staleness: staleness})
+	f.Store.Put(platform.ConfigTopic, platform.ConfigKey, operatorConfigOf(8))
+	f.Store.DropHistory()
+	// Connections that were waiting are gone, too, so that the daemons list the records.
+	f.Store.SilenceConnections()
+
+	time.Sleep(staleness)
+
+	after := f.Store.Counts()
+	require.LessOrEqual(t, after.Lists+after.Reads-before.Lists-before.Reads, maxCalls*len(f.Instances))
+
+	ctx, cancel := context.WithTimeout(t.Context(), maxConfigDelay)
+	defer cancel()
+
+	require.NoError(t, f.Wait(ctx, func() bool {
+		for _, i := range f.Instances {
+			if i.Daemon.Version() < 8 {
+				return false
+			}
+		}
+
+		return true
+	}))
+}
