core: a server gets no more requests than it states in its responses

Cause: nothing read the field. The daemon beside the server starts an attempt whenever a slot is free. Class: a bound of the whole fleet that no part of it counts. Change: only that daemon sends to the server, so it alone keeps the bound: a token bucket in admission, with as many requests in store as a second allows. An attempt that cannot start within its wait is refused at once (over-limit); the queue keeps its order. A response without the field ends the limit if it has the server's seal; a probe can only state one. A server that allows less than one request in two seconds gets one in two seconds, because only its response tells when the limit ends. Load reports count the slots that the limit lets run, all busy while there is no token, so that entries choose by what a server may take. Replies state the limit, and entries return it with their attempts until the server says otherwise, so that a daemon that has restarted knows it before it starts the first attempt of an entry that has passed it on.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,7 +27,9 @@
 	waitingAlone *waitingAttempt
 	// runningAlone is set while an attempt runs that has to run alone.
 	runningAlone bool
-	counts       Counts
+	// limiter is nil while the server states no limit.
+	limiter *limiter
+	counts  Counts
 }
 
 type runningAttempt struct {
@@ -55,6 +57,7 @@
 	case ServerChanged:
 		s.closedReason, s.slowness = e.Closed, e.Slowness
 		s.slots, s.queueLimit = max(1, e.Slots), max(0, e.Queue)
+		s.setLimit(now, e)
 
 		if s.closedReason != "" {
 			effects = s.refuseAll(now)
@@ -64,9 +67,24 @@
 
 	effects = append(effects, s.refuseExpired(now)...)
 
-	return append(effects, s.startWaiting()...)
+	return append(effects, s.startWaiting(now)...)
 }
 
+// setLimit sets the limit of the server. A limit that stays the same keeps its tokens.
+func (s *State) setLimit(now time.Time, e ServerChanged) {
+	switch {
+	case !e.Limited:
+		s.limiter = nil
+	case s.limiter == nil:
+		s.limiter = newLimiter(now, e.PerSecond)
+	case s.limiter.perSecond != max(e.PerSecond, minLimit):
+		s.limiter = s.limiter.withLimit(now, e.PerSecond)
+	}
+}
+
+// LimitWait returns the time until the limit of the server allows a new request after those that wait; zero if it does.
+func (s *State) LimitWait(now time.Time) time.Duration { return s.limiter.wait(now, len(s.queue)) }
+
 // Running returns the number of attempts that run at the server, those that are being aborted included.
 func (s *State) Running() int { return len(s.running) }
 
@@ -89,6 +107,10 @@
 func (s *State) Next() time.Time {
 	var next time.Time
 
+	if s.limiter != nil && len(s.running) < s.slots && (len(s.queue) > 0 || s.waitingAlone != nil) {
+		next = s.limiter.updated.Add(s.limiter.wait(s.limiter.updated, 0))
+	}
+
 	for _, w := range s.queue {
 		next = times.Next(next, w.expiresAt())
 	}
@@ -122,8 +144,8 @@
 		s.queue.insert(w)
 	}
 
-	if s.canStart() {
-		return append(effects, s.startWaiting()...)
+	if s.canStart(now) {
+		return append(effects, s.startWaiting(now)...)
 	}
 
 	return append(effects, Queued{Attempt: e.Attempt})
@@ -132,7 +154,7 @@
 // displaceLast refuses the last attempt of a full queue to make room for one that goes before it. Nested calls are not
 // displaced.
 func (s *State) displaceLast(now time.Time) []Effect {
-	if len(s.queue) < max(1, s.queueLimit) || len(s.running) < s.slots {
+	if len(s.queue) < max(1, s.queueLimit) || len(s.running) < s.slots && s.limiter.allows(now) {
 		return nil
 	}
 
@@ -146,20 +168,20 @@
 	return []Effect{s.refuse(now, last, QueueFull)}
 }
 
-// canStart reports whether there are slots for all waiting attempts or, if one waits to run alone, whether the server
-// is idle.
-func (s *State) canStart() bool {
+// canStart reports whether all waiting attempts can start or, if one waits to run alone, whether that one can.
+func (s *State) canStart(now time.Time) bool {
 	if s.waitingAlone != nil {
-		return len(s.running) == 0
+		return len(s.running) == 0 && s.limiter.allows(now)
 	}
 
-	return !s.runningAlone && len(s.running)+len(s.queue) <= s.slots
+	return !s.runningAlone && len(s.running)+len(s.queue) <= s.slots && s.limiter.wait(now, len(s.queue)-1) == 0
 }
 
 // refusalReason reports whether an arriving attempt is refused at once, and why.
 func (s *State) refusalReason(now time.Time, w *waitingAttempt) (Reason, bool) {
 	e := w.Arrived
-	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+len(s.queue) >= s.slots
+	limitWait := s.limiter.wait(now, s.queue.countBefore(w))
+	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+len(s.queue) >= s.slots || limitWait > 0
 
 	switch {
 	case s.closedReason != "":
@@ -168,6 +190,8 @@
 		return DeadlinePassed, true
 	case e.Slowest > 0 && s.slowness > e.Slowest:
 		return TooSlow, true
+	case limitWait > e.Wait:
+		return OverLimit, true
 	case e.Alone:
 		return Busy, s.waitingAlone != nil || s.runningAlone
 	case !mustWait:
@@ -250,9 +274,9 @@
 	return DeadlinePassed
 }
 
-// startWaiting starts waiting attempts while there are free slots.
-func (s *State) startWaiting() []Effect {
-	if s.closedReason != "" || s.runningAlone {
+// startWaiting starts waiting attempts while there are free slots and the limit allows it.
+func (s *State) startWaiting(now time.Time) []Effect {
+	if s.closedReason != "" || s.runningAlone || !s.limiter.allows(now) {
 		return nil
 	}
 
@@ -266,24 +290,25 @@
 		s.waitingAlone = nil
 		s.runningAlone = true
 
-		return []Effect{s.start(w)}
+		return []Effect{s.start(now, w)}
 	}
 
 	var effects []Effect
 
-	for len(s.running) < s.slots {
+	for len(s.running) < s.slots && s.limiter.allows(now) {
 		next := s.queue.takeNext(s.slowness)
 		if next == nil {
 			break
 		}
 
-		effects = append(effects, s.start(next))
+		effects = append(effects, s.start(now, next))
 	}
 
 	return effects
 }
 
-func (s *State) start(w *waitingAttempt) Effect {
+func (s *State) start(now time.Time, w *waitingAttempt) Effect {
+	s.limiter.take(now)
 	s.running[w.Attempt] = &runningAttempt{alone: w.Alone}
 	s.counts.Started++
 
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -52,6 +52,9 @@
 		Queue int
 		// Slowness is how long work takes at the server relative to the usual time; 1 is usual.
 		Slowness float64
+		// Limited is set if the server takes only PerSecond requests per second.
+		Limited   bool
+		PerSecond float64
 	}
 	// Tick handles attempts whose wait has expired; see State.Next.
 	Tick struct{}
@@ -94,6 +97,8 @@
 	ServerFailing Reason = "server-failing"
 	// ServerUnknown means that the state of the backend server is not known yet.
 	ServerUnknown Reason = "server-unknown"
+	// OverLimit means that the server allows no more requests at present.
+	OverLimit Reason = "over-limit"
 	// Busy means that no slot is free for an attempt that may not wait, or that another attempt already runs alone or
 	// waits to do so.
 	Busy Reason = "busy"
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -64,6 +64,19 @@
 // lastGoesAfter reports whether the last attempt of the queue gets a slot after w.
 func (q queue) lastGoesAfter(w *waitingAttempt) bool { return len(q) > 0 && w.goesBefore(q[len(q)-1]) }
 
+// countBefore returns the number of attempts that get a slot before w, which is not in the queue yet.
+func (q queue) countBefore(w *waitingAttempt) int {
+	count := 0
+
+	for _, other := range q {
+		if !w.goesBefore(other) {
+			count++
+		}
+	}
+
+	return count
+}
+
 func (q queue) contains(attempt Attempt) bool {
 	return slices.ContainsFunc(q, func(w *waitingAttempt) bool { return w.Attempt == attempt })
 }
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -33,6 +33,13 @@
 	}))
 }
 
+// limitServer sets a limit of an open server with many slots.
+func (r *reducer) limitServer(now time.Time, perSecond float64) []string {
+	return describe(r.state.Apply(now, admission.ServerChanged{
+		Slots: 100, Queue: 3, Slowness: 1, Limited: true, PerSecond: perSecond,
+	}))
+}
+
 func (r *reducer) Next() time.Time { return r.state.Next() }
 
 func (r *reducer) Tick(now time.Time) []string { return describe(r.state.Apply(now, admission.Tick{})) }
@@ -54,6 +61,8 @@
 	case "server":
 		return r.changeServer(now, line.Text("closed", ""),
 			line.Int("slots", 2), line.Int("queue", 3), line.Float("slowness", 1))
+	case "limit":
+		return r.limitServer(now, line.Float("rate", 0))
 	default:
 		line.FailUnknownCommand()
 
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/attempt"
+	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/request"
@@ -62,6 +63,9 @@
 		Number: 4, MaxWait: 30 * time.Millisecond, MaxSlowness: 1.5, Timeout: time.Second, From: "a", To: "b",
 		Method: http.MethodPost, Target: "/items?x=1&y=%20", Host: "stock.example",
 		Header: http.Header{"X-Trace": {"7"}}, Body: []byte("order"),
+		Notice: backend.Notice{
+			Server: "s-1", Born: time.UnixMilli(1_700_000_000_123).UTC(), Limit: backend.Limit{Set: true, PerSecond: 2.5},
+		},
 	}
 }
 
@@ -78,6 +82,7 @@
 				Calls:   []load.Calls{{Service: "s t", Rate: 0.5}},
 				Waiting: load.Waiting{0, 1, 0, 255}, Slots: 6, Slowness: 1.25,
 			},
+			Notice: backend.Notice{Server: "s-1", Leaving: true},
 		},
 		Header: http.Header{"X-Answer": {"yes"}}, Body: io.NopCloser(strings.NewReader("done")), Length: 4,
 	}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -19,6 +19,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/httpheader"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
@@ -70,6 +71,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Notice is what earlier replies said of the server; zero if they said nothing that restricts requests.
+	Notice backend.Notice
 }
 
 // Reply describes a response or refusal. A refusal has no status.
@@ -90,6 +93,8 @@
 	RetryAfter time.Duration
 	// Report is the load of the server when the reply was created.
 	Report load.Report
+	// Notice is what the server has said of itself; zero if it has said nothing to the present run of its daemon.
+	Notice backend.Notice
 }
 
 func (c Call) encode() string {
@@ -126,6 +131,10 @@
 		values.Set("slowest", formatRatio(c.MaxSlowness))
 	}
 
+	if !c.Notice.IsEmpty() {
+		setNotice(values, c.Notice)
+	}
+
 	return values.Encode()
 }
 
@@ -164,6 +173,7 @@
 			Origin:      fields.text("origin"),
 			Alone:       fields.text("alone") != "",
 		},
+		Notice: fields.notice(),
 	}
 
 	if call.Request.ID == "" || call.Method == "" || call.Target == "" {
@@ -222,6 +232,8 @@
 		values.Set("cold", formatDuration(r.Report.ColdFor))
 	}
 
+	setNotice(values, r.Notice)
+
 	return values.Encode()
 }
 
@@ -266,6 +278,7 @@
 			Calls:       fields.calls("calls"),
 			ColdFor:     fields.duration("cold"),
 		},
+		Notice: fields.notice(),
 	}
 
 	return reply, fields.err
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -142,7 +142,7 @@
 		received = r.Header.Clone()
 		received.Set("Target", r.RequestURI)
 		w.Header().Set(names.NotRun, verdict.NotRun.String())
-		w.Header().Set(names.State, dialect.StateDraining)
+		w.Header().Set(names.State, names.DrainingValue)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	t.Cleanup(server.Close)
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -71,6 +71,8 @@
 	// Load is the load that the server reported, if HasLoad is set.
 	Load    dialect.Load
 	HasLoad bool
+	// Limit is what the response says of the number of requests that the server allows.
+	Limit Statement
 	// NotRun is set if the server states that it did not run the request.
 	NotRun bool
 	// Draining is set if the server states that it is about to leave the fleet.
@@ -294,6 +296,7 @@
 		Instance: ID(s.dialect.InstanceOf(response.Header)),
 	}
 	converted.Load, converted.HasLoad = s.dialect.ParseLoad(response.Header)
+	converted.Limit = s.limitOf(response)
 
 	if http1.Bodiless(call.Request.Method, response.StatusCode) {
 		converted.Length = max(0, response.ContentLength)
@@ -302,6 +305,21 @@
 	return converted
 }
 
+// limitOf returns what a response says of the limit. A malformed field says nothing, and neither does a response without
+// the field that lacks the seal of the server.
+func (s *Server) limitOf(response *http.Response) Statement {
+	perSecond, stated, err := s.dialect.ParseLimit(response.Header)
+
+	switch {
+	case err != nil:
+		return Statement{}
+	case stated:
+		return Statement{Made: true, Limit: Limit{PerSecond: perSecond, Set: true}}
+	default:
+		return Statement{Made: s.dialect.Sealed(response.Header)}
+	}
+}
+
 // isNotRun reports whether the server states that it did not run the request. A server that is not the expected one
 // states this by status 421 Misdirected Request.
 func (s *Server) isNotRun(response *http.Response) bool {
@@ -346,6 +364,8 @@
 	// Load is the load that the server reported, if HasLoad is set.
 	Load    dialect.Load
 	HasLoad bool
+	// Limit is what the answer says of the number of requests that the server allows.
+	Limit Statement
 }
 
 // maxHealthBody is the largest part of the body of a health response that is read, in bytes.
@@ -365,7 +385,7 @@
 
 	return Health{
 		Healthy: response.Status == http.StatusOK, Draining: response.Draining, Instance: response.Instance,
-		Load: response.Load, HasLoad: response.HasLoad,
+		Load: response.Load, HasLoad: response.HasLoad, Limit: response.Limit,
 	}, errors.Wrap(err, "read health response")
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,13 @@
 	// regions.
 	replyLimiter, crossRegionReplyLimiter *rate.Limiter
 
+	// notices are what the replies of other daemons last said of their servers, if it restricts requests.
+	notices map[instance.ID]backend.Notice
+	// limitFreeAt is when the limit of the local backend server allows a request again; zero if it does.
+	limitFreeAt time.Time
+	// runTime is the moving average of the time that requests run at the local backend server.
+	runTime time.Duration
+
 	// draining is set once the daemon tells other daemons to send no more work.
 	draining bool
 	// closing is set once the daemon is about to exit: all attempts at the backend server are refused.
@@ -122,8 +129,9 @@
 	request request.Request
 	// started is set once admission has sent the attempt to the server.
 	started bool
-	// start holds the counters of concurrency at that time.
-	start concurrency.RequestStart
+	// startedAt is that time, and start holds the counters of concurrency then.
+	startedAt time.Time
+	start     concurrency.RequestStart
 	// crashID identifies the server crash that hit the attempt; empty if none did.
 	crashID string
 }
@@ -151,6 +159,7 @@
 		requests:                make(map[request.ID]request.Request),
 		localAttempts:           make(map[admission.Attempt]*localAttempt),
 		splits:                  make(map[string]*split),
+		notices:                 make(map[instance.ID]backend.Notice),
 		random:                  rand.New(rand.NewPCG(options.Seed, splitRandomStream)),
 		origins:                 origins{callerRoutes: make(map[string]bool)},
 		refusedRequests:         refusedRequests{byFingerprint: make(map[request.Fingerprint]refusedRequest)},
@@ -262,6 +271,7 @@
 func (s *State) Next() time.Time {
 	return times.Next(
 		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(), s.rereadAt, s.nextKeysTick(),
+		s.limitFreeAt,
 	)
 }
 
--- /dev/null
+++ b/internal/core/limit.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"math"
+	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/load"
+)
+
+const (
+	// runTimeWeight is the weight of one request in the moving average of run times.
+	runTimeWeight = 0.1
+	// minLimitWait is the wait for the limit of a server from which the server is reported as full. A shorter one is
+	// over before most attempts arrive.
+	minLimitWait = 20 * time.Millisecond
+)
+
+// recordRunTime adds the time that a request ran at the local backend server.
+func (s *State) recordRunTime(elapsed time.Duration) {
+	if s.runTime == 0 {
+		s.runTime = elapsed
+
+		return
+	}
+
+	s.runTime += time.Duration(runTimeWeight * float64(elapsed-s.runTime))
+}
+
+// limitReport returns a load report that takes the limit of the server into account, so that the other daemons choose
+// servers by what they may take: no more slots than requests run at once within the limit, all of them busy while the
+// limit allows no request.
+func (s *State) limitReport(now time.Time, report load.Report) load.Report {
+	limit := s.health.Limit()
+	if !limit.Set {
+		return report
+	}
+
+	usable := int(min(math.Ceil(limit.PerSecond*s.runTime.Seconds()), float64(report.Slots)))
+	report.Slots = max(1, usable)
+
+	if s.admission.LimitWait(now) >= minLimitWait {
+		report.Running = max(report.Running, report.Slots)
+	}
+
+	return report
+}
+
+// updateLimitFree sets when the load has to be reported again because the limit of the server allows a request.
+func (s *State) updateLimitFree(now time.Time) {
+	s.limitFreeAt = time.Time{}
+
+	if wait := s.admission.LimitWait(now); wait >= minLimitWait {
+		s.limitFreeAt = now.Add(wait)
+	}
+}
+
+// ServerLimit returns the number of requests that the local backend server allows, and whether a response has stated it
+// to this run of the daemon.
+func (s *State) ServerLimit() (limit backend.Limit, known bool) {
+	return s.health.Limit(), s.health.LimitKnown()
+}
+
+// ServerNotice returns what the local backend server has said of itself in its responses to this run of the daemon.
+func (s *State) ServerNotice() backend.Notice { return s.health.Notice() }
+
+// NoticeOf returns what the daemon remembers of the responses of another daemon's server, to send it with an attempt.
+func (s *State) NoticeOf(id instance.ID) backend.Notice { return s.notices[id] }
+
+// dropNotices forgets the notices of daemons that are no longer members.
+func (s *State) dropNotices(members []instance.Member) {
+	kept := make(map[instance.ID]backend.Notice, len(s.notices))
+
+	for _, member := range members {
+		if notice, known := s.notices[member.ID]; known {
+			kept[member.ID] = notice
+		}
+	}
+
+	s.notices = kept
+}
+
+// recordNotice remembers what a reply says of the server of a member.
+func (s *State) recordNotice(id instance.ID, notice backend.Notice) {
+	updated := s.notices[id].Update(notice)
+	if updated.IsEmpty() {
+		delete(s.notices, id)
+
+		return
+	}
+
+	s.notices[id] = updated
+}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -23,6 +23,7 @@
 		case membership.MembersChanged:
 			all = append(all, s.handleRoutingEffects(now, s.routing.Apply(now, routing.MembersChanged(e)))...)
 			s.updateTrialRole(e.Members)
+			s.dropNotices(e.Members)
 
 			all = append(all, s.handleMembersChanged(now, e)...)
 			all = append(all, s.applyMeasurementBudget(now)...)
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -53,6 +53,9 @@
 		Crash string
 		// Alone is set if the attempt had to run while no other one did at its server.
 		Alone bool
+		// Notice is what the reply of the daemon From says of its server; zero if it says nothing.
+		From   instance.ID
+		Notice backend.Notice
 	}
 	// AttemptArrived reports an attempt for the local backend server.
 	AttemptArrived struct {
@@ -62,6 +65,8 @@
 		Wait time.Duration
 		// Slowest is the slowness of the server above which the attempt is refused; zero for no limit.
 		Slowest float64
+		// Notice is what the entry daemon remembers of the responses of the server; zero if that is nothing.
+		Notice backend.Notice
 	}
 	// AttemptServed reports the end of an attempt at the local backend server.
 	AttemptServed struct {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -119,6 +119,8 @@
 func (s *State) handleAttemptEnded(now time.Time, e AttemptEnded) []Effect {
 	var effects []Effect
 
+	s.recordNotice(e.From, e.Notice)
+
 	if e.Report.Server != "" && e.Report.Server != s.options.Self.ID {
 		effects = s.handleRoutingEffects(now, s.routing.Apply(now, routing.Reported{Report: e.Report}))
 	}
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -25,10 +25,16 @@
 	case suspects.Free:
 	}
 
+	var effects []Effect
+
+	if !e.Notice.IsEmpty() {
+		effects = s.applyHealth(now, health.Noticed{Notice: e.Notice})
+	}
+
 	s.localAttempts[e.Attempt] = &localAttempt{request: e.Request}
 	s.attemptOrder = append(s.attemptOrder, e.Attempt)
 
-	return s.applyAdmission(now, admission.Arrived{
+	return append(effects, s.applyAdmission(now, admission.Arrived{
 		Attempt:  e.Attempt,
 		Deadline: e.Request.Deadline,
 		Rank:     e.Request.Rank(),
@@ -36,7 +42,7 @@
 		Alone:    e.Request.Alone,
 		Wait:     e.Wait,
 		Slowest:  e.Slowest,
-	})
+	})...)
 }
 
 // applyAdmission passes an event to admission and keeps localAttempts up to date.
@@ -52,7 +58,7 @@
 		switch e := effect.(type) {
 		case admission.Start:
 			if local, ok := s.localAttempts[e.Attempt]; ok {
-				local.started, local.start = true, s.concurrency.RequestStarted(now)
+				local.started, local.startedAt, local.start = true, now, s.concurrency.RequestStarted(now)
 			}
 		case admission.Refuse:
 			s.removeAttempt(now, e.Attempt)
@@ -88,9 +94,12 @@
 // handleAttemptServed frees the slot of an attempt and passes its outcome to health. The duration counts for the
 // concurrency limit only if the server did the work and is not slow after a start.
 func (s *State) handleAttemptServed(now time.Time, e AttemptServed) []Effect {
-	if local, ok := s.localAttempts[e.Attempt]; ok && local.started && e.Ran && !e.Failed &&
-		s.health.ColdFor(now) == 0 {
-		s.concurrency.RequestEnded(now, local.request.Route, local.start)
+	if local, ok := s.localAttempts[e.Attempt]; ok && local.started && e.Ran && !e.Failed {
+		s.recordRunTime(now.Sub(local.startedAt))
+
+		if s.health.ColdFor(now) == 0 {
+			s.concurrency.RequestEnded(now, local.request.Route, local.start)
+		}
 	}
 
 	effects := s.applyAdmission(now, admission.Done{Attempt: e.Attempt})
@@ -142,8 +151,11 @@
 		refusalReason = admission.Draining
 	}
 
+	limit := s.health.Limit()
+
 	return s.applyAdmission(now, admission.ServerChanged{
 		Closed: refusalReason, Slots: s.slotLimit, Queue: s.queueLimit(), Slowness: s.health.Slowness(),
+		Limited: limit.Set, PerSecond: limit.PerSecond,
 	})
 }
 
@@ -197,6 +209,8 @@
 	watched := s.membership.Watched(now) || s.admission.Running() > 0
 	effects := s.setWatched(now, watched)
 
+	s.updateLimitFree(now)
+
 	report := s.loadReport(now)
 	if s.publishedVersion == s.version && !changedSignificantly(s.publishedReport, report) {
 		return effects
@@ -225,13 +239,13 @@
 
 // loadReport returns the present load of the local server.
 func (s *State) loadReport(now time.Time) load.Report {
-	return load.Report{
+	return s.limitReport(now, load.Report{
 		Server: s.options.Self.ID, Incarnation: s.membership.Self().Member.Incarnation,
 		Open:    s.health.RefusalReason() == "" && !s.draining,
 		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.slotLimit,
 		Slowness: s.health.Slowness(), Failing: s.health.FailureShare(now), ColdFor: s.health.ColdFor(now),
 		Counter: s.reportCounter(now), Found: s.concurrency.OwnFinding(now),
-	}
+	})
 }
 
 // reportCounter returns the counter that orders the reports of a run: the microseconds since the start. Unlike a
--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -66,12 +66,13 @@
 	}
 }
 
-// newCall returns the call that sends an attempt to the daemon beside the server.
+// newCall returns the call that sends an attempt to the daemon beside the server. The caller holds the mutex.
 func (d *Daemon) newCall(s caller.Submission, e routing.Attempt) attempt.Call {
 	return attempt.Call{
 		Request: e.Request, Number: e.Number, MaxWait: e.Wait, MaxSlowness: e.Slowest,
 		Timeout: e.Request.Deadline.Sub(d.now()), From: d.options.Self.ID, To: e.Target.ID,
 		Method: s.Method, Target: s.Target, Host: s.Host, Header: s.Header, Body: s.Body,
+		Notice: d.state.NoticeOf(e.Target.ID),
 	}
 }
 
@@ -80,7 +81,7 @@
 	response, err := d.call(ctx, e, call, out)
 
 	ended := core.AttemptEnded{
-		Ended: routing.Ended{ID: e.Request.ID, Number: e.Number}, Alone: e.Request.Alone,
+		Ended: routing.Ended{ID: e.Request.ID, Number: e.Number}, Alone: e.Request.Alone, From: e.Target.ID,
 	}
 
 	reason := ""
@@ -150,6 +151,7 @@
 	ended.Ended.Verdict = reply.Verdict
 	ended.Ended.Unusable = reply.Unusable
 	ended.Report = reply.Report
+	ended.Notice = reply.Notice
 	ended.Crash = reply.Crash
 
 	if reply.Status == 0 {
--- /dev/null
+++ b/internal/daemon/limit_test.go
@@ -0,0 +1,126 @@
+package daemon_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
+)
+
+// startBusyFleet starts a fleet on the users' platform whose servers of one service need the given time for a request,
+// and sends more lookups than they can take until the test ends.
+func startBusyFleet(t *testing.T, service time.Duration) *fleet.Fleet {
+	t.Helper()
+
+	f := startOnPlatform(t)
+	setStockServers(f, backend.Behaviour{ServiceTime: service})
+
+	ctx, cancel := context.WithCancel(t.Context())
+
+	var all []<-chan struct{}
+	for _, i := range f.Instances {
+		all = append(all, keepLookingUp(ctx, i))
+	}
+
+	t.Cleanup(func() {
+		cancel()
+
+		for _, ended := range all {
+			<-ended
+		}
+	})
+
+	return f
+}
+
+// setStockServers sets the behaviour of all servers to which the routes lead.
+func setStockServers(f *fleet.Fleet, behaviour backend.Behaviour) {
+	for _, i := range f.Instances {
+		if i.Node.Service == "stockdesk" {
+			i.Server.SetBehaviour(behaviour)
+		}
+	}
+}
+
+func runs(i *fleet.Instance) int {
+	count, _ := i.Server.Served()
+
+	return count
+}
+
+// TestLimit guards against a server that gets more requests from all daemons together than it allows, and against one
+// that gets far fewer although there are more requests.
+func TestLimit(t *testing.T) {
+	const (
+		perSecond = 4
+		window    = 4 * time.Second
+		// burst is the number of requests that may follow each other at once, and slack allows for those that are in
+		// progress when the window begins.
+		burst, slack = perSecond, 2
+	)
+
+	f := startBusyFleet(t, 50*time.Millisecond)
+	setStockServers(f, backend.Behaviour{ServiceTime: 50 * time.Millisecond, Limit: perSecond})
+	time.Sleep(time.Second)
+
+	before := make(map[*fleet.Instance]int)
+	for _, i := range f.Instances {
+		before[i] = runs(i)
+	}
+
+	time.Sleep(window)
+
+	for _, i := range f.Instances {
+		if i.Node.Service != "stockdesk" {
+			continue
+		}
+
+		got := runs(i) - before[i]
+		require.LessOrEqual(t, got, perSecond*int(window/time.Second)+burst+slack, i.Node.ID)
+		require.GreaterOrEqual(t, got, perSecond*int(window/time.Second)/2, i.Node.ID)
+	}
+}
+
+// TestLimitEnds guards against a limit that still holds after the server has stopped stating it.
+func TestLimitEnds(t *testing.T) {
+	f := startBusyFleet(t, 10*time.Millisecond)
+	setStockServers(f, backend.Behaviour{ServiceTime: 10 * time.Millisecond, Limit: 2})
+	time.Sleep(time.Second)
+	setStockServers(f, backend.Behaviour{ServiceTime: 10 * time.Millisecond})
+	time.Sleep(time.Second)
+
+	before := runs(f.Instances[0])
+
+	time.Sleep(time.Second)
+	require.Greater(t, runs(f.Instances[0])-before, 10)
+}
+
+// TestLimitAfterRestart guards against a limit that the daemon beside the server forgets when it restarts, although the
+// daemons that send the requests know it.
+func TestLimitAfterRestart(t *testing.T) {
+	const (
+		perSecond = 1
+		service   = 2 * time.Second
+		// allowed is the number of requests within the service time, before the server has responded to the new run of its
+		// daemon: the limit, a burst, and one in progress when the time begins.
+		allowed = perSecond*int(service/time.Second) + perSecond + 1
+	)
+
+	f := startBusyFleet(t, 20*time.Millisecond)
+	setStockServers(f, backend.Behaviour{ServiceTime: 20 * time.Millisecond, Limit: perSecond})
+	// Every daemon passes on a response that states the limit.
+	time.Sleep(6 * time.Second)
+
+	limited := f.Instances[0]
+	limited.Server.SetBehaviour(backend.Behaviour{ServiceTime: service, Limit: perSecond})
+	require.NoError(t, f.RestartDaemon(limited))
+
+	before := runs(limited)
+
+	time.Sleep(service)
+	require.LessOrEqual(t, runs(limited)-before, allowed)
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -222,6 +222,7 @@
 	m.scope.Gauge("server_running").Update(float64(state.Admission.Running))
 	m.scope.Gauge("server_waiting").Update(float64(state.Admission.Waiting))
 	m.scope.Gauge("server_slots").Update(float64(state.Admission.Slots))
+	m.scope.Gauge("server_limit").Update(state.Health.Limit.PerSecond)
 	m.scope.Gauge("server_slowness").Update(state.Health.Slowness)
 	m.scope.Gauge("server_failing").Update(state.Health.Failing)
 	m.exportTotal("probes_total", "", "", int64(state.Health.Counts.Probes))
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/request"
@@ -133,7 +134,7 @@
 
 	local := &localAttempt{decisions: make(chan decision, 2), cancel: cancel}
 	if !d.addLocalAttempt(id, local, core.AttemptArrived{
-		Attempt: id, Request: call.Request, Wait: call.MaxWait, Slowest: call.MaxSlowness,
+		Attempt: id, Request: call.Request, Wait: call.MaxWait, Slowest: call.MaxSlowness, Notice: call.Notice,
 	}) {
 		return d.refuseAttempt(call, verdict.MayHaveRun, duplicateAttempt)
 	}
@@ -239,6 +240,7 @@
 
 	reply.ID, reply.Number = call.Request.ID, call.Number
 	reply.Report = d.state.ReplyReport(d.now(), call.From)
+	reply.Notice = d.state.ServerNotice()
 
 	return reply
 }
@@ -294,7 +296,7 @@
 		return d.handleFailure(ctx, cancel, call, id, sc, err)
 	}
 
-	d.observeLoad(response)
+	d.observeResponse(response)
 
 	if response.NotRun {
 		return d.handleServerRefusal(cancel, call, id, sc, response)
@@ -370,11 +372,35 @@
 		method == http.MethodOptions
 }
 
-// observeLoad passes the load in a response to the reducer.
-func (d *Daemon) observeLoad(response *backend.Response) {
+// observeResponse passes what a response says of its server to the reducer.
+func (d *Daemon) observeResponse(response *backend.Response) {
 	if response.HasLoad {
 		d.apply(health.Observed{Load: response.Load})
 	}
+
+	d.observeLimit(response.Limit)
+}
+
+// observeLimit passes a limit to the reducer if it has changed.
+func (d *Daemon) observeLimit(statement backend.Statement) {
+	if !statement.Made {
+		return
+	}
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	before, known := d.state.ServerLimit()
+	if known && before == statement.Limit {
+		return
+	}
+
+	d.applyLocked(health.LimitStated{Limit: statement.Limit})
+
+	if before != statement.Limit {
+		d.log.Notable(eventlog.ServerLimit).Bool("limited", statement.Limit.Set).
+			Float64("per_second", statement.Limit.PerSecond).Send()
+	}
 }
 
 // handleServerRefusal handles a response that says that the server did not run the request.
--- a/internal/daemon/server_state.go
+++ b/internal/daemon/server_state.go
@@ -39,9 +39,18 @@
 			Answered: err == nil, Healthy: answer.Healthy, Draining: answer.Draining, ID: answer.Instance,
 			Load: answer.Load, Loaded: answer.HasLoad,
 		})
+		d.observeProbe(answer)
 	}, func() { d.apply(health.Probed{}) })
 }
 
+// observeProbe passes on what a probe answers about limits. An answer without a limit says nothing, because
+// servers need not state it there.
+func (d *Daemon) observeProbe(answer backend.Health) {
+	if answer.Limit.Limit.Set {
+		d.observeLimit(answer.Limit)
+	}
+}
+
 // healthPath returns the health path of the daemon's service in the manifest. If it has none, it returns the one in the
 // settings.
 func (d *Daemon) healthPath() string {
--- a/internal/daemon/silence_test.go
+++ b/internal/daemon/silence_test.go
@@ -19,8 +19,8 @@
 // maxConfigDelay is the time within which a published configuration has to be in force everywhere.
 const maxConfigDelay = 3 * time.Second
 
-// keepLookingUp sends lookups to all daemons until ctx ends, so that they watch each other.
-func keepLookingUp(ctx context.Context, f *fleet.Fleet) <-chan struct{} {
+// keepLookingUp sends lookups to a daemon until ctx ends.
+func keepLookingUp(ctx context.Context, entry *fleet.Instance) <-chan struct{} {
 	ended := make(chan struct{})
 
 	go func() {
@@ -30,9 +30,7 @@
 		defer client.CloseIdleConnections()
 
 		for number := 0; task.Sleep(ctx, 20*time.Millisecond); number++ {
-			for _, i := range f.Instances {
-				lookUpOnPlatform(client, i, fmt.Sprint(number))
-			}
+			lookUpOnPlatform(client, entry, fmt.Sprintf("%s-%d", entry.Node.ID, number))
 		}
 	}()
 
@@ -85,16 +83,8 @@
 // TestSilentStoreConnections guards against a configuration that is in force late because the connections to the store
 // of all daemons have gone silent without a reset, while new connections work.
 func TestSilentStoreConnections(t *testing.T) {
-	f := startOnPlatform(t)
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := keepLookingUp(ctx, f)
-
-	defer func() {
-		cancel()
-		<-ended
-	}()
-
-	publishDuringSilence(t, f)
+	// With requests, the daemons watch each other.
+	publishDuringSilence(t, startBusyFleet(t, time.Millisecond))
 }
 
 // TestSilentStoreConnectionsOfIdleDaemons guards against the same in a fleet without requests, whose daemons hear
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -3,10 +3,13 @@
 package dialect
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Dialect is a set of header field names. A field with an empty name is not used.
@@ -31,20 +34,37 @@
 	// CallToken identifies a request in progress. A backend server sends it with the nested calls that it makes for the
 	// request. If the server also repeats it in its response, the daemon detects late duplicates of the response.
 	CallToken string
-	// State has the value StateDraining if a backend server is about to leave the fleet.
-	State string
+	// State has the value DrainingValue if a backend server is about to leave the fleet.
+	State         string
+	DrainingValue string
+	// Limit is the number of requests per second that a backend server takes from all instances together. It holds until
+	// a response of the server lacks the field.
+	Limit string
 	// NotRunValue is the required value of NotRun; empty if any value is accepted.
 	NotRunValue string
 	// FractionalRetryAfter is set if Retry-After may have decimals.
 	FractionalRetryAfter bool
 }
 
-// StateDraining is the value of the State field of a backend server that is about to leave the fleet.
-const StateDraining = "draining"
-
 // IsDraining reports whether a response states that its backend server is about to leave the fleet.
 func (d Dialect) IsDraining(header http.Header) bool {
-	return d.value(header, d.State) == StateDraining
+	return d.State != "" && header.Get(d.State) == d.DrainingValue
+}
+
+// ParseLimit parses the Limit field of a response, in requests per second. It returns false if the field is missing, and
+// an error if it is not a finite number of at least zero.
+func (d Dialect) ParseLimit(header http.Header) (perSecond float64, stated bool, err error) {
+	text := d.value(header, d.Limit)
+	if text == "" {
+		return 0, false, nil
+	}
+
+	perSecond, err = strconv.ParseFloat(text, 64)
+	if err == nil && !(perSecond >= 0 && perSecond <= math.MaxFloat64) {
+		err = errors.Newf("limit %q is out of range", text)
+	}
+
+	return perSecond, true, errors.Wrap(err, "parse limit")
 }
 
 // Default returns the project's own field names.
@@ -55,6 +75,9 @@
 		NotRun:      "Tarragonmill-Verdict",
 		NotRunValue: "not-run",
 		State:       "Tarragonmill-State",
+		Limit:       "Tarragonmill-Limit",
+
+		DrainingValue: "draining",
 	}
 }
 
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -60,6 +60,8 @@
 	Members Event = "members"
 	// ServerState reports a changed state of the backend server beside the daemon.
 	ServerState Event = "server-state"
+	// ServerLimit reports that the backend server beside the daemon states another limit on requests, or none.
+	ServerLimit Event = "server-limit"
 	// BadAnnouncement reports an announcement of a backend server that the daemon rejected.
 	BadAnnouncement Event = "bad-announcement"
 	// ServerWithdrew reports that the backend server announced that it leaves for good.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -73,6 +73,13 @@
 	// the withdrawal instead.
 	withdrawnStartAssumed bool
 
+	// leaving is set once the server has said in a response that it leaves.
+	leaving bool
+	// limit is the number of requests that the server allows. limitKnown is set once a response has said so or said that
+	// there is none.
+	limit      backend.Limit
+	limitKnown bool
+
 	// down is set while the server accepts no connections or answers no probes.
 	down bool
 	// lostProbes is the number of consecutive probes without an answer.
@@ -119,6 +126,10 @@
 		s.handleWithdrawn(now, e)
 	case Observed:
 		s.recordLoad(now, e.Load)
+	case LimitStated:
+		s.limit, s.limitKnown = e.Limit, true
+	case Noticed:
+		s.handleNotice(e.Notice)
 	case Ran:
 		s.recordOutcome(now, e.Failed)
 		s.breaker.record(now, e.Unserved)
@@ -315,6 +326,7 @@
 	s.breaker = breaker{}
 	s.loadObservedAt = time.Time{}
 	s.draining, s.down = false, false
+	s.leaving, s.limit, s.limitKnown = false, backend.Limit{}, false
 }
 
 // handleWithdrawn stops using a server that leaves for good. It ignores the withdrawal of an earlier run of the
@@ -425,14 +437,16 @@
 	Slowness float64
 	// Failing is the share of recent requests that got no usable response.
 	Failing float64
-	Counts  Counts
+	// Limit is the number of requests that the server allows.
+	Limit  backend.Limit
+	Counts Counts
 }
 
 // Dump returns a copy of the state in plain values.
 func (s *State) Dump(now time.Time) Dump {
 	return Dump{
 		Server: s.id, Closed: s.RefusalReason(), Slots: s.slots, Slowness: s.slowness, Failing: s.FailureShare(now),
-		Counts: s.counts,
+		Limit: s.limit, Counts: s.counts,
 	}
 }
 
--- a/internal/health/messages.go
+++ b/internal/health/messages.go
@@ -34,6 +34,11 @@
 	}
 	// Observed reports the load that a response carried.
 	Observed struct{ Load dialect.Load }
+	// LimitStated reports what a response says of the number of requests that the server allows.
+	LimitStated struct{ Limit backend.Limit }
+	// Noticed reports what another daemon remembers of the responses of the server, which an earlier run of this daemon
+	// has passed on.
+	Noticed struct{ Notice backend.Notice }
 	// Ran reports the end of a request at the server.
 	Ran struct {
 		// Failed is set if the request got no usable response.
@@ -76,6 +81,8 @@
 func (Announced) isEvent()   {}
 func (Withdrawn) isEvent()   {}
 func (Observed) isEvent()    {}
+func (LimitStated) isEvent() {}
+func (Noticed) isEvent()     {}
 func (Ran) isEvent()         {}
 func (Refused) isEvent()     {}
 func (Misdirected) isEvent() {}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -30,6 +30,11 @@
 	Failing bool
 	// Draining makes the server refuse new requests and report that it drains.
 	Draining bool
+	// Leaving makes the server say in its responses that it leaves. It handles requests as usual.
+	Leaving bool
+	// Limit is the number of requests per second that the server states in its responses; zero for none. It does not
+	// enforce it.
+	Limit float64
 	// Unhealthy makes the health path answer with status 503. Requests are handled as usual.
 	Unhealthy bool
 	// TruncateAfter aborts downloads after this number of bytes; zero for never.
@@ -232,15 +237,28 @@
 	dialect.SetField(w.Header(), s.dialect.Instance, s.name)
 	s.setLoad(w.Header())
 
-	if behaviour.Draining {
-		dialect.SetField(w.Header(), s.dialect.State, dialect.StateDraining)
-	}
+	s.setNotice(w.Header())
 
-	if behaviour.Unhealthy || behaviour.Draining && s.dialect.State == "" {
+	// On the users' platform, whose servers seal their responses, the status says that the server leaves, too.
+	leaving := behaviour.Draining || behaviour.Leaving
+	if behaviour.Unhealthy || leaving && s.dialect.Seal != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// setNotice sets the header fields by which the server says that it leaves and how many requests it allows.
+func (s *Server) setNotice(header http.Header) {
+	behaviour := s.Behaviour()
+
+	if behaviour.Draining || behaviour.Leaving {
+		dialect.SetField(header, s.dialect.State, s.dialect.DrainingValue)
+	}
+
+	if behaviour.Limit > 0 {
+		dialect.SetField(header, s.dialect.Limit, strconv.FormatFloat(behaviour.Limit, 'f', -1, 64))
+	}
+}
+
 // setLoad sets the header field for the load: the running and waiting requests, the slots, and the slowness in percent.
 func (s *Server) setLoad(header http.Header) {
 	slowness := s.Behaviour().Slowness
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -90,6 +90,7 @@
 		dialect.SetField(w.Header(), s.dialect.Instance, s.name)
 		http.Error(w, "another server", http.StatusMisdirectedRequest)
 	case behaviour.Draining, fault == Shed:
+		s.setNotice(w.Header())
 		dialect.SetField(w.Header(), s.dialect.NotRun, s.notRunValue())
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 	case fault == Reset:
@@ -117,6 +118,7 @@
 	dialect.SetField(header, s.dialect.Seal, "seal-of-"+s.name)
 	dialect.SetField(header, s.dialect.Attempt, s.dialect.AttemptOf(r.Header))
 	s.setLoad(header)
+	s.setNotice(header)
 }
 
 // record counts the execution of a request by its idempotency key and by its attempt.
