health: a server that says in a response that it leaves gets no more requests

Callers saw: requests at a server that had said in its responses that it leaves (DRAIN). Cause: nothing read the field; only an announcement of the server, acknowledged by the daemon beside it, or a withdrawal, made it leave. Class: a statement of the server that is passed on but not heard. Change: such a response counts like a withdrawal, for the rest of the server's run: it needs no store, and a late announcement does not bring the server back. Entries that have passed on such a response state it with their attempts, so that the daemon beside the server keeps to it after a restart without the store. Another server at the address and a later run of the same one are not affected. Servers with the project's own fields say it by the value draining, as before in their answers to probes.

--- a/internal/core/limit_test.go
+++ b/internal/core/limit_test.go
@@ -51,6 +51,25 @@
 	return ""
 }
 
+// TestNoticeOfLeaving guards against requests to a server that has said in a response that it leaves, after the daemon
+// beside it has restarted without the store, while late announcements still call it ready.
+func TestNoticeOfLeaving(t *testing.T) {
+	now := limitTestStart
+	s := newRestarted(now)
+	notice := backend.Notice{Server: "s-1", Born: serverBorn, Leaving: true}
+
+	require.Empty(t, arrive(s, now, "unaware", backend.Notice{}))
+	require.Equal(t, admission.ServerUnknown, arrive(s, now, "aware", notice))
+	require.True(t, s.ServerNotice().Leaving)
+
+	announce(s, now, serverBorn, 8)
+	require.Equal(t, admission.ServerUnknown, arrive(s, now, "late", backend.Notice{}))
+
+	// A later run of the server is not affected, although the notice of the earlier one still arrives.
+	announce(s, now, serverBorn.Add(time.Minute), 1)
+	require.Empty(t, arrive(s, now, "later-run", notice))
+}
+
 // TestNoticeOfLimit guards against a limit that the daemon beside the server has forgotten after a restart, and against
 // an old limit that replaces what the server has said since.
 func TestNoticeOfLimit(t *testing.T) {
--- a/internal/daemon/limit_test.go
+++ b/internal/daemon/limit_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/fleet"
 	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/store"
 )
 
 // startBusyFleet starts a fleet on the users' platform whose servers of one service need the given time for a request,
@@ -124,3 +125,21 @@
 	time.Sleep(service)
 	require.LessOrEqual(t, runs(limited)-before, allowed)
 }
+
+// TestLeavingAfterRestart guards against requests to a server that has said in a response that it leaves, if the daemon
+// beside it restarts while the store is down and the server still announces itself as ready.
+func TestLeavingAfterRestart(t *testing.T) {
+	f := startBusyFleet(t, 10*time.Millisecond)
+	time.Sleep(time.Second)
+
+	leaving := f.Instances[0]
+	f.Store.SetFaults(store.Faults{Down: store.Busy})
+	leaving.Server.SetBehaviour(backend.Behaviour{ServiceTime: 10 * time.Millisecond, Leaving: true})
+	time.Sleep(time.Second)
+
+	before := runs(leaving)
+
+	require.NoError(t, f.RestartDaemon(leaving))
+	time.Sleep(2 * time.Second)
+	require.LessOrEqual(t, runs(leaving)-before, 0)
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -379,6 +379,10 @@
 	}
 
 	d.observeLimit(response.Limit)
+
+	if response.Draining {
+		d.apply(health.Leaving{ID: response.Instance})
+	}
 }
 
 // observeLimit passes a limit to the reducer if it has changed.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -128,8 +128,10 @@
 		s.recordLoad(now, e.Load)
 	case LimitStated:
 		s.limit, s.limitKnown = e.Limit, true
+	case Leaving:
+		s.handleLeaving(now, e)
 	case Noticed:
-		s.handleNotice(e.Notice)
+		s.handleNotice(now, e.Notice)
 	case Ran:
 		s.recordOutcome(now, e.Failed)
 		s.breaker.record(now, e.Unserved)
@@ -421,7 +423,7 @@
 		s.draining = e.Draining
 	}
 
-	if !s.identified && e.Healthy && e.ID != "" && e.ID == s.previous && e.Load.Slots > 0 {
+	if !s.identified && e.Healthy && !e.Draining && e.ID != "" && e.ID == s.previous && e.Load.Slots > 0 {
 		s.resetObservations()
 		s.identified, s.id, s.startTime, s.sequence = true, e.ID, time.Time{}, 0
 		s.slots, s.previous = e.Load.Slots, ""
--- a/internal/health/messages.go
+++ b/internal/health/messages.go
@@ -36,6 +36,9 @@
 	Observed struct{ Load dialect.Load }
 	// LimitStated reports what a response says of the number of requests that the server allows.
 	LimitStated struct{ Limit backend.Limit }
+	// Leaving reports that the server has said in a response that it leaves for good. ID is empty if the response does
+	// not name the server.
+	Leaving struct{ ID backend.ID }
 	// Noticed reports what another daemon remembers of the responses of the server, which an earlier run of this daemon
 	// has passed on.
 	Noticed struct{ Notice backend.Notice }
@@ -82,6 +85,7 @@
 func (Withdrawn) isEvent()   {}
 func (Observed) isEvent()    {}
 func (LimitStated) isEvent() {}
+func (Leaving) isEvent()     {}
 func (Noticed) isEvent()     {}
 func (Ran) isEvent()         {}
 func (Refused) isEvent()     {}
--- a/internal/health/script_test.go
+++ b/internal/health/script_test.go
@@ -79,6 +79,8 @@
 		}}
 	case "withdraw":
 		return health.Withdrawn{ID: backend.ID(line.Word(0)), Born: startTime(line.Int("born", 0))}
+	case "leaving":
+		return health.Leaving{ID: backend.ID(line.Text("id", ""))}
 	case "observe":
 		return health.Observed{Load: dialect.Load{Slots: line.Int("slots", 6), Slowness: line.Float("slowness", 1)}}
 	case "ran":
