--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -48,7 +48,7 @@
 	s.store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(configText(s.config.version)))
 }
 
-// configText returns the configuration in the format of the users' platform.
+// configText returns the configuration in the format of the users' platform. No route names the service spare.
 func configText(version int) string {
 	var rows []string
 
@@ -68,7 +68,7 @@
 
 	return fmt.Sprintf(`{"version":"r%d","routes":{"columns":["name","hostname","pathPrefix","routeType","timeoutMs",`+
 		`"targetLatencyMs","priority","service","maxAttempts"],"rows":[%s]},`+
-		`"services":{"columns":["name","healthPath","maxConnections"],"rows":[["stockdesk","/health",100],["routehall","/health",100]]}}`,
+		`"services":{"columns":["name","healthPath","maxConnections"],"rows":[["stockdesk","/health",100],["routehall","/health",100],["spare","/health",100]]}}`,
 		version, strings.Join(rows, ","))
 }
 
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -102,10 +103,10 @@
 	executionsByKey     map[string]int
 	executionsByAttempt map[string]Execution
 	requestCount        int
-	runCount            int
-	lastStart           time.Time
-	server              *http.Server
-	crashed             bool
+	// starts holds when the requests that ran were started.
+	starts  []time.Time
+	server  *http.Server
+	crashed bool
 }
 
 // Option configures a Server.
@@ -215,7 +216,19 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return s.runCount, s.lastStart
+	if len(s.starts) == 0 {
+		return 0, time.Time{}
+	}
+
+	return len(s.starts), s.starts[len(s.starts)-1]
+}
+
+// Starts returns when the requests that ran were started, in order.
+func (s *Server) Starts() []time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return slices.Clone(s.starts)
 }
 
 func (s *Server) handler() http.Handler {
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -126,8 +126,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	s.runCount++
-	s.lastStart = time.Now()
+	s.starts = append(s.starts, time.Now())
 
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		s.executionsByKey[key]++
