soak: addresses are chosen while no process is started

Seen: 'listen tcp ...: address already in use' at the start of a soak beside others, and once more today (TestSoak/3 beside a soak by hand, arm64). Cause: addresses.next listens and closes; a process that is started meanwhile holds the socket until it runs its program. Change: the lock that the standard library takes to start processes is held meanwhile.

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,19 +88,28 @@
 		}
 
 		address := netip.AddrPortFrom(a.host, a.last)
-
-		listener, err := new(net.ListenConfig).Listen(a.ctx, "tcp", address.String())
-		if err != nil {
-			// Another socket listens at this port on all addresses.
-			continue
+		if a.isFree(address) {
+			return address
 		}
+	}
+
+	return netip.AddrPort{}
+}
 
-		a.err = listener.Close()
+// isFree reports whether no other socket listens at an address, for example at its port on all addresses.
+func (a *addresses) isFree(address netip.AddrPort) bool {
+	// No process is started while the lock is held. Until it runs its program, a new process would hold the socket.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 
-		return address
+	listener, err := new(net.ListenConfig).Listen(a.ctx, "tcp", address.String())
+	if err != nil {
+		return false
 	}
 
-	return netip.AddrPort{}
+	a.err = listener.Close()
+
+	return a.err == nil
 }
 
 // newNode starts the proxies, writes the settings of the daemon and starts the backend server.
