backend: a connection ends after a refusal that names no request

Cause: with the project's own fields, connections were kept after every response. A refusal without a token cannot be told from that of the next request. Change: a refusal without a token is the last response of its connection, as one without an identifier already was on the users' platform. Evidence: TestRefusalWrittenTwice failed before.

--- /dev/null
+++ b/internal/backend/refusal_test.go
@@ -0,0 +1,51 @@
+package backend_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/dialect"
+)
+
+// serveRefusedTwice starts a server that refuses the first request of the first connection, writes the refusal once more
+// when the next request arrives there, and runs all other requests.
+func serveRefusedTwice(t *testing.T, refusal, success string) string {
+	t.Helper()
+
+	refused := false
+
+	return serveRaw(t, func(number int, _ *http.Request) string {
+		switch {
+		case !refused:
+			refused = true
+
+			return refusal
+		case number > 1:
+			return refusal + success
+		default:
+			return success
+		}
+	})
+}
+
+// TestRefusalWrittenTwice guards against a second copy of a refusal, written while a later request runs, that is taken
+// for the refusal of that request: its caller would be told that an order was not run although it was.
+func TestRefusalWrittenTwice(t *testing.T) {
+	names := dialect.Default()
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: not-run\r\nContent-Length: 0\r\n\r\n", names.NotRun)
+	address := serveRefusedTwice(t, refusal, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ntaken")
+	s := newServer(t, address, names)
+
+	first, err := s.Do(t.Context(), order("", true))
+	require.NoError(t, err)
+	read(t, first)
+	require.True(t, first.NotRun)
+
+	second, err := s.Do(t.Context(), order("", true))
+	require.NoError(t, err)
+	require.False(t, second.NotRun, "the order has run")
+	require.Equal(t, "taken", read(t, second))
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -278,9 +278,14 @@
 
 // isDuplicateDetectable reports whether a late duplicate of a response can be distinguished from the response to a
 // later request. This holds for a success without an identifier, because it never matches a request that has one. In
-// a dialect without attempt identifiers, isDuplicateDetectable returns true for all responses.
+// a dialect without attempt identifiers, only a refusal has to be distinguishable, by the call token: taken for the
+// refusal of a later request, it would state that this one was not run.
 func (s *Server) isDuplicateDetectable(response *http.Response) bool {
-	return s.dialect.Attempt == "" || s.dialect.AttemptOf(response.Header) != "" || isSuccess(response.StatusCode)
+	if s.dialect.Attempt == "" {
+		return !s.isNotRun(response) || response.Header.Get(s.dialect.CallToken) != ""
+	}
+
+	return s.dialect.AttemptOf(response.Header) != "" || isSuccess(response.StatusCode)
 }
 
 func isSuccess(status int) bool {
