backend: a refusal without an identifier is not taken on a reused connection

Cause: on the users' platform, an error response without seal and identifier was taken for the refusal of the request in flight, also on a connection that had served others and may bring a late response to one of them (REFUSED, and TWICE if the request is then sent elsewhere). Found by reading. Change: on a reused connection a response must name its request. Evidence: TestRefusalOfNobody failed before.

--- a/internal/backend/refusal_test.go
+++ b/internal/backend/refusal_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/platform"
 )
 
 // serveRefusedTwice starts a server that refuses the first request of the first connection, writes the refusal once more
@@ -49,3 +50,28 @@
 	require.False(t, second.NotRun, "the order has run")
 	require.Equal(t, "taken", read(t, second))
 }
+
+// TestRefusalOfNobody guards against a refusal without an identifier that arrives on a connection in use for another
+// request and is taken for the refusal of that request.
+func TestRefusalOfNobody(t *testing.T) {
+	names := platform.Dialect()
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", names.NotRun)
+
+	address := serveRaw(t, func(number int, r *http.Request) string {
+		success := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: 0\r\n\r\n",
+			names.Attempt, r.Header.Get(names.Attempt), names.Seal)
+		if number > 1 {
+			return refusal + success
+		}
+
+		return success
+	})
+	s := newServer(t, address, names)
+
+	for _, id := range []string{"a1", "a2"} {
+		response, err := s.Do(t.Context(), order(id, true))
+		require.NoError(t, err)
+		require.False(t, response.NotRun, "order %s has run", id)
+		read(t, response)
+	}
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -219,7 +219,7 @@
 			return nil, errors.Mark(err, errConnDropped)
 		}
 
-		if s.matchesAttempt(response, call) && s.matchesCallToken(c, response, call) {
+		if s.matchesAttempt(c, response, call) && s.matchesCallToken(c, response, call) {
 			if call.Attempt != "" && !s.dialect.Sealed(response.Header) && isSuccess(response.StatusCode) {
 				return nil, ErrUnsealed
 			}
@@ -242,15 +242,16 @@
 }
 
 // matchesAttempt reports whether a response has the attempt identifier of the call. An error response without a seal,
-// by which a server refuses a request, may lack the identifier.
-func (s *Server) matchesAttempt(response *http.Response, call Call) bool {
+// by which a server refuses a request, may lack the identifier, but not on a reused connection, where it may be a late
+// response to an earlier request.
+func (s *Server) matchesAttempt(c *http1.ClientConn, response *http.Response, call Call) bool {
 	if s.dialect.Attempt == "" {
 		return true
 	}
 
 	attempt := s.dialect.AttemptOf(response.Header)
 	if attempt == "" && call.Attempt != "" {
-		return !isSuccess(response.StatusCode) && (s.dialect.Seal == "" || !s.dialect.Sealed(response.Header))
+		return !c.Reused() && !isSuccess(response.StatusCode) && (s.dialect.Seal == "" || !s.dialect.Sealed(response.Header))
 	}
 
 	return attempt == call.Attempt
