backend: another server at the address may refuse on a reused connection

Change: such a refusal counts if it names another server than the expected one. A late copy of an earlier 421 names the server that is expected now, and does not count.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -242,8 +242,8 @@
 }
 
 // matchesAttempt reports whether a response has the attempt identifier of the call. An error response without a seal,
-// by which a server refuses a request, may lack the identifier, but not on a reused connection, where it may be a late
-// response to an earlier request.
+// by which a server refuses a request, may lack the identifier. On a reused connection, where it may be a late response
+// to an earlier request, it may lack it only if another server than the expected one refuses.
 func (s *Server) matchesAttempt(c *http1.ClientConn, response *http.Response, call Call) bool {
 	if s.dialect.Attempt == "" {
 		return true
@@ -251,12 +251,25 @@
 
 	attempt := s.dialect.AttemptOf(response.Header)
 	if attempt == "" && call.Attempt != "" {
-		return !c.Reused() && !isSuccess(response.StatusCode) && (s.dialect.Seal == "" || !s.dialect.Sealed(response.Header))
+		if c.Reused() {
+			return s.isFromOther(response, call)
+		}
+
+		return !isSuccess(response.StatusCode) && (s.dialect.Seal == "" || !s.dialect.Sealed(response.Header))
 	}
 
 	return attempt == call.Attempt
 }
 
+// isFromOther reports whether a response comes from another server than the one that the call is meant for, which
+// therefore has not run it. A late response to an earlier call names the server that this call is meant for, too.
+func (s *Server) isFromOther(response *http.Response, call Call) bool {
+	instance := s.dialect.InstanceOf(response.Header)
+
+	return response.StatusCode == http.StatusMisdirectedRequest && instance != "" &&
+		instance != call.Request.Header.Get(s.dialect.ExpectedInstance)
+}
+
 // matchesCallToken reports whether the call token in a response, if any, is that of the call. Servers need not repeat
 // the token, but a server that has repeated one is expected to repeat it always: on a reused connection, a response
 // without the token is then a late duplicate of another response.
