backend: test of responses that break off in their head

It cannot happen here: each prefix of three heads (with a length, chunked, and until the end of the connection) ends as an error, may have run.

--- a/internal/backend/refusal_test.go
+++ b/internal/backend/refusal_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 	"github.com/tarragonmill/tarragonmill/platform"
 )
 
@@ -75,3 +80,59 @@
 		read(t, response)
 	}
 }
+
+// TestHeadBrokenOff guards against a response that breaks off in its head and is taken for one with an empty or short
+// body.
+func TestHeadBrokenOff(t *testing.T) {
+	names := platform.Dialect()
+
+	for _, framing := range []string{"Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: a\r\n%s: seal\r\n%s\r\n", names.Attempt, names.Seal, framing)
+
+		for length := range len(head) {
+			broken := head[:length]
+
+			response, err := newServer(t, serveAndClose(t, broken), names).Do(t.Context(), order("a", true))
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+
+			require.Error(t, err, "head of %d bytes: %q", length, broken)
+			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+		}
+	}
+}
+
+// serveAndClose starts a server that answers its first request with a text and closes the connection.
+func serveAndClose(t *testing.T, text string) string {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+
+	go func() {
+		accepted, err := listener.Accept()
+		if err != nil {
+			return
+		}
+
+		defer accepted.Close()
+
+		_ = accepted.SetReadDeadline(time.Now().Add(time.Second))
+		received := make([]byte, 4<<10)
+
+		for total := ""; !strings.HasSuffix(total, "dumplings"); {
+			n, err := accepted.Read(received)
+			if err != nil {
+				return
+			}
+
+			total += string(received[:n])
+		}
+
+		_, _ = io.WriteString(accepted, text)
+	}()
+
+	return listener.Addr().String()
+}
