membership: entries with numbers out of range are malformed

Seen by operators of a similar system: an odd entry with a number too large or a port out of range. Here, an entry under the key of a live daemon with the run 2^64-1 could never be superseded, so that this daemon's beats were ignored, and one with 2^63-1 slots made its server look idle for ever; port 0 was taken as an address. Change: DecodeEntry bounds them.

--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -281,8 +281,18 @@
 	return data
 }
 
+const (
+	// maxSlots is the largest number of slots in an entry.
+	maxSlots = 10_000
+	// maxIncarnation is the largest incarnation in an entry. Incarnations are start times in Unix nanoseconds, which do
+	// not reach it before the year 2116; a daemon with a larger one could never be superseded.
+	maxIncarnation = 1 << 62
+)
+
+func outOfRange(slots int) bool { return slots < 0 || slots > maxSlots }
+
 // DecodeEntry parses an entry of the store. It returns an error if the entry is malformed, has no ID or address, or
-// holds a negative number of slots.
+// holds a number out of range.
 func DecodeEntry(data []byte) (Entry, error) {
 	var stored storedEntry
 	if err := json.Unmarshal(data, &stored); err != nil {
@@ -290,12 +300,12 @@
 	}
 
 	peer, err := netip.ParseAddrPort(stored.Peer)
-	if err != nil || stored.ID == "" {
+	if err != nil || stored.ID == "" || peer.Port() == 0 || peer.Addr().IsUnspecified() {
 		return Entry{}, errors.Newf("entry of %q has no ID or no valid address", stored.ID)
 	}
 
-	if stored.Slots < 0 || stored.Limit < 0 {
-		return Entry{}, errors.Newf("entry of %q has a negative number of slots", stored.ID)
+	if outOfRange(stored.Slots) || outOfRange(stored.Limit) || stored.Run > maxIncarnation {
+		return Entry{}, errors.Newf("entry of %q has a number out of range", stored.ID)
 	}
 
 	var status instance.Status
