dialect: numbers out of range and NaN in header fields are malformed

Change: figures of a load end at 2^20, slots of an announcement at 10,000 as in the settings, and NaN is refused.

--- a/internal/daemon/server_state.go
+++ b/internal/daemon/server_state.go
@@ -74,9 +74,12 @@
 var (
 	errOtherService = errors.New("announcement is of another service")
 	errOtherAddress = errors.New("announcement is of another address")
-	errNoSlots      = errors.New("announcement states no slots")
+	errNoSlots      = errors.New("announcement states no usable number of slots")
 )
 
+// maxSlots is the largest number of slots of a server.
+const maxSlots = 10_000
+
 // Announce implements AnnouncementReceiver.
 func (d *Daemon) Announce(_ context.Context, a backend.Announcement) error {
 	if err := d.checkAnnouncement(a); err != nil {
@@ -100,7 +103,7 @@
 		return errOtherService
 	case a.Address != current.Backend.Address:
 		return errOtherAddress
-	case a.Slots <= 0:
+	case a.Slots <= 0, a.Slots > maxSlots:
 		return errNoSlots
 	default:
 		return nil
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -92,6 +92,9 @@
 	Slowness float64
 }
 
+// maxFigure is the largest number in the Load field.
+const maxFigure = 1 << 20
+
 // normalSlowness is the number that a server sends for a slowness of 1.
 const normalSlowness = 100
 
@@ -108,7 +111,7 @@
 
 	for i, field := range fields {
 		figure, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil || figure < 0 {
+		if err != nil || figure < 0 || figure > maxFigure {
 			return Load{}, false
 		}
 
@@ -136,7 +139,8 @@
 	}
 
 	number, err := strconv.ParseFloat(text, 64)
-	if err != nil || number < 0 || number > float64(24*time.Hour/time.Millisecond) {
+	// The comparison also excludes NaN.
+	if err != nil || !(number >= 0 && number <= float64(24*time.Hour/time.Millisecond)) {
 		return 0, false
 	}
 
