core: keys are claimed only after the daemon's entry is stored

Cause, as traced before: a daemon claims key partitions once its members are unchanged for 2 s, but writes its own entry after 4 s. One that starts before its seeds knows nobody and cannot be found, so that it claims all partitions; after it was killed, its keys were refused until its grants ended. Change: the key table learns of members only when the entry is stored, and the settle time begins then. Evidence: TestKeysAreClaimedAfterEntry failed before (one claim).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,6 +230,10 @@
 		return s.applyKeys(now, e)
 	case suspects.Event:
 		return toEffects(s.suspects.Apply(now, e))
+	case membership.EntryWritten:
+		effects := s.handleMembershipEffects(now, s.membership.Apply(now, e))
+
+		return append(effects, s.updateKeyMembers(now)...)
 	case membership.Event:
 		return s.handleMembershipEffects(now, s.membership.Apply(now, e))
 	default:
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -57,7 +57,8 @@
 // updateKeyMembers passes the members of each service to the key table. It waits until the entries were read: before,
 // a daemon knows only itself and would claim every partition of its service.
 func (s *State) updateKeyMembers(now time.Time) []Effect {
-	if s.keyReducer == nil || !s.ready {
+	// Before its own entry is stored, others that start at the same time may not have found this daemon, nor it them.
+	if s.keyReducer == nil || !s.ready || !s.membership.Stored() {
 		return nil
 	}
 
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -104,6 +104,9 @@
 	return dropped
 }
 
+// Stored reports whether this run of the daemon has written its entry.
+func (s *State) Stored() bool { return s.stored }
+
 // RankAmongHeard returns the number of members with a lower ID than this daemon whose beats arrive regularly.
 func (s *State) RankAmongHeard(now time.Time) int {
 	rank := 0
