--- a/internal/daemon/limit_test.go
+++ b/internal/daemon/limit_test.go
@@ -22,7 +22,7 @@
 
 	ctx, cancel := context.WithCancel(t.Context())
 
-	var all []<-chan struct{}
+	all := make([]<-chan struct{}, 0, len(f.Instances))
 	for _, i := range f.Instances {
 		all = append(all, keepLookingUp(ctx, i))
 	}
--- a/internal/daemon/odd_entries_test.go
+++ b/internal/daemon/odd_entries_test.go
@@ -1,11 +1,9 @@
 package daemon_test
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -64,24 +62,7 @@
 
 	f.Store.Put(platform.ConfigTopic, platform.ConfigKey, operatorConfigOf(8))
 	require.NoError(t, f.RestartDaemon(f.Instances[2]))
-	awaitFleet(t, f, 8)
+	awaitVersion(t, f, 8, maxConfigDelay)
+	require.NoError(t, f.WaitMembers(t.Context()))
 	lookUpEverywhere(t, f, "odd")
 }
-
-// awaitFleet waits until all daemons use a version and know each other.
-func awaitFleet(t *testing.T, f *fleet.Fleet, version uint64) {
-	t.Helper()
-
-	ctx, cancel := context.WithTimeout(t.Context(), maxConfigDelay+2*time.Second)
-	defer cancel()
-
-	require.NoError(t, f.Wait(ctx, func() bool {
-		for _, i := range f.Instances {
-			if i.Daemon.Version() < version || i.Daemon.Members() < len(f.Instances) {
-				return false
-			}
-		}
-
-		return true
-	}))
-}
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -35,18 +34,7 @@
 
 	f.Store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(operatorConfig))
 
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-	defer cancel()
-
-	require.NoError(t, f.Wait(ctx, func() bool {
-		for _, i := range f.Instances {
-			if i.Daemon.Version() < 7 {
-				return false
-			}
-		}
-
-		return true
-	}))
+	awaitVersion(t, f, 7, 10*time.Second)
 
 	return f
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -12,7 +12,6 @@
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
-	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/request"
@@ -372,41 +371,6 @@
 		method == http.MethodOptions
 }
 
-// observeResponse passes what a response says of its server to the reducer.
-func (d *Daemon) observeResponse(response *backend.Response) {
-	if response.HasLoad {
-		d.apply(health.Observed{Load: response.Load})
-	}
-
-	d.observeLimit(response.Limit)
-
-	if response.Draining {
-		d.apply(health.Leaving{ID: response.Instance})
-	}
-}
-
-// observeLimit passes a limit to the reducer if it has changed.
-func (d *Daemon) observeLimit(statement backend.Statement) {
-	if !statement.Made {
-		return
-	}
-
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-
-	before, known := d.state.ServerLimit()
-	if known && before == statement.Limit {
-		return
-	}
-
-	d.applyLocked(health.LimitStated{Limit: statement.Limit})
-
-	if before != statement.Limit {
-		d.log.Notable(eventlog.ServerLimit).Bool("limited", statement.Limit.Set).
-			Float64("per_second", statement.Limit.PerSecond).Send()
-	}
-}
-
 // handleServerRefusal handles a response that says that the server did not run the request.
 func (d *Daemon) handleServerRefusal(
 	cancel context.CancelFunc, call attempt.Call, id admission.Attempt, sc serverCall, response *backend.Response,
--- a/internal/daemon/server_state.go
+++ b/internal/daemon/server_state.go
@@ -43,18 +43,6 @@
 	}, func() { d.apply(health.Probed{}) })
 }
 
-// observeProbe passes on what a probe answers about leaving and limits. An answer without a limit says nothing, because
-// servers need not state it there.
-func (d *Daemon) observeProbe(answer backend.Health) {
-	if answer.Limit.Limit.Set {
-		d.observeLimit(answer.Limit)
-	}
-
-	if answer.Draining {
-		d.apply(health.Leaving{ID: answer.Instance})
-	}
-}
-
 // healthPath returns the health path of the daemon's service in the manifest. If it has none, it returns the one in the
 // settings.
 func (d *Daemon) healthPath() string {
--- a/internal/daemon/silence_test.go
+++ b/internal/daemon/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +57,18 @@
 	_ = response.Body.Close()
 }
 
+// awaitVersion requires that all daemons use a version within a time.
+func awaitVersion(t *testing.T, f *fleet.Fleet, version uint64, within time.Duration) {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	defer cancel()
+
+	require.NoError(t, f.Wait(ctx, func() bool {
+		return !slices.ContainsFunc(f.Instances, func(i *fleet.Instance) bool { return i.Daemon.Version() < version })
+	}))
+}
+
 // publishDuringSilence makes all connections to the store silent, publishes a version, and checks that all daemons use
 // it in time.
 func publishDuringSilence(t *testing.T, f *fleet.Fleet) {
@@ -66,18 +79,7 @@
 	f.Store.SilenceConnections()
 	f.Store.Put(platform.ConfigTopic, platform.ConfigKey, operatorConfigOf(8))
 
-	ctx, cancel := context.WithTimeout(t.Context(), maxConfigDelay)
-	defer cancel()
-
-	require.NoError(t, f.Wait(ctx, func() bool {
-		for _, i := range f.Instances {
-			if i.Daemon.Version() < 8 {
-				return false
-			}
-		}
-
-		return true
-	}))
+	awaitVersion(t, f, 8, maxConfigDelay)
 }
 
 // TestSilentStoreConnections guards against a configuration that is in force late because the connections to the store
@@ -117,16 +119,5 @@
 	after := f.Store.Counts()
 	require.LessOrEqual(t, after.Lists+after.Reads-before.Lists-before.Reads, maxCalls*len(f.Instances))
 
-	ctx, cancel := context.WithTimeout(t.Context(), maxConfigDelay)
-	defer cancel()
-
-	require.NoError(t, f.Wait(ctx, func() bool {
-		for _, i := range f.Instances {
-			if i.Daemon.Version() < 8 {
-				return false
-			}
-		}
-
-		return true
-	}))
+	awaitVersion(t, f, 8, maxConfigDelay)
 }
