daemon: fewer reads of the configuration by daemons that hear others

Change: frequent readers wait 1.2 s instead of 1 s, the others 30 s as before the incident instead of 15 s. If all connections are silent, a version is in force 1.7 s plus a beat and two reads after its publication, still less than 3 s.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -19,8 +19,8 @@
 	// shortWait and longWait are how long one read waits for a new record. The end of a wait shows that the connection
 	// still works. Only a few daemons look so often that a version is in force within 3 s although connections have gone
 	// silent, because the store bills calls; the others hear of the version from them.
-	shortWait = time.Second
-	longWait  = 15 * time.Second
+	shortWait = 1200 * time.Millisecond
+	longWait  = 30 * time.Second
 	// frequentReaders is the number of daemons that use shortWait, among those that hear each other.
 	frequentReaders = 2
 	// updatePause is the mean pause after a new configuration. Without it, each daemon of the fleet would make one call
