admission: a waiting attempt that may not start does not keep the timer busy

Found by reading the diff. Cause: while a token was there, State.Next returned the past for as long as an attempt waited that could not start for another reason, such as a server slower than it allows. The daemon's timer expired at once, again and again, and took its share of the processor. Change: the time of the next token is computed with each event, and is not set if the token is already there.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,6 +29,8 @@
 	runningAlone bool
 	// limiter is nil while the server states no limit.
 	limiter *limiter
+	// tokenAt is when the limit allows a waiting attempt to start; zero if it already does or none waits.
+	tokenAt time.Time
 	counts  Counts
 }
 
@@ -66,8 +68,19 @@
 	}
 
 	effects = append(effects, s.refuseExpired(now)...)
+	effects = append(effects, s.startWaiting(now)...)
+	s.updateTokenAt(now)
 
-	return append(effects, s.startWaiting(now)...)
+	return effects
+}
+
+// updateTokenAt sets when the next token for a waiting attempt is there.
+func (s *State) updateTokenAt(now time.Time) {
+	s.tokenAt = time.Time{}
+
+	if wait := s.limiter.wait(now, 0); wait > 0 && (len(s.queue) > 0 || s.waitingAlone != nil) {
+		s.tokenAt = now.Add(wait)
+	}
 }
 
 // setLimit sets the limit of the server. A limit that stays the same keeps its tokens.
@@ -105,11 +118,7 @@
 
 // Next returns when the next Tick is due; the zero time if no attempt waits.
 func (s *State) Next() time.Time {
-	var next time.Time
-
-	if s.limiter != nil && len(s.running) < s.slots && (len(s.queue) > 0 || s.waitingAlone != nil) {
-		next = s.limiter.updated.Add(s.limiter.wait(s.limiter.updated, 0))
-	}
+	next := s.tokenAt
 
 	for _, w := range s.queue {
 		next = times.Next(next, w.expiresAt())
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -34,9 +34,9 @@
 }
 
 // limitServer sets a limit of an open server with many slots.
-func (r *reducer) limitServer(now time.Time, perSecond float64) []string {
+func (r *reducer) limitServer(now time.Time, perSecond, slowness float64) []string {
 	return describe(r.state.Apply(now, admission.ServerChanged{
-		Slots: 100, Queue: 3, Slowness: 1, Limited: true, PerSecond: perSecond,
+		Slots: 100, Queue: 3, Slowness: slowness, Limited: true, PerSecond: perSecond,
 	}))
 }
 
@@ -62,7 +62,7 @@
 		return r.changeServer(now, line.Text("closed", ""),
 			line.Int("slots", 2), line.Int("queue", 3), line.Float("slowness", 1))
 	case "limit":
-		return r.limitServer(now, line.Float("rate", 0))
+		return r.limitServer(now, line.Float("rate", 0), line.Float("slowness", 1))
 	default:
 		line.FailUnknownCommand()
 
