daemon: a response that says that its server leaves names the server it was sent to

Found by reading the diff: a response without the server's identity was taken for one of the server that is there now. If another server had replaced the sender since the request was sent, that one would have got no more requests. Change: such a response counts for the server that the request was sent to.

--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -28,7 +28,8 @@
 
 		admission.Arrived{}, admission.Done{}, admission.Cancelled{}, admission.ServerChanged{}, admission.Tick{},
 
-		health.Started{}, health.Announced{}, health.Withdrawn{}, health.Observed{}, health.LimitStated{}, health.Leaving{}, health.Noticed{}, health.Ran{},
+		health.Started{}, health.Announced{}, health.Withdrawn{}, health.Observed{}, health.LimitStated{},
+		health.Leaving{}, health.Noticed{}, health.Ran{},
 		health.Refused{}, health.Misdirected{}, health.Probed{}, health.Busy{}, health.PaceChanged{}, health.Tick{},
 
 		keys.Arrived{}, keys.Finished{}, keys.Cancelled{}, keys.RecordsRead{}, keys.BaseOffered{},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -210,7 +210,8 @@
 	}
 	d.options = core.Options{
 		Self: self, FixedSlots: initial.Backend.Slots, Queue: initial.Backend.Queue,
-		QueuePerSlot: initial.Backend.Backlog, Seeds: initial.Seeds, Announced: platform.AnnouncementHandler != nil && initial.Backend.Slots == 0,
+		QueuePerSlot: initial.Backend.Backlog, Seeds: initial.Seeds,
+		Announced:     platform.AnnouncementHandler != nil && initial.Backend.Slots == 0,
 		ProbeInterval: initial.Backend.Interval,
 		Repeats: routing.Repeats{
 			Share: initial.Repeat.Share, Slack: initial.Repeat.Slack, Window: initial.Repeat.Window,
--- a/internal/daemon/odd_entries_test.go
+++ b/internal/daemon/odd_entries_test.go
@@ -36,7 +36,8 @@
 		oddEntry(id, "slots", "1e30"), oddEntry(id, "slots", "9223372036854775807"), oddEntry(id, "slots", "-1"),
 		oddEntry(id, "run", "18446744073709551615"), oddEntry(id, "run", "1e30"),
 		oddEntry(id, "peer", `"127.0.0.1:70000"`), oddEntry(id, "peer", `"127.0.0.1:0"`), oddEntry(id, "peer", `"0.0.0.0:0"`),
-		oddEntry(id, "status", `"resting"`), oddEntry(id, "limit", "9223372036854775807"), oddEntry(id, "born", "9223372036854775807"),
+		oddEntry(id, "status", `"resting"`), oddEntry(id, "limit", "9223372036854775807"),
+		oddEntry(id, "born", "9223372036854775807"),
 	}
 }
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -295,7 +295,7 @@
 		return d.handleFailure(ctx, cancel, call, id, sc, err)
 	}
 
-	d.observeResponse(response)
+	d.observeResponse(response, sc)
 
 	if response.NotRun {
 		return d.handleServerRefusal(cancel, call, id, sc, response)
@@ -322,7 +322,8 @@
 // serverCall is a call to the backend server in progress.
 type serverCall struct {
 	sentAt time.Time
-	// slowness is that of the server at sentAt.
+	// server and slowness are those of the server at sentAt.
+	server   backend.ID
 	slowness float64
 }
 
@@ -331,7 +332,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	return serverCall{sentAt: time.Now(), slowness: d.state.Admission().Slowness}
+	return serverCall{sentAt: time.Now(), server: d.state.Server(), slowness: d.state.Admission().Slowness}
 }
 
 // backendCall returns the call to the backend server for an attempt.
--- a/internal/daemon/server_notice.go
+++ b/internal/daemon/server_notice.go
@@ -1,13 +1,16 @@
 package daemon
 
 import (
+	"cmp"
+
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 )
 
-// observeResponse passes what a response says of its server to the reducer.
-func (d *Daemon) observeResponse(response *backend.Response) {
+// observeResponse passes what a response says of its server to the reducer. Another server may have replaced it since the
+// request was sent.
+func (d *Daemon) observeResponse(response *backend.Response, sc serverCall) {
 	if response.HasLoad {
 		d.apply(health.Observed{Load: response.Load})
 	}
@@ -15,7 +18,7 @@
 	d.observeLimit(response.Limit)
 
 	if response.Draining {
-		d.apply(health.Leaving{ID: response.Instance})
+		d.apply(health.Leaving{ID: cmp.Or(response.Instance, sc.server)})
 	}
 }
 
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -126,8 +126,8 @@
 	noChange change = iota
 	// requestCountChange is a changed number of requests at the server.
 	requestCountChange
-	// loadChange is another change of the load, or another version of the configuration. Like requestCountChange, it is left to the next idle beat if the budget
-	// is spent.
+	// loadChange is another change of the load, or another version of the configuration. Like requestCountChange, it is
+	// left to the next idle beat if the budget is spent.
 	loadChange
 	// urgentChange is sent regardless of the budget: without it, others would send requests to a daemon that does not
 	// accept them.
