--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -17,12 +17,12 @@
 
 const (
 	// shortWait and longWait are how long one read waits for a new record. The end of a wait shows that the connection
-	// still works. Only a few daemons look so often that a version is in force within 3 s although connections have gone
+	// still works. Only few daemons look so often that a version is in force within 3 s although connections have gone
 	// silent, because the store bills calls; the others hear of the version from them.
 	shortWait = 1200 * time.Millisecond
 	longWait  = 30 * time.Second
 	// frequentReaders is the number of daemons that use shortWait, among those that hear each other.
-	frequentReaders = 2
+	frequentReaders = 1
 	// updatePause is the mean pause after a new configuration. Without it, each daemon of the fleet would make one call
 	// for each of several versions in quick succession. The last one must still be in force within 3 s.
 	updatePause = 400 * time.Millisecond
