daemon: notices are read under the lock

A daemon could have ended by a concurrent read and write of a map. Cause: newCall read the notices of other daemons; for a request that is forwarded to the owner of its key it runs without the lock. Change: only startAttempt, which holds the lock, adds the notice.

--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -35,6 +35,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	out.cancel = cancel
 	call := d.newCall(current.submission, e)
+	call.Notice = d.state.NoticeOf(e.Target.ID)
 
 	if !d.startTask("attempt", func(group context.Context) {
 		stop := context.AfterFunc(group, cancel)
@@ -66,13 +67,12 @@
 	}
 }
 
-// newCall returns the call that sends an attempt to the daemon beside the server. The caller holds the mutex.
+// newCall returns the call that sends an attempt to the daemon beside the server.
 func (d *Daemon) newCall(s caller.Submission, e routing.Attempt) attempt.Call {
 	return attempt.Call{
 		Request: e.Request, Number: e.Number, MaxWait: e.Wait, MaxSlowness: e.Slowest,
 		Timeout: e.Request.Deadline.Sub(d.now()), From: d.options.Self.ID, To: e.Target.ID,
 		Method: s.Method, Target: s.Target, Host: s.Host, Header: s.Header, Body: s.Body,
-		Notice: d.state.NoticeOf(e.Target.ID),
 	}
 }
 
