platform: the epoch of the store is read, logged and counted

Cause: nothing in the tree read Store-Era, so that neither log nor metric could tell a return of the store from an older copy from an ordinary outage. Change: each response is read for the epoch; a newer one is reported before the response that states it. No decision changes.

--- a/internal/bind/bind.go
+++ b/internal/bind/bind.go
@@ -19,6 +19,8 @@
 	p.AnnouncementHandler = func(to daemon.AnnouncementReceiver) http.Handler { return platform.AnnouncementHandler(to) }
 	p.StoreCounts = func() daemon.StoreCounts { return daemon.StoreCounts(store.Counts()) }
 
+	p.ObserveEpoch = store.ObserveEpoch
+
 	if fields == settings.PlatformFields {
 		p.Dialect = platform.Dialect()
 		p.Configuration = store.Topic(platform.ConfigTopic)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,6 +80,9 @@
 	ReadyPath string
 	// StoreCounts returns the totals of the calls to the store. It is nil if the calls are not counted.
 	StoreCounts func() StoreCounts
+	// ObserveEpoch sets a function that is called with each newer epoch that the store states in any response, before
+	// that response is returned. It is nil if the store states none.
+	ObserveEpoch func(observe func(store.Epoch))
 }
 
 // DefaultPlatform returns a platform that uses the project's own header fields and follows the manifests that the
@@ -153,6 +156,8 @@
 	// rereadConfig receives a value when the store may have a newer configuration.
 	rereadConfig chan struct{}
 	configReads  configReads
+	// storeEpoch is the newest epoch that the store has stated, and storeReturns counts how often it rose in this run.
+	storeEpoch, storeReturns atomic.Uint64
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -197,6 +202,10 @@
 	d.metrics = m
 	d.settings.Store(&initial)
 	d.attempts = attempt.NewClient(initial.Key)
+
+	if platform.ObserveEpoch != nil {
+		platform.ObserveEpoch(d.noteEpoch)
+	}
 	d.backend = backend.NewServer(initial.Backend.Address, initial.Backend.Connections, platform.Dialect)
 
 	self := instance.Member{
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -54,6 +54,8 @@
 	ConfigurationRead Event = "configuration-read"
 	// ConfigurationBehind reports that another daemon has a newer configuration.
 	ConfigurationBehind Event = "configuration-behind"
+	// StoreReturned reports that the store has come back from an older copy, without what daemons have written since.
+	StoreReturned Event = "store-returned"
 	// BadRecord reports an invalid configuration or membership entry in the store.
 	BadRecord Event = "bad-record"
 	// Members reports changes of the members of the fleet.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,6 +29,10 @@
 	ErrSilent = errors.New("log has stopped answering")
 )
 
+// Epoch numbers the histories of a log. It rises each time the log comes back from an older copy: records appended since
+// that copy are lost, and their offsets are given out again. Zero means that the log states no epoch.
+type Epoch uint64
+
 // Record is a record of a topic.
 type Record struct {
 	// Key is empty in a topic without keys.
