standin: the store comes back from an older copy

Change: Restore drops what was appended since a copy in all topics, gives the offsets out again and raises the epoch, which all responses state.

--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -2,7 +2,7 @@
 // read a topic from an offset and can wait for the next record, or list the newest record of each key.
 //
 // The stand-in implements the published calls of the store. It can be slow or down, drop responses, delay appends,
-// return old lists and drop its history. It has no consumer groups and commits, because tarragonmill does not use
+// return old lists, drop its history and come back from an older copy. It has no consumer groups and commits, because tarragonmill does not use
 // them.
 package store
 
@@ -68,12 +68,14 @@
 	topics map[string]*topic
 	faults Faults
 	counts Counts
+	// epoch is stated in each response. It rises with each return from an older copy.
+	epoch uint64
 	// silences records which connections are silent. It has its own lock.
 	silences silences
 }
 
 // New returns an empty store.
-func New() *Store { return &Store{topics: make(map[string]*topic)} }
+func New() *Store { return &Store{topics: make(map[string]*topic), epoch: firstEpoch} }
 
 // Serve handles calls on a listener until ctx ends. The records stay.
 func (s *Store) Serve(ctx context.Context, listener net.Listener) error {
@@ -151,6 +153,20 @@
 	}
 }
 
+// Restore makes the store come back from a copy of the given age: records that are younger are lost in all topics, and
+// their offsets are given out again. Waiting reads go on, and end if the store no longer has their offset.
+func (s *Store) Restore(age time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	copied := time.Now().Add(-age)
+	s.epoch++
+
+	for _, t := range s.topics {
+		t.restore(copied)
+	}
+}
+
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
@@ -173,7 +189,7 @@
 
 	switch faults.Down {
 	case Busy:
-		http.Error(w, "store is busy", http.StatusServiceUnavailable)
+		s.refuse(w)
 	case Reset:
 		closeConnection()
 	case Silent:
@@ -210,7 +226,7 @@
 		closeConnection()
 	}
 
-	offset, ok := s.appendAt(r.URL.Query().Get("topic"), r.URL.Query().Get("timestamp"), contents)
+	offset, ok := s.appendFor(w, r.URL.Query().Get("topic"), r.URL.Query().Get("timestamp"), contents)
 
 	if faults.DropResponses {
 		closeConnection()
@@ -225,12 +241,27 @@
 	writeJSON(w, map[string]int64{"offset": offset, "end": offset + int64(len(contents))})
 }
 
+// appendFor does what appendAt does, and states the epoch in which it did so.
+func (s *Store) appendFor(w http.ResponseWriter, name, wanted string, contents [][]byte) (int64, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.stateEpoch(w)
+
+	return s.appendLocked(name, wanted, contents)
+}
+
 // appendAt appends records if the topic ends at the wanted offset, or if wanted is empty. It returns the offset of the
 // first record, and false if the topic has another end.
 func (s *Store) appendAt(name, wanted string, contents [][]byte) (int64, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
+	return s.appendLocked(name, wanted, contents)
+}
+
+// appendLocked does what appendAt does, for a caller that holds the mutex.
+func (s *Store) appendLocked(name, wanted string, contents [][]byte) (int64, bool) {
 	t := s.topic(name)
 	if wanted != "" && wanted != strconv.FormatInt(t.end(), 10) {
 		return 0, false
@@ -249,7 +280,7 @@
 	s.counts.Reads++
 	t := s.topic(query.Get("topic"))
 
-	for from >= t.end() && time.Now().Before(deadline) {
+	for from == t.end() && time.Now().Before(deadline) {
 		changed := t.changed
 		s.mutex.Unlock()
 
@@ -262,6 +293,7 @@
 
 	page, gone := t.page(from)
 	first := t.first
+	s.stateEpoch(w)
 	s.mutex.Unlock()
 
 	if gone {
@@ -290,16 +322,16 @@
 }
 
 // page returns the response to a read: the end and the first offset of the topic, then the records from the given
-// offset. It returns true if the records at that offset have been dropped.
+// offset. It returns true if the topic no longer has that offset.
 func (t *topic) page(from int64) ([]byte, bool) {
-	if from < t.first {
+	if from < t.first || from > t.end() {
 		return nil, true
 	}
 
 	out := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
 	out = binary.BigEndian.AppendUint64(out, uint64(t.first))
 
-	for _, r := range t.records[min(from, t.end())-t.first:] {
+	for _, r := range t.records[from-t.first:] {
 		out = appendRecord(out, r.content)
 	}
 
@@ -322,6 +354,7 @@
 	t := s.topic(query.Get("topic"))
 	items := t.items(query.Get("after"), asOf)
 	answer := newestAnswer{Items: items, End: t.endAsOf(asOf)}
+	s.stateEpoch(w)
 	s.mutex.Unlock()
 
 	if len(answer.Items) > pageSize {
--- a/internal/standin/store/topics.go
+++ b/internal/standin/store/topics.go
@@ -38,6 +38,8 @@
 	records []record
 	// newest holds the newest record of each key of a keyed topic.
 	newest map[string]item
+	// history holds all records since the start, expired ones included. The record at an offset has that index.
+	history []record
 	// changed is closed and replaced by each append.
 	changed chan struct{}
 }
@@ -66,12 +68,37 @@
 		r := record{content: content, at: now}
 		t.updateNewest(r, t.end())
 		t.records = append(t.records, r)
+		t.history = append(t.history, r)
 	}
 
+	t.wakeReaders()
+
+	return offset
+}
+
+// wakeReaders makes waiting reads look at the topic again.
+func (t *topic) wakeReaders() {
 	close(t.changed)
 	t.changed = make(chan struct{})
+}
 
-	return offset
+// restore removes the records that were appended after a time. Their offsets are given out again.
+func (t *topic) restore(copied time.Time) {
+	end := int64(len(t.history))
+	for end > 0 && t.history[end-1].at.After(copied) {
+		end--
+	}
+
+	t.history = t.history[:end:end]
+	t.records = t.records[:max(0, min(int64(len(t.records)), end-t.first))]
+	t.first = min(t.first, end)
+	clear(t.newest)
+
+	for offset, r := range t.history {
+		t.updateNewest(r, int64(offset))
+	}
+
+	t.wakeReaders()
 }
 
 // updateNewest updates the newest record of a key. A record without a value deletes the key.
