daemon: positions in the store are valid in one epoch only

Callers got 404 for a route that a confirmed version had added, until the next version came. Cause: a daemon continued from an offset, which it took for all that stands before it. If the store came back from an older copy while the daemon paused after a version, and the offset was given out again, the versions before it were never read. No call failed, so that nothing made the daemon read the list again. Change: a position is an offset and the epoch in which it was read. An epoch that any response states is one event of the reducer. Beats carry it, so that daemons with a long wait read again when another one has seen a return; their reads are spread over 400 ms. The frequent reader waits only 400 ms after a pause, because nothing else shows a return that happened in it.

--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -15,8 +15,9 @@
 type Log interface {
 	// Newest returns the newest record of each key and the end offset of the topic.
 	Newest(ctx context.Context) (store.Page, error)
-	// AppendAt appends records if the topic ends at the offset end; otherwise it returns store.ErrConflict.
-	AppendAt(ctx context.Context, end int64, records ...store.Record) error
+	// AppendAt appends records if the topic ends at the position end; otherwise it returns store.ErrConflict. It returns
+	// store.ErrReturned if it has appended them at that offset in another epoch.
+	AppendAt(ctx context.Context, end store.Position, records ...store.Record) error
 }
 
 // Outcome is the outcome of a publish.
@@ -69,22 +70,22 @@
 	return current, err
 }
 
-// read returns the newest manifest and the end offset of the topic.
-func (p *Publisher) read(ctx context.Context) (Published, int64, error) {
+// read returns the newest manifest and the end of the topic.
+func (p *Publisher) read(ctx context.Context) (Published, store.Position, error) {
 	page, err := p.log.Newest(ctx)
 	if err != nil {
-		return Published{}, 0, errors.Wrap(err, "log service is unavailable: read current manifest")
+		return Published{}, store.Position{}, errors.Wrap(err, "log service is unavailable: read current manifest")
 	}
 
 	for _, record := range page.Records {
 		if record.Key == Key {
 			current, err := DecodeRecord(record.Value)
 
-			return current, page.End, err
+			return current, page.EndPosition(), err
 		}
 	}
 
-	return Published{}, page.End, ErrNoManifest
+	return Published{}, page.EndPosition(), ErrNoManifest
 }
 
 // Publish publishes the text of a manifest as the next version. If base is not nil and not the current version, the
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/internal/times"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
@@ -115,10 +116,13 @@
 	newestVersion uint64
 	// rereadAt is when to read the manifest again; zero if no daemon has a newer one.
 	rereadAt time.Time
-	// publishedReport is the load report that routing and the other daemons received last, and publishedVersion the
-	// version of the manifest that the other daemons received with it.
+	// epoch is the newest epoch that the store has stated, and heardEpoch the newest one heard from another daemon.
+	epoch, heardEpoch store.Epoch
+	// publishedReport is the load report that routing and the other daemons received last, publishedVersion the version of
+	// the manifest, and publishedEpoch the epoch of the store that the other daemons received with it.
 	publishedReport  load.Report
 	publishedVersion uint64
+	publishedEpoch   store.Epoch
 	// reportedServer is the backend server that the last ServerReplaced named.
 	reportedServer   backend.ID
 	nextSuspectsTick time.Time
@@ -200,6 +204,8 @@
 		return s.handleServerCrashed(now)
 	case ManifestRead:
 		return s.handleManifestRead(now, e)
+	case EpochSeen:
+		return s.handleEpochSeen(now, e)
 	case DrainStarted:
 		return s.drain(now)
 	case Closing:
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -20,7 +20,7 @@
 func EventKinds() (*trace.Kinds[Event], error) {
 	return trace.NewKinds[Event](
 		Started{}, RequestArrived{}, OwnedArrived{}, Answered{}, RequestCancelled{}, AttemptEnded{},
-		AttemptArrived{}, AttemptServed{}, ServerCrashed{}, ManifestRead{}, DrainStarted{}, Closing{},
+		AttemptArrived{}, AttemptServed{}, ServerCrashed{}, ManifestRead{}, EpochSeen{}, DrainStarted{}, Closing{},
 		Resumed{}, Tick{},
 
 		routing.Arrived{}, routing.Accepted{}, routing.Ended{}, routing.Cancelled{}, routing.Reported{},
@@ -50,7 +50,8 @@
 // one.
 func EffectKinds() (*trace.Kinds[Effect], error) {
 	return trace.NewKinds[Effect](
-		Refuse{}, Forward{}, FollowGrants{}, ManifestChanged{}, RereadManifest{}, ServerReplaced{}, ServerChanged{},
+		Refuse{}, Forward{}, FollowGrants{}, ManifestChanged{}, RereadManifest{}, StoreReturned{}, CheckStore{},
+		ServerReplaced{}, ServerChanged{},
 
 		routing.Attempt{}, routing.CancelAttempt{}, routing.Deliver{}, routing.GiveUp{},
 
@@ -63,7 +64,7 @@
 		suspects.Announce{},
 
 		membership.ReadEntries{}, membership.WriteEntry{}, membership.SendBeat{}, membership.MembersChanged{},
-		membership.Reported{}, membership.MessageHeard{}, membership.VersionHeard{}, membership.Ready{},
+		membership.Reported{}, membership.MessageHeard{}, membership.VersionHeard{}, membership.EpochHeard{}, membership.Ready{},
 	)
 }
 
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -35,6 +35,8 @@
 			s.handleSuspectsMessage(now, e.Message)
 		case membership.VersionHeard:
 			s.handleVersionHeard(now, e.Version)
+		case membership.EpochHeard:
+			all = append(all, s.handleEpochHeard(e.Epoch)...)
 		case membership.Ready:
 			s.ready = true
 			all = append(all, s.handleMembersReady(now, e)...)
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
@@ -83,6 +84,9 @@
 		Version  uint64
 		Manifest manifest.Manifest
 	}
+	// EpochSeen reports the epoch that a response of the store has stated, whatever its topic. It comes before what the
+	// response holds.
+	EpochSeen struct{ Epoch store.Epoch }
 	// DrainStarted makes the daemon tell others to send no more work, and hand over its idempotency keys.
 	DrainStarted struct{}
 	// Closing ends all requests that are still in progress, because the daemon is about to exit.
@@ -119,6 +123,11 @@
 	}
 	// RereadManifest reads the manifest again, because another daemon has the newer Version.
 	RereadManifest struct{ Version uint64 }
+	// StoreReturned reports that the store has come back from an older copy. What the daemon has read from its topics may
+	// be lost, and other records may have taken the offsets.
+	StoreReturned struct{ Epoch, Previous store.Epoch }
+	// CheckStore makes a call to the store, because another daemon has seen a newer epoch.
+	CheckStore struct{ Epoch store.Epoch }
 	// ServerReplaced reports that the backend server has another ID than before. The daemon closes its unused
 	// connections to the former one.
 	ServerReplaced struct{ ID backend.ID }
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -202,7 +202,7 @@
 }
 
 // publishLoad reports the load of the local server to routing and the other daemons if it has changed enough, or if
-// there is another version of the manifest, which the other daemons learn with it.
+// there is another version of the manifest or epoch of the store, which the other daemons learn with it.
 func (s *State) publishLoad(now time.Time) []Effect {
 	s.concurrency.SetLoad(now, s.admission.Running(), s.health.Slowness())
 
@@ -212,11 +212,12 @@
 	s.updateLimitFree(now)
 
 	report := s.loadReport(now)
-	if s.publishedVersion == s.version && !changedSignificantly(s.publishedReport, report) {
+	known := s.publishedVersion == s.version && s.publishedEpoch == s.epoch
+	if known && !changedSignificantly(s.publishedReport, report) {
 		return effects
 	}
 
-	s.publishedReport, s.publishedVersion = report, s.version
+	s.publishedReport, s.publishedVersion, s.publishedEpoch = report, s.version, s.epoch
 
 	ownReport := report
 	// A draining daemon tells others to send no more work, but still uses its own server.
@@ -224,7 +225,7 @@
 	effects = append(effects, s.handleRoutingEffects(now, s.routing.Apply(now, routing.Reported{Report: ownReport}))...)
 
 	return append(effects, s.handleMembershipEffects(now, s.membership.Apply(now, membership.LoadChanged{
-		Report: report, Version: s.version,
+		Report: report, Version: s.version, Epoch: s.epoch,
 	}))...)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,10 +43,10 @@
 type ConfigurationTopic interface {
 	// Newest returns the newest record of each key, and the offset from which Await continues.
 	Newest(ctx context.Context) (store.Page, error)
-	// Await returns the records from an offset on. If there is none, it waits up to the given time for one. It stops
-	// waiting when the context waiting ends, but still reads a response that has begun. If the records at the offset
-	// have expired, it returns a *store.ExpiredError.
-	Await(ctx, waiting context.Context, from int64, wait time.Duration) (store.Page, error)
+	// Await returns the records from a position on. If there is none, it waits up to the given time for one. It stops
+	// waiting when the context waiting ends, but still reads a response that has begun. If the records at the position
+	// have expired, it returns a *store.ExpiredError, and store.ErrReturned if the position is of another epoch.
+	Await(ctx, waiting context.Context, from store.Position, wait time.Duration) (store.Page, error)
 }
 
 // AnnouncementReceiver receives the backend server's announcements of its state. If a method returns an error, the
@@ -154,7 +154,7 @@
 	// entryCallFailed is set once a read or write of membership entries has failed.
 	entryCallFailed atomic.Bool
 	// rereadConfig receives a value when the store may have a newer configuration.
-	rereadConfig chan struct{}
+	rereadConfig chan reread
 	configReads  configReads
 	// storeEpoch is the newest epoch that the store has stated, and storeReturns counts how often it rose in this run.
 	storeEpoch, storeReturns atomic.Uint64
@@ -182,7 +182,7 @@
 		log:          eventlog.New(zerolog.Nop()),
 		logger:       zerolog.Nop(),
 		started:      time.Now(),
-		rereadConfig: make(chan struct{}, 1),
+		rereadConfig: make(chan reread, 1),
 
 		manifestReady: make(chan struct{}),
 		storeAnswered: make(chan struct{}),
--- a/internal/daemon/epoch.go
+++ b/internal/daemon/epoch.go
@@ -1,20 +1,24 @@
 package daemon
 
 import (
+	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/store"
 )
 
-// noteEpoch records a newer epoch of the store. The store calls it before it returns the response that states the epoch.
+// noteEpoch applies a newer epoch of the store. The store calls it before it returns the response that states the epoch,
+// so that the reducer knows of the epoch before it gets what the response holds.
 func (d *Daemon) noteEpoch(epoch store.Epoch) {
-	previous := d.storeEpoch.Swap(uint64(epoch))
-	if previous == 0 {
-		return
-	}
+	d.storeEpoch.Store(uint64(epoch))
+	d.apply(core.EpochSeen{Epoch: epoch})
+}
 
+// storeReturned handles that the store has come back from an older copy. The caller holds the mutex.
+func (d *Daemon) storeReturned(e core.StoreReturned) {
 	d.storeReturns.Add(1)
-	d.log.Warn(eventlog.StoreReturned).Uint64("epoch", uint64(epoch)).Uint64("previous", previous).
+	d.log.Warn(eventlog.StoreReturned).Uint64("epoch", uint64(e.Epoch)).Uint64("previous", uint64(e.Previous)).
 		Uint64("version", d.version.Load()).Send()
+	d.requestReread(reread{epoch: e.Epoch})
 }
 
 // exportEpoch exports the epoch of the store and how often it rose.
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -36,6 +36,12 @@
 	// maxRelists is how often a list is repeated that may be older than the end of the topic. With the pauses, the last
 	// one is read about 7 s after the first.
 	maxRelists = 7
+	// resumeWait replaces shortWait after a pause. While a daemon does not read, the store may come back from an older copy
+	// without any call that fails, and the next response is the first that shows it.
+	resumeWait = 400 * time.Millisecond
+	// returnSpread is the time over which the daemons of a fleet read the configuration again after the store has come
+	// back, because they may all learn of it at the same moment.
+	returnSpread = 400 * time.Millisecond
 	// maxFirstRetryPause replaces maxRetryPause until the first configuration is in force, because the daemon serves no
 	// requests before.
 	maxFirstRetryPause = 800 * time.Millisecond
@@ -55,9 +61,11 @@
 // follower reads the topic of the configuration.
 type follower struct {
 	daemon *Daemon
-	// nextOffset is the offset to read next. It is valid if hasOffset is set.
-	nextOffset int64
-	hasOffset  bool
+	// next is the position to read next. It is valid if hasNext is set.
+	next    store.Position
+	hasNext bool
+	// paused is set if the daemon has paused since the last answer.
+	paused bool
 	// listed is set if the last answer of the store was a list of the newest records. relists counts the repetitions of
 	// a list that may be outdated.
 	listed  bool
@@ -69,42 +77,46 @@
 
 // poll makes one call to the store, applies the configuration that it returns, and pauses.
 func (f *follower) poll(ctx context.Context) {
-	hadOffset := f.hasOffset
+	waited := f.hasNext
 	started := time.Now()
 	page, err := f.read(ctx)
 	f.daemon.configReads.count(ctx, err)
 
 	switch {
 	case err == nil:
-		f.logRead(page, hadOffset, time.Since(started))
+		f.logRead(page, waited, time.Since(started))
 		f.logAvailability(nil)
 		f.daemon.storeAnsweredOnce.Do(func() { close(f.daemon.storeAnswered) })
 		f.applyPage(page)
-		f.pauseAfter(ctx, page, hadOffset)
+		f.pauseAfter(ctx, page, waited)
+	case errors.Is(err, store.ErrReturned):
+		// The newest record may stand before the position.
+		task.Sleep(ctx, rand.N(returnSpread))
+
+		f.hasNext = false
 	case errors.HasType(err, (*store.ExpiredError)(nil)):
 		if f.listed {
 			// The end of the list has expired, so the list is outdated.
 			f.backOff(ctx)
 		}
 
-		f.hasOffset = false
+		f.hasNext = false
 	case ctx.Err() != nil:
 	case errors.Is(err, errNewerConfig):
-		f.hasOffset = false
-	case errors.Is(err, store.ErrSilent) && f.hasOffset:
+		f.hasNext = false
+	case errors.Is(err, store.ErrSilent) && f.hasNext:
 		// The connection of the waiting read was lost. A new one may work at once.
 		f.logFailure(err, time.Since(started))
-		f.hasOffset = false
+		f.hasNext = false
 	default:
 		f.logAvailability(err)
 		f.logFailure(err, time.Since(started))
 		f.backOff(ctx)
 		// Reading the newest records is faster than reading all that were missed.
-		f.hasOffset = false
+		f.hasNext = false
 	}
 }
 
-// backOff pauses after a failed read. It returns early if another daemon has a newer configuration.
 // pauseAfter pauses after an answer, and makes the next read repeat a list that may be outdated. waited is set if the
 // answer was that of a read that waited for a new record.
 func (f *follower) pauseAfter(ctx context.Context, page store.Page, waited bool) {
@@ -112,11 +124,13 @@
 	case !waited && mayBeOutdated(page) && f.relists < maxRelists:
 		f.relists++
 		f.backOff(ctx)
-		f.hasOffset = false
+		f.hasNext = false
 	case waited && len(page.Records) > 0:
 		f.retryPause, f.relists = minRetryPause, 0
 		// The random part keeps the daemons, which all get the record now, from calling the store at the same moment.
 		task.Sleep(ctx, updatePause/2+rand.N(updatePause))
+
+		f.paused = true
 	default:
 		f.retryPause, f.relists = minRetryPause, 0
 	}
@@ -128,6 +142,7 @@
 	return !slices.ContainsFunc(list.Records, func(r store.Record) bool { return r.Offset >= list.End-1 }) && list.End > 0
 }
 
+// backOff pauses after a failed read. It returns early if the configuration has to be read again for another reason.
 func (f *follower) backOff(ctx context.Context) {
 	pause := time.Duration(float64(f.retryPause) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
 
@@ -147,15 +162,21 @@
 	f.retryPause = min(2*f.retryPause, maxPause)
 }
 
-// errNewerConfig interrupts a read because another daemon has a newer configuration.
-var errNewerConfig = errors.New("another daemon has a newer configuration")
+// errNewerConfig interrupts a read because another daemon has a newer configuration, or the store a newer epoch.
+var errNewerConfig = errors.New("another daemon has a newer configuration, or the store a newer epoch")
+
+// reread is a reason to read the configuration again at once.
+type reread struct {
+	// epoch is the epoch of the store that the daemon has learned of; zero if the reason is a newer version.
+	epoch store.Epoch
+}
 
-// read returns the newest records if hasOffset is not set, and otherwise waits for records from nextOffset on.
+// read returns the newest records if hasNext is not set, and otherwise waits for records from the next position on.
 func (f *follower) read(ctx context.Context) (store.Page, error) {
-	if !f.hasOffset {
+	if !f.hasNext {
 		page, err := f.daemon.platform.Configuration.Newest(ctx)
 		if err == nil {
-			f.nextOffset, f.hasOffset, f.listed = page.End, true, true
+			f.next, f.hasNext, f.listed = page.EndPosition(), true, true
 		}
 
 		return page, err
@@ -167,17 +188,13 @@
 	stop := make(chan struct{})
 	defer close(stop)
 
-	go func() {
-		select {
-		case <-f.daemon.rereadConfig:
-			cancel(errNewerConfig)
-		case <-stop:
-		}
-	}()
+	go f.interruptRead(cancel, stop, f.next.Epoch)
+
+	page, err := f.daemon.platform.Configuration.Await(ctx, waiting, f.next, f.daemon.configurationWait(f.paused))
+	f.paused = false
 
-	page, err := f.daemon.platform.Configuration.Await(ctx, waiting, f.nextOffset, f.daemon.configurationWait())
 	if err == nil {
-		f.nextOffset, f.listed = page.NextOffset(f.nextOffset), false
+		f.next, f.listed = page.Next(f.next.Offset), false
 	} else if errors.Is(context.Cause(waiting), errNewerConfig) {
 		return page, errNewerConfig
 	}
@@ -185,6 +202,39 @@
 	return page, err
 }
 
+// interruptRead cancels a read from a position of the given epoch if there is a reason to read again, until stop is
+// closed. A newer epoch that the position already has is no reason.
+func (f *follower) interruptRead(cancel context.CancelCauseFunc, stop <-chan struct{}, epoch store.Epoch) {
+	for {
+		select {
+		case reason := <-f.daemon.rereadConfig:
+			if reason.epoch != 0 && reason.epoch <= epoch {
+				continue
+			}
+
+			if reason.epoch != 0 && !sleepUnless(stop, rand.N(returnSpread)) {
+				return
+			}
+
+			cancel(errNewerConfig)
+
+			return
+		case <-stop:
+			return
+		}
+	}
+}
+
+// sleepUnless pauses for a time. It returns false if stop is closed before.
+func sleepUnless(stop <-chan struct{}, pause time.Duration) bool {
+	select {
+	case <-time.After(pause):
+		return true
+	case <-stop:
+		return false
+	}
+}
+
 // applyPage applies the configurations of a page. The reducer ignores versions that are not newer.
 func (f *follower) applyPage(page store.Page) {
 	d := f.daemon
@@ -206,17 +256,20 @@
 	}
 }
 
-// errDecoderPanicked is returned for a record at which the decoder panicked. Decoding it again would panic again.
-// configurationWait returns how long a read of the configuration waits for a new record.
-func (d *Daemon) configurationWait() time.Duration {
+// configurationWait returns how long a read of the configuration waits for a new record. paused is set if the daemon has
+// paused since its last read.
+func (d *Daemon) configurationWait(paused bool) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	if d.state.RankAmongHeard(d.now()) < frequentReaders {
+	switch {
+	case d.state.RankAmongHeard(d.now()) >= frequentReaders:
+		return longWait
+	case paused:
+		return resumeWait
+	default:
 		return shortWait
 	}
-
-	return longWait
 }
 
 // logFailure logs a failed read and how long it took.
@@ -233,9 +286,11 @@
 	}
 
 	f.daemon.log.Notable(eventlog.ConfigurationRead).Bool("waited", waited).
-		Float64("elapsed_ms", milliseconds(elapsed)).Int("records", len(page.Records)).Int64("end", page.End).Send()
+		Float64("elapsed_ms", milliseconds(elapsed)).Int("records", len(page.Records)).Int64("end", page.End).
+		Uint64("epoch", uint64(page.Epoch)).Send()
 }
 
+// errDecoderPanicked is returned for a record at which the decoder panicked. Decoding it again would panic again.
 var errDecoderPanicked = errors.New("configuration decoder panicked")
 
 // decode decodes a configuration and validates it.
--- a/internal/daemon/follow_test.go
+++ b/internal/daemon/follow_test.go
@@ -43,7 +43,8 @@
 
 func (s *updatingTopic) Newest(context.Context) (store.Page, error) { return store.Page{}, nil }
 
-func (s *updatingTopic) Await(_, waiting context.Context, from int64, wait time.Duration) (store.Page, error) {
+func (s *updatingTopic) Await(_, waiting context.Context, at store.Position, wait time.Duration) (store.Page, error) {
+	from := at.Offset
 	s.reads++
 
 	next := s.started.Add(time.Duration(from) * s.interval)
@@ -91,7 +92,7 @@
 
 		d := &Daemon{
 			platform: Platform{Configuration: topic, ConfigKey: "config", Decode: decode},
-			log:      eventlog.New(zerolog.Nop()), rereadConfig: make(chan struct{}, 1), storeAnswered: make(chan struct{}),
+			log:      eventlog.New(zerolog.Nop()), rereadConfig: make(chan reread, 1), storeAnswered: make(chan struct{}),
 			state: core.New(core.Options{}),
 		}
 
@@ -120,7 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		topic := &refusingTopic{}
 		d := &Daemon{
-			platform: Platform{Configuration: topic}, log: eventlog.New(zerolog.Nop()), rereadConfig: make(chan struct{}, 1),
+			platform: Platform{Configuration: topic}, log: eventlog.New(zerolog.Nop()), rereadConfig: make(chan reread, 1),
 		}
 		d.version.Store(4)
 
@@ -134,7 +135,7 @@
 		require.LessOrEqual(t, len(topic.calls), 10)
 
 		before := len(topic.calls)
-		d.rereadConfig <- struct{}{}
+		d.rereadConfig <- reread{}
 
 		synctest.Wait()
 		require.Len(t, topic.calls, before+1)
@@ -163,7 +164,7 @@
 	return store.Page{}, nil
 }
 
-func (r *returningTopic) Await(_, waiting context.Context, _ int64, _ time.Duration) (store.Page, error) {
+func (r *returningTopic) Await(_, waiting context.Context, _ store.Position, _ time.Duration) (store.Page, error) {
 	<-waiting.Done()
 
 	return store.Page{}, waiting.Err()
@@ -180,7 +181,7 @@
 			topic := &returningTopic{returns: time.Now().Add(time.Duration(seconds) * time.Second)}
 			d := &Daemon{
 				platform: Platform{Configuration: topic}, log: eventlog.New(zerolog.Nop()),
-				rereadConfig: make(chan struct{}, 1), storeAnswered: make(chan struct{}), state: core.New(core.Options{}),
+				rereadConfig: make(chan reread, 1), storeAnswered: make(chan struct{}), state: core.New(core.Options{}),
 			}
 			d.version.Store(4)
 
--- a/internal/daemon/grants.go
+++ b/internal/daemon/grants.go
@@ -26,15 +26,16 @@
 type GrantTopic interface {
 	// Append appends all records or none. After an error, either is possible.
 	Append(ctx context.Context, records ...store.Record) error
-	// Read returns the records from an offset on. If there is none, it waits up to the given time for one. If the records
-	// at the offset have expired, it returns a *store.ExpiredError.
-	Read(ctx context.Context, from int64, wait time.Duration) (store.Page, error)
+	// Read returns the records from a position on. If there is none, it waits up to the given time for one. If the records
+	// at the position have expired, it returns a *store.ExpiredError, and store.ErrReturned if the position is of another
+	// epoch.
+	Read(ctx context.Context, from store.Position, wait time.Duration) (store.Page, error)
 }
 
 // followGrants reads the grants until ctx ends. Where records have expired, the newest base replaces them.
 func (d *Daemon) followGrants(ctx context.Context) {
 	// The first read does not wait for records: only a daemon that knows the end of the topic may claim keys.
-	from, wait := int64(0), time.Duration(0)
+	from, wait := store.Position{}, time.Duration(0)
 
 	for ctx.Err() == nil {
 		page, err := d.platform.Grants.Read(ctx, from, wait)
@@ -43,13 +44,15 @@
 
 		switch {
 		case err == nil:
-			d.apply(decodeGrants(page, from))
+			d.apply(decodeGrants(page, from.Offset))
 
-			from, wait = page.NextOffset(from), longWait
+			from, wait = page.Next(from.Offset), longWait
+		case errors.Is(err, store.ErrReturned):
+			from, wait = store.Position{}, 0
 		case errors.As(err, &expired):
 			d.offerBase(ctx)
 
-			from, wait = expired.First, 0
+			from, wait = store.Position{Epoch: expired.Epoch, Offset: expired.First}, 0
 		case ctx.Err() == nil:
 			task.Sleep(ctx, grantRetryPause/2+rand.N(grantRetryPause))
 		}
@@ -78,7 +81,7 @@
 
 // decodeGrants returns the event for a page of grants that was read from an offset on.
 func decodeGrants(page store.Page, from int64) keys.RecordsRead {
-	read := keys.RecordsRead{First: uint64(page.First), Next: uint64(page.NextOffset(from))}
+	read := keys.RecordsRead{First: uint64(page.First), Next: uint64(page.Next(from).Offset)}
 
 	for _, record := range page.Records {
 		// A record that cannot be decoded counts as empty, so that all daemons derive the same grants.
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -111,7 +111,12 @@
 		d.changeManifest(e)
 	case core.RereadManifest:
 		d.log.Notable(eventlog.ConfigurationBehind).Uint64("version", d.version.Load()).Uint64("newest", e.Version).Send()
-		d.requestReread()
+		d.requestReread(reread{})
+	case core.StoreReturned:
+		d.storeReturned(e)
+	case core.CheckStore:
+		d.log.Notable(eventlog.StoreBehind).Uint64("epoch", d.storeEpoch.Load()).Uint64("newest", uint64(e.Epoch)).Send()
+		d.requestReread(reread{epoch: e.Epoch})
 	case core.ServerReplaced:
 		d.backend.Reset()
 	case core.ServerChanged:
@@ -121,9 +126,9 @@
 }
 
 // requestReread makes the follower of the configuration read the store at once.
-func (d *Daemon) requestReread() {
+func (d *Daemon) requestReread(reason reread) {
 	select {
-	case d.rereadConfig <- struct{}{}:
+	case d.rereadConfig <- reason:
 	default:
 	}
 }
--- a/internal/daemon/resume.go
+++ b/internal/daemon/resume.go
@@ -27,7 +27,7 @@
 		if current-last > minSuspension {
 			d.log.Warn(eventlog.Resumed).Float64("gap_ms", milliseconds(current-last)).Send()
 			d.apply(core.Resumed{})
-			d.requestReread()
+			d.requestReread(reread{})
 		}
 
 		last = current
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -56,6 +56,8 @@
 	ConfigurationBehind Event = "configuration-behind"
 	// StoreReturned reports that the store has come back from an older copy, without what daemons have written since.
 	StoreReturned Event = "store-returned"
+	// StoreBehind reports that another daemon has seen a newer epoch of the store.
+	StoreBehind Event = "store-behind"
 	// BadRecord reports an invalid configuration or membership entry in the store.
 	BadRecord Event = "bad-record"
 	// Members reports changes of the members of the fleet.
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -31,7 +31,8 @@
 // newBeat returns a beat with the full member record of this daemon and the load of its server.
 func (s *State) newBeat(watch, greeting bool) Beat {
 	return Beat{
-		From: s.self.Member, References: true, Watch: watch, Greeting: greeting, Version: s.version, Report: s.report,
+		From: s.self.Member, References: true, Watch: watch, Greeting: greeting, Version: s.version, Epoch: s.epoch,
+		Report: s.report,
 	}
 }
 
@@ -87,19 +88,23 @@
 		effects = append(effects, VersionHeard{Version: b.Version, From: p.member})
 	}
 
+	if b.Epoch > s.epoch {
+		effects = append(effects, EpochHeard{Epoch: b.Epoch})
+	}
+
 	return effects
 }
 
 func (s *State) loadChanged(now time.Time, e LoadChanged) []Effect {
 	kind := classifyChange(s.baseline, e.Report)
-	newVersion := e.Version != s.version
-	s.report, s.version = e.Report, e.Version
+	news := e.Version != s.version || e.Epoch > s.epoch && s.epoch != 0
+	s.report, s.version, s.epoch = e.Report, e.Version, e.Epoch
 
 	if kind > requestCountChange {
 		s.baseline = e.Report
 	}
 
-	if newVersion {
+	if news {
 		return append(s.notifyWatchers(now, loadChange), s.notifyWatched(now)...)
 	}
 
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 )
 
 // errBadBeat is returned for a datagram that is not a beat.
@@ -43,6 +44,7 @@
 	fieldFoundLimit
 	fieldWaiting
 	fieldReference
+	fieldEpoch
 )
 
 const (
@@ -67,6 +69,7 @@
 	}
 
 	out = appendNumber(out, fieldVersion, b.Version)
+	out = appendNumber(out, fieldEpoch, uint64(b.Epoch))
 
 	flags := uint64(0)
 	if b.Watch {
@@ -198,7 +201,7 @@
 	flags := numbers[fieldFlags]
 	beat := Beat{
 		References: flags&flagReferences != 0, Watch: flags&flagWatch != 0, Greeting: flags&flagGreeting != 0,
-		Version: numbers[fieldVersion],
+		Version: numbers[fieldVersion], Epoch: store.Epoch(numbers[fieldEpoch]),
 	}
 
 	switch reference := numbers[fieldReference]; {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -18,6 +18,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 )
 
 const (
@@ -70,8 +71,10 @@
 	baseline load.Report
 	// version is the version of the configuration in force at this daemon.
 	version uint64
-	random  *rand.Rand
-	peers   map[instance.ID]*peer
+	// epoch is the newest epoch that the store has stated to this daemon; zero if it states none.
+	epoch  store.Epoch
+	random *rand.Rand
+	peers  map[instance.ID]*peer
 	// order lists the peers by ID, so that effects do not depend on map order.
 	order            []*peer
 	peersByReference referenceIndex
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 )
 
 // Entry is the record that a daemon keeps in the store.
@@ -42,7 +43,9 @@
 	Greeting bool
 	// Version is the version of the configuration in force at the sender.
 	Version uint64
-	Report  load.Report
+	// Epoch is the newest epoch that the store has stated to the sender; zero if it states none.
+	Epoch  store.Epoch
+	Report load.Report
 	// Message is a message to all daemons; nil if there is none. This package does not interpret it.
 	Message []byte
 }
@@ -75,10 +78,12 @@
 	}
 	// SelfChanged replaces the daemon's own entry.
 	SelfChanged struct{ Entry Entry }
-	// LoadChanged reports the load of the daemon's own server and the version of the configuration in force.
+	// LoadChanged reports the load of the daemon's own server, the version of the configuration in force, and the epoch of
+	// the store.
 	LoadChanged struct {
 		Report  load.Report
 		Version uint64
+		Epoch   store.Epoch
 	}
 	// BudgetChanged limits the traffic of beats that report a change of the load.
 	BudgetChanged struct {
@@ -119,6 +124,8 @@
 		Version uint64
 		From    instance.Member
 	}
+	// EpochHeard reports that a member has seen a newer epoch of the store.
+	EpochHeard struct{ Epoch store.Epoch }
 	// Ready reports that the first read of the entries has ended, successfully or not.
 	Ready struct {
 		// Own is the entry of the daemon's previous run; zero if there is none or the read failed.
@@ -147,5 +154,6 @@
 func (MembersChanged) isEffect() {}
 func (Reported) isEffect()       {}
 func (VersionHeard) isEffect()   {}
+func (EpochHeard) isEffect()     {}
 func (MessageHeard) isEffect()   {}
 func (Ready) isEffect()          {}
