keys: grants outlive a return of the store from an older copy

Cause: the ledger of grants was bound to offsets. Daemons that had read the lost records skipped the new ones below their offset, and daemons that started later read a log in which the claims had never stood; both believed that they own the key. Change: a record names the ledger for which it was decided, and the ledger begins anew with a restart once the epoch of the store rises. Owners keep the grants that they have read back, as ranges of issue times, and carry them over. All other grants start at the barrier, the issue time that no earlier grant can reach; what nobody can know is refused until then, about a grant length. A restart that is appended late is void.

--- a/internal/core/epoch.go
+++ b/internal/core/epoch.go
@@ -8,19 +8,20 @@
 
 // handleEpochSeen records the epoch that a response of the store has stated. If it is newer than an earlier one, the
 // store has come back from an older copy, and each reducer handles that for what it has derived from the store.
-func (s *State) handleEpochSeen(_ time.Time, e EpochSeen) []Effect {
+func (s *State) handleEpochSeen(now time.Time, e EpochSeen) []Effect {
 	if e.Epoch <= s.epoch {
 		return nil
 	}
 
 	previous := s.epoch
 	s.epoch = e.Epoch
+	effects := s.changeKeyEpoch(now)
 
 	if previous == 0 {
-		return nil
+		return effects
 	}
 
-	return []Effect{StoreReturned{Epoch: e.Epoch, Previous: previous}}
+	return append(effects, StoreReturned{Epoch: e.Epoch, Previous: previous})
 }
 
 // handleEpochHeard asks for a call to the store if another daemon has seen a newer epoch.
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -47,6 +47,7 @@
 				keys.WithSettleTime(keySettleTime), keys.WithBaseRecords(minKeyBaseRecords)),
 		}
 		effects = append(effects, FollowGrants{})
+		effects = append(effects, s.changeKeyEpoch(now)...)
 	}
 
 	effects = append(effects, s.applyKeys(now, keys.PolicyChanged{Keys: policy})...)
@@ -54,6 +55,15 @@
 	return append(effects, s.updateKeyMembers(now)...)
 }
 
+// changeKeyEpoch passes the epoch of the store to the key table.
+func (s *State) changeKeyEpoch(now time.Time) []Effect {
+	if s.keyReducer == nil {
+		return nil
+	}
+
+	return s.applyKeys(now, keys.EpochChanged{Epoch: s.epoch})
+}
+
 // updateKeyMembers passes the members of each service to the key table. It waits until the entries were read: before,
 // a daemon knows only itself and would claim every partition of its service.
 func (s *State) updateKeyMembers(now time.Time) []Effect {
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -32,7 +32,7 @@
 		health.Leaving{}, health.Noticed{}, health.Ran{},
 		health.Refused{}, health.Misdirected{}, health.Probed{}, health.Busy{}, health.PaceChanged{}, health.Tick{},
 
-		keys.Arrived{}, keys.Finished{}, keys.Cancelled{}, keys.RecordsRead{}, keys.BaseOffered{},
+		keys.Arrived{}, keys.Finished{}, keys.Cancelled{}, keys.EpochChanged{}, keys.RecordsRead{}, keys.BaseOffered{},
 		keys.MembersChanged{}, keys.PolicyChanged{}, keys.DrainStarted{}, keys.HandoverReceived{},
 		keys.HandoverEnded{}, keys.Tick{},
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,6 +156,8 @@
 	// rereadConfig receives a value when the store may have a newer configuration.
 	rereadConfig chan reread
 	configReads  configReads
+	// rereadGrants receives an epoch when the store has come back from an older copy.
+	rereadGrants chan store.Epoch
 	// storeEpoch is the newest epoch that the store has stated, and storeReturns counts how often it rose in this run.
 	storeEpoch, storeReturns atomic.Uint64
 
@@ -183,6 +185,7 @@
 		logger:       zerolog.Nop(),
 		started:      time.Now(),
 		rereadConfig: make(chan reread, 1),
+		rereadGrants: make(chan store.Epoch, 1),
 
 		manifestReady: make(chan struct{}),
 		storeAnswered: make(chan struct{}),
--- a/internal/daemon/epoch.go
+++ b/internal/daemon/epoch.go
@@ -19,6 +19,11 @@
 	d.log.Warn(eventlog.StoreReturned).Uint64("epoch", uint64(e.Epoch)).Uint64("previous", uint64(e.Previous)).
 		Uint64("version", d.version.Load()).Send()
 	d.requestReread(reread{epoch: e.Epoch})
+
+	select {
+	case d.rereadGrants <- e.Epoch:
+	default:
+	}
 }
 
 // exportEpoch exports the epoch of the store and how often it rose.
--- a/internal/daemon/grants.go
+++ b/internal/daemon/grants.go
@@ -32,13 +32,14 @@
 	Read(ctx context.Context, from store.Position, wait time.Duration) (store.Page, error)
 }
 
-// followGrants reads the grants until ctx ends. Where records have expired, the newest base replaces them.
+// followGrants reads the grants until ctx ends. Where records have expired, the newest base replaces them. After a return
+// of the store from an older copy, it reads them from the start.
 func (d *Daemon) followGrants(ctx context.Context) {
 	// The first read does not wait for records: only a daemon that knows the end of the topic may claim keys.
 	from, wait := store.Position{}, time.Duration(0)
 
 	for ctx.Err() == nil {
-		page, err := d.platform.Grants.Read(ctx, from, wait)
+		page, err := d.readGrants(ctx, from, wait)
 
 		var expired *store.ExpiredError
 
@@ -59,6 +60,36 @@
 	}
 }
 
+// readGrants reads the grants from a position on. It returns store.ErrReturned as soon as the daemon learns that the store
+// has come back from an older copy, because a waiting read would not end before there is a record at its offset.
+func (d *Daemon) readGrants(ctx context.Context, from store.Position, wait time.Duration) (store.Page, error) {
+	reading, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+
+	stop := make(chan struct{})
+	defer close(stop)
+
+	go func() {
+		for {
+			select {
+			case epoch := <-d.rereadGrants:
+				if epoch > from.Epoch && from.Offset > 0 {
+					cancel(store.ErrReturned)
+				}
+			case <-stop:
+				return
+			}
+		}
+	}()
+
+	page, err := d.platform.Grants.Read(reading, from, wait)
+	if err != nil && errors.Is(context.Cause(reading), store.ErrReturned) {
+		return page, store.ErrReturned
+	}
+
+	return page, err
+}
+
 // offerBase reads the newest base from the store and applies it as an event.
 func (d *Daemon) offerBase(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
@@ -81,7 +112,9 @@
 
 // decodeGrants returns the event for a page of grants that was read from an offset on.
 func decodeGrants(page store.Page, from int64) keys.RecordsRead {
-	read := keys.RecordsRead{First: uint64(page.First), Next: uint64(page.Next(from).Offset)}
+	read := keys.RecordsRead{
+		Epoch: page.Epoch, First: uint64(page.First), Next: uint64(page.Next(from).Offset),
+	}
 
 	for _, record := range page.Records {
 		// A record that cannot be decoded counts as empty, so that all daemons derive the same grants.
--- a/internal/daemon/older_copy_test.go
+++ b/internal/daemon/older_copy_test.go
@@ -117,9 +117,10 @@
 }
 
 // requireOneRun sends orders again, to a daemon that starts after the return of the store and to the second one, and
-// requires that none runs twice.
+// requires that none runs twice and that new orders are accepted meanwhile.
 func requireOneRun(t *testing.T, f *fleet.Fleet, orders []order) {
 	t.Helper()
+	require.Len(t, sendOrders(t, f.Instances[0], 20), 20, "owners refuse new orders")
 
 	added := pairOfNodes()[0]
 	added.ID = "stockdesk-3"
--- a/internal/keys/arrive.go
+++ b/internal/keys/arrive.go
@@ -108,7 +108,7 @@
 // isSoleOwner reports whether this daemon alone can have admitted the key.
 func (s *State) isSoleOwner(key Key) bool {
 	g, ok := s.ledger.partition(s.service, key.Partition).covering(key.Issued)
-	if !ok || !s.isOwn(g) {
+	if ok && !s.isOwn(g) || !ok && !s.ledger.held.covers(key) {
 		return false
 	}
 
--- a/internal/keys/claims.go
+++ b/internal/keys/claims.go
@@ -27,7 +27,7 @@
 
 // claimPartitions appends claims for the partitions that need a new owner and for which claimStart selects this daemon.
 func (s *State) claimPartitions() {
-	if s.policy.Grant <= 0 || !s.ledger.initialized || !s.ledger.caughtUp() {
+	if s.policy.Grant <= 0 || !s.ledger.initialized || !s.ledger.caughtUp() || !s.ledger.started() {
 		return
 	}
 
@@ -65,13 +65,23 @@
 		s.extendedAt = s.now
 	}
 
-	s.emit(AppendGrants{Record: record})
+	s.appendRecord(record)
+}
+
+// appendRecord appends a record for the present ledger.
+func (s *State) appendRecord(r Record) {
+	r.Ledger = s.ledger.id
+	s.emit(AppendGrants{Record: r})
 }
 
 // claimStart reports whether this daemon should claim a partition, and returns the issue time in Unix milliseconds at
 // which the claim starts. That is the end of the last grant, so that a claimant with a wrong clock leaves no gap.
 func (s *State) claimStart(p int) (int64, bool) {
 	last, ok := s.ledger.partition(s.service, p).last()
+	if !ok && s.ledger.barrier > 0 || last.Uncertain {
+		return s.claimAfterRestart(p)
+	}
+
 	if !ok {
 		// When several daemons start together, the first one must not claim all partitions.
 		settled := s.now.Sub(s.membersChangedAt) >= s.settleTime
@@ -80,7 +90,7 @@
 	}
 
 	now := s.nowMillis()
-	period := max(1, s.policy.Grant.Milliseconds()/extensionsPerGrant)
+	period := max(1, s.extensionPeriod().Milliseconds())
 	// overdue is the number of extension periods without an owner during which the log could be read.
 	overdue := int(max(0, min(now-last.Until, now-s.logReadableSince.UnixMilli())) / period)
 
@@ -99,6 +109,15 @@
 	}
 }
 
+// claimAfterRestart is claimStart for a partition of which owners that the log has lost may hold grants.
+func (s *State) claimAfterRestart(p int) (int64, bool) {
+	from, now := s.ledger.nextStart(s.service, p), s.nowMillis()
+	period := max(1, s.extensionPeriod().Milliseconds())
+	overdue := int(max(0, now-from) / period)
+
+	return from, now >= from-period && s.isEligibleOwner(p, "", overdue)
+}
+
 // noteLogRead records that the log was read, and whether that ended an outage. Without an outage, the log is read at
 // least once in two extension periods, because each owner appends once per period.
 func (s *State) noteLogRead() {
@@ -184,7 +203,7 @@
 		return
 	}
 
-	period := s.policy.Grant / extensionsPerGrant
+	period := s.extensionPeriod()
 	if left := time.Duration(earliest-s.nowMillis()) * time.Millisecond; left < s.policy.Grant/shortGrantDivisor {
 		period /= shortGrantFactor
 	}
@@ -194,10 +213,10 @@
 	}
 
 	s.extendedAt = s.now
-	s.emit(AppendGrants{Record: Record{Extensions: []Extension{{
+	s.appendRecord(Record{Extensions: []Extension{{
 		Owner: s.self.id, Incarnation: s.self.incarnation,
 		Until: s.now.Add(s.policy.Grant).UnixMilli(), Partitions: s.partitionsToExtend(),
-	}}}})
+	}}})
 }
 
 // hasOpenGrant reports whether this daemon holds the last grant of a partition and has not signed it off.
@@ -218,7 +237,7 @@
 
 	for p := range Partitions {
 		last, ok := s.ledger.partition(s.service, p).last()
-		if ok && !last.Ended && s.isOwn(last) && s.shouldExtend(p, last) {
+		if ok && last.extensible() && s.isOwn(last) && s.shouldExtend(p, last) {
 			earliest = min(earliest, last.Until)
 		}
 	}
@@ -235,7 +254,7 @@
 
 	for p := range Partitions {
 		last, ok := s.ledger.partition(s.service, p).last()
-		if !ok || last.Ended || !s.isOwn(last) {
+		if !ok || !last.extensible() || !s.isOwn(last) {
 			continue
 		}
 
@@ -254,12 +273,13 @@
 }
 
 // appendBase appends a base before the records that it replaces can expire: once the latest base is in the older half
-// of the log.
+// of the log, or some seconds after a restart of the ledger.
 func (s *State) appendBase() {
 	l := &s.ledger
 	interval := s.baseRecords + xxhash.Sum64String(string(s.self.id))%s.baseRecords
 
-	if !l.caughtUp() || l.through < l.baseThrough+interval || l.baseThrough > l.first+(l.next-l.first)/2 {
+	due := l.through >= l.baseThrough+interval && l.baseThrough <= l.first+(l.next-l.first)/2
+	if !l.started() || !l.caughtUp() || !due && !l.lacksBase() {
 		return
 	}
 
@@ -269,7 +289,7 @@
 
 	s.baseRetryAt = s.appendRetryAt()
 	base := l.base()
-	s.emit(AppendGrants{Record: Record{Base: &base}})
+	s.appendRecord(Record{Base: &base})
 }
 
 // signOffLeftOwners appends the sign-off of owners that left during an outage of the log. The end comes from their
@@ -295,7 +315,7 @@
 	}
 
 	if !record.Empty() {
-		s.emit(AppendGrants{Record: record})
+		s.appendRecord(record)
 	}
 }
 
--- a/internal/keys/codec.go
+++ b/internal/keys/codec.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 )
 
 // ErrMalformed is returned for a record or handover that cannot be decoded.
@@ -24,16 +25,31 @@
 		From       int64  `json:"from,omitempty"`
 		Until      int64  `json:"until,omitempty"`
 		Ended      bool   `json:"ended,omitempty"`
+		Uncertain  bool   `json:"uncertain,omitempty"`
+	}
+	wireLedger struct {
+		Epoch uint64 `json:"epoch,omitempty"`
+		Start uint64 `json:"start,omitempty"`
 	}
 	wireBase struct {
-		Through uint64      `json:"through"`
+		Through uint64 `json:"through"`
+		wireLedger
+		Barrier int64       `json:"barrier,omitempty"`
 		Grants  []wireClaim `json:"grants"`
 	}
+	wireRestart struct {
+		Epoch   uint64 `json:"epoch"`
+		Through uint64 `json:"through"`
+		Barrier int64  `json:"barrier"`
+	}
 	wireRecord struct {
-		Signoffs   []wireClaim `json:"signoffs,omitempty"`
-		Extensions []wireClaim `json:"extensions,omitempty"`
-		Claims     []wireClaim `json:"claims,omitempty"`
-		Base       *wireBase   `json:"base,omitempty"`
+		wireLedger
+		Signoffs   []wireClaim  `json:"signoffs,omitempty"`
+		Extensions []wireClaim  `json:"extensions,omitempty"`
+		Claims     []wireClaim  `json:"claims,omitempty"`
+		Carried    []wireClaim  `json:"carried,omitempty"`
+		Base       *wireBase    `json:"base,omitempty"`
+		Restart    *wireRestart `json:"restart,omitempty"`
 	}
 	wireField    [2]string
 	wireResponse struct {
@@ -66,19 +82,27 @@
 	for _, c := range claims {
 		wire = append(wire, wireClaim{
 			Service: c.Service, Partitions: c.Partitions, Owner: string(c.Owner), Run: uint64(c.Incarnation),
-			From: c.From, Until: c.Until, Ended: c.Ended,
+			From: c.From, Until: c.Until, Ended: c.Ended, Uncertain: c.Uncertain,
 		})
 	}
 
 	return wire
 }
 
+func toWireLedger(id LedgerID) wireLedger {
+	return wireLedger{Epoch: uint64(id.Epoch), Start: id.Start}
+}
+
+func (w wireLedger) toLedgerID() LedgerID {
+	return LedgerID{Epoch: store.Epoch(w.Epoch), Start: w.Start}
+}
+
 func fromWireClaims(wire []wireClaim) []Claim {
 	claims := make([]Claim, 0, len(wire))
 	for _, w := range wire {
 		claims = append(claims, Claim{
 			Service: w.Service, Partitions: w.Partitions, Owner: instance.ID(w.Owner),
-			Incarnation: instance.Incarnation(w.Run), From: w.From, Until: w.Until, Ended: w.Ended,
+			Incarnation: instance.Incarnation(w.Run), From: w.From, Until: w.Until, Ended: w.Ended, Uncertain: w.Uncertain,
 		})
 	}
 
@@ -87,7 +111,9 @@
 
 // EncodeRecord returns the JSON form of a record.
 func EncodeRecord(r Record) []byte {
-	wire := wireRecord{Claims: toWireClaims(r.Claims)}
+	wire := wireRecord{
+		wireLedger: toWireLedger(r.Ledger), Claims: toWireClaims(r.Claims), Carried: toWireClaims(r.Carried),
+	}
 
 	for _, e := range r.Extensions {
 		wire.Extensions = append(wire.Extensions, wireClaim{
@@ -102,7 +128,16 @@
 	}
 
 	if r.Base != nil {
-		wire.Base = &wireBase{Through: r.Base.Through, Grants: toWireClaims(r.Base.Grants)}
+		wire.Base = &wireBase{
+			Through: r.Base.Through, wireLedger: toWireLedger(r.Base.Ledger), Barrier: r.Base.Barrier,
+			Grants: toWireClaims(r.Base.Grants),
+		}
+	}
+
+	if r.Restart != nil {
+		wire.Restart = &wireRestart{
+			Epoch: uint64(r.Restart.Epoch), Through: r.Restart.Through, Barrier: r.Restart.Barrier,
+		}
 	}
 
 	return marshal(wire)
@@ -123,7 +158,12 @@
 		return Record{}, errors.Mark(errors.Wrap(err, "decode grants record"), ErrMalformed)
 	}
 
-	record := Record{Claims: fromWireClaims(wire.Claims)}
+	record := Record{
+		Ledger: wire.toLedgerID(), Claims: fromWireClaims(wire.Claims),
+	}
+	if len(wire.Carried) > 0 {
+		record.Carried = fromWireClaims(wire.Carried)
+	}
 
 	for _, e := range wire.Extensions {
 		record.Extensions = append(record.Extensions, Extension{
@@ -139,7 +179,16 @@
 	}
 
 	if wire.Base != nil {
-		record.Base = &Base{Through: wire.Base.Through, Grants: fromWireClaims(wire.Base.Grants)}
+		record.Base = &Base{
+			Through: wire.Base.Through, Ledger: wire.Base.toLedgerID(), Barrier: wire.Base.Barrier,
+			Grants: fromWireClaims(wire.Base.Grants),
+		}
+	}
+
+	if wire.Restart != nil {
+		record.Restart = &Restart{
+			Epoch: store.Epoch(wire.Restart.Epoch), Through: wire.Restart.Through, Barrier: wire.Restart.Barrier,
+		}
 	}
 
 	return record, nil
--- a/internal/keys/codec_test.go
+++ b/internal/keys/codec_test.go
@@ -19,10 +19,15 @@
 		Extensions: []keys.Extension{{Owner: "c", Incarnation: 9, Until: 4, Partitions: []int{5}}},
 		Claims:     claims, Base: &keys.Base{Through: 10, Grants: claims},
 	}
+	requireSame(t, record)
 
-	decoded, err := keys.DecodeRecord(keys.EncodeRecord(record))
-	require.NoError(t, err)
-	require.Equal(t, record, decoded)
+	// After a return of the store from an older copy.
+	id := keys.LedgerID{Epoch: 3, Start: 4}
+	claims[0].Uncertain = true
+	record.Ledger, record.Carried = id, claims
+	record.Base = &keys.Base{Through: 10, Ledger: id, Barrier: 11, Grants: claims}
+	record.Restart = &keys.Restart{Epoch: 3, Through: 12, Barrier: 13}
+	requireSame(t, record)
 
 	handover := keys.Handover{
 		Service: "stock", From: "a", Incarnation: 7, Partitions: []int{1}, Floor: 2, End: 3,
@@ -40,6 +45,15 @@
 	require.Equal(t, handover, copied)
 }
 
+// requireSame requires that a record is the same after it was encoded and decoded.
+func requireSame(t *testing.T, record keys.Record) {
+	t.Helper()
+
+	decoded, err := keys.DecodeRecord(keys.EncodeRecord(record))
+	require.NoError(t, err)
+	require.Equal(t, record, decoded)
+}
+
 // FuzzDecodeRecord guards against malformed input that is accepted as a record or crashes the daemon.
 func FuzzDecodeRecord(f *testing.F) {
 	f.Add(keys.EncodeRecord(keys.Record{Claims: []keys.Claim{{Owner: "a"}}}))
--- a/internal/keys/grants.go
+++ b/internal/keys/grants.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/tarragonmill/tarragonmill/internal/store"
 )
 
 const (
@@ -11,7 +13,7 @@
 	backlogLimit = 1 << 16
 )
 
-// history holds the latest grants of one partition in log order.
+// history holds the latest grants of one partition in the order of their issue times.
 type history []Grant
 
 // last returns the latest grant; false if there is none.
@@ -37,6 +39,17 @@
 
 // ledger derives the grants from the records of the stream "grants".
 type ledger struct {
+	// id is that of the ledger, and epoch the present epoch of the store. While they differ, nobody has restarted the
+	// ledger since the store came back from an older copy, and records are without effect.
+	id    LedgerID
+	epoch store.Epoch
+	// barrier is as in Restart.
+	barrier int64
+	// unknown is set while this daemon cannot tell which ledger is the present one.
+	unknown bool
+	// knownFrom is the offset from which this daemon has seen all records, and activeThrough the offset after the last one
+	// of the present epoch.
+	knownFrom, activeThrough uint64
 	// services holds the grants of each partition, by service.
 	services map[string]*[Partitions]history
 	// through is the offset after the last applied record.
@@ -52,9 +65,13 @@
 	backlog []Entry
 	// baseThrough is the Through of the latest base, from the log or from BaseOffered.
 	baseThrough uint64
+	// held are the grants of earlier ledgers that this daemon still holds.
+	held heldGrants
 }
 
-func newLedger() ledger { return ledger{services: map[string]*[Partitions]history{}} }
+func newLedger(service string, self daemonRun) ledger {
+	return ledger{services: map[string]*[Partitions]history{}, held: heldGrants{service: service, self: self}}
+}
 
 // partition returns the grants of a partition; nil if there are none.
 func (l *ledger) partition(service string, partition int) history {
@@ -108,9 +125,16 @@
 	l.recoverFromBacklog()
 }
 
-// recoverFromBacklog adopts the first base in the backlog for which all following records are present.
+// recoverFromBacklog adopts the first base in the backlog for which all following records are present, or begins with the
+// first restart.
 func (l *ledger) recoverFromBacklog() {
 	for _, e := range l.backlog {
+		if l.restarts(e.Record) && e.Record.Restart.Through >= l.backlog[0].Offset {
+			l.applyBacklog()
+
+			return
+		}
+
 		if b := e.Record.Base; b != nil && b.Through <= e.Offset && l.adoptBase(*b) {
 			return
 		}
@@ -120,13 +144,15 @@
 // adoptBase replaces the state by a base that is ahead of it, unless records after the base have expired. It reports
 // whether it did so.
 func (l *ledger) adoptBase(base Base) bool {
-	if base.Through < l.first || base.Through <= l.through {
+	if base.Through < l.first || base.Through <= l.through || !l.belongs(base.Ledger) {
 		return false
 	}
 
-	l.services = map[string]*[Partitions]history{}
+	l.begin(base.Ledger, base.Barrier)
+	l.knownFrom, l.activeThrough = base.Through, base.Through
+
 	for _, c := range base.Grants {
-		l.acceptClaim(c)
+		l.carry(c)
 	}
 
 	records := l.backlog
@@ -142,7 +168,7 @@
 func (l *ledger) applyAll(records []Entry) {
 	for _, e := range records {
 		if e.Offset == l.through {
-			l.apply(e.Record)
+			l.apply(e)
 			l.through++
 		}
 	}
@@ -151,13 +177,33 @@
 }
 
 // apply applies one record. Only claims inside a base may be ended.
-func (l *ledger) apply(r Record) {
+func (l *ledger) apply(e Entry) {
+	r := e.Record
+
+	if l.restarts(r) {
+		l.applyRestart(e.Offset, *r.Restart)
+
+		return
+	}
+
+	if l.epoch > 0 && r.Ledger.Epoch == l.epoch {
+		l.activeThrough = e.Offset + 1
+	}
+
+	if r.Ledger != l.id || !l.started() {
+		return
+	}
+
 	if len(r.Signoffs)+len(r.Extensions) > 0 {
 		l.moveEnds(r)
 	}
 
-	for _, c := range r.Claims {
+	for _, c := range r.Carried {
 		c.Ended = false
+		l.carry(c)
+	}
+
+	for _, c := range r.Claims {
 		l.acceptClaim(c)
 	}
 
@@ -202,48 +248,72 @@
 	}
 
 	for _, e := range extensions[holder] {
-		if !g.Ended && e.covers(partition) {
+		if g.extensible() && e.covers(partition) {
 			g.Until = max(g.Until, e.Until)
 		}
 	}
 }
 
-// acceptClaim adds a grant for each partition of a claim whose last grant ends at or before the start of the claim. It
+// valid reports whether the fields of a claim make sense.
+func (c Claim) valid() bool {
+	return c.Service != "" && c.Owner != "" && c.From >= 0 && (c.From < c.Until || c.From == c.Until && c.Ended)
+}
+
+// acceptClaim adds a grant for each partition of a claim that starts where the next grant may start, or later. It
 // ignores invalid claims.
 func (l *ledger) acceptClaim(c Claim) {
-	if c.Service == "" || c.Owner == "" || c.From < 0 || c.From > c.Until || (c.From == c.Until && !c.Ended) {
+	if !c.valid() {
 		return
 	}
 
+	g := Grant{Owner: c.Owner, Incarnation: c.Incarnation, From: c.From, Until: c.Until}
+
 	for _, p := range c.Partitions {
-		if p < 0 || p >= Partitions {
-			continue
+		if p >= 0 && p < Partitions && c.From >= l.nextStart(c.Service, p) {
+			l.insert(c.Service, p, g)
 		}
+	}
+}
 
-		partitions, ok := l.services[c.Service]
-		if !ok {
-			partitions = new([Partitions]history)
-			l.services[c.Service] = partitions
-		}
+// nextStart returns the earliest issue time, in Unix milliseconds, at which the next grant of a partition may start.
+func (l *ledger) nextStart(service string, p int) int64 {
+	last, ok := l.partition(service, p).last()
+
+	switch {
+	case !ok:
+		return l.barrier
+	case last.Uncertain:
+		return max(last.Until, l.barrier)
+	default:
+		return last.Until
+	}
+}
 
-		if last, held := partitions[p].last(); held && c.From < last.Until {
-			continue
-		}
+// insert adds a grant, which must not overlap with another one, in the order of issue times. Only the latest grants are
+// kept.
+func (l *ledger) insert(service string, p int, g Grant) {
+	partitions, ok := l.services[service]
+	if !ok {
+		partitions = new([Partitions]history)
+		l.services[service] = partitions
+	}
 
-		h := partitions[p]
-		if len(h) == historyLength {
-			h = slices.Clone(h[1:])
-		}
+	h := partitions[p]
+	at := len(h)
 
-		partitions[p] = append(h, Grant{
-			Owner: c.Owner, Incarnation: c.Incarnation, From: c.From, Until: c.Until, Ended: c.Ended,
-		})
+	for at > 0 && h[at-1].From > g.From {
+		at--
 	}
+
+	h = slices.Insert(slices.Clone(h), at, g)
+	partitions[p] = h[max(0, len(h)-historyLength):]
+
+	l.held.fence(service, p, g)
 }
 
 // base returns all grants as a base. Equal grants of a service share one claim.
 func (l *ledger) base() Base {
-	b := Base{Through: l.through}
+	b := Base{Through: l.through, Ledger: l.id, Barrier: l.barrier}
 
 	for _, service := range sortedKeys(l.services) {
 		partitions := l.services[service]
@@ -263,10 +333,7 @@
 				}
 
 				index[g] = len(b.Grants)
-				b.Grants = append(b.Grants, Claim{
-					Service: service, Partitions: []int{p}, Owner: g.Owner, Incarnation: g.Incarnation,
-					From: g.From, Until: g.Until, Ended: g.Ended,
-				})
+				b.Grants = append(b.Grants, g.claim(service, p))
 			}
 		}
 	}
--- a/internal/keys/handover.go
+++ b/internal/keys/handover.go
@@ -73,9 +73,9 @@
 func (s *State) continueDrain() {
 	if s.hasOpenGrant() && !s.now.Before(s.drain.retryAt) {
 		s.drain.retryAt = s.appendRetryAt()
-		s.emit(AppendGrants{Record: Record{Signoffs: []Signoff{{
+		s.appendRecord(Record{Signoffs: []Signoff{{
 			Owner: s.self.id, Incarnation: s.self.incarnation, End: s.drain.end,
-		}}}})
+		}}})
 	}
 
 	s.sendToNewSuccessors()
@@ -205,7 +205,9 @@
 // DrainComplete reports whether a draining daemon has signed off all grants, handed over its table, and has no running
 // or waiting request left.
 func (s *State) DrainComplete() bool {
-	return s.drain.started && !s.hasOpenGrant() && len(s.drain.pending) == 0 && len(s.table.keysByRequest) == 0
+	signedOff := !s.hasOpenGrant() && len(s.missingGrants()) == 0
+
+	return s.drain.started && signedOff && len(s.drain.pending) == 0 && len(s.table.keysByRequest) == 0
 }
 
 // handoverReceived merges the entries of another owner into the table. They never cause a key to run. If the table has
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -24,6 +24,13 @@
 //     forgets keys. In any other case Refuse.Verdict is MayHaveRun, and Refuse.Delivery states that this delivery was
 //     not run.
 //  5. The floor never falls. A running key is never forgotten.
+//  6. The store may come back from an older copy, which its epoch shows. The log that it has then does not say which grants
+//     were given out in earlier epochs; only the owners that have read them back know. So the ledger begins anew with a
+//     Restart, and records that were decided for another ledger are without effect. An owner keeps the grants that it has
+//     read back, as ranges of issue times, and carries them over. Any other grant starts at the barrier of the Restart or
+//     later: the issue time from which no grant can reach that was made before. A carried grant can be extended, and be
+//     followed by others, only if its owner knows that it was the last one of its partition: no daemon claims what follows
+//     a grant before the last extension period of it.
 //
 // Consequences in the difficult cases:
 //
@@ -49,9 +56,15 @@
 //     by rule 1. Records that are read again are skipped by offset.
 //   - A resend that reaches the successor before the handover is in doubt; a later resend is answered from the
 //     handover.
+//   - A daemon that has not noticed a return admits keys of its grants until they end. No other daemon can hold these issue
+//     times: a grant that it has asked for in the meantime takes effect only if it reads it back, and then it notices.
+//   - Keys of an owner that was lost together with its grants are refused until the barrier, about a grant length.
+//   - A Restart that is appended late is without effect: it names the offset up to which its author has read, and records
+//     of the same epoch after that make it void.
 //
-// Assumptions: No two runs of one ID share an incarnation, which is derived from the start time in nanoseconds. The log
-// never replaces a record by another. The daemon reports Finished exactly once for each admitted request, with a true
+// Assumptions: No two runs of one ID share an incarnation, which is derived from the start time in nanoseconds. Within an
+// epoch, the log never replaces a record by another. When it comes back, the clocks of the daemons that run differ by less
+// than the margin in the barrier, and no grant is longer than the manifest says. The daemon reports Finished exactly once for each admitted request, with a true
 // verdict.
 package keys
 
@@ -109,6 +122,10 @@
 	// membersChangedAt is when the members of the service last changed.
 	membersChangedAt time.Time
 	settleTime       time.Duration
+	// ledgerID is that of the ledger at the last review of the grants.
+	ledgerID LedgerID
+	// restartAt and carryAt are when a restart of the ledger and the held grants are appended; zero if nothing is due.
+	restartAt, carryAt time.Time
 
 	// maxAdmitted is the latest issue time of an admitted key, in Unix milliseconds.
 	maxAdmitted int64
@@ -157,7 +174,7 @@
 	s := &State{
 		maxEntries: DefaultMaxEntries, maxStoredBytes: DefaultMaxStoredBytes,
 		baseRecords: DefaultBaseRecords, chunkEntries: DefaultChunkEntries,
-		members: map[string][]instance.Member{}, ledger: newLedger(), table: newTable(),
+		members: map[string][]instance.Member{}, table: newTable(),
 		handovers: map[daemonRun]*ownerHandover{},
 	}
 	WithSeed(1)(s)
@@ -166,6 +183,8 @@
 		option(s)
 	}
 
+	s.ledger = newLedger(s.service, s.self)
+
 	return s
 }
 
@@ -184,7 +203,14 @@
 		s.finished(e)
 	case Cancelled:
 		s.cancelled(e.ID)
+	case EpochChanged:
+		s.changeEpoch(e.Epoch)
 	case RecordsRead:
+		if e.Epoch < s.ledger.epoch {
+			break
+		}
+
+		s.changeEpoch(e.Epoch)
 		s.noteLogRead()
 		s.ledger.addRecords(e.First, e.Records, e.Next)
 		s.reviewGrants()
@@ -210,6 +236,7 @@
 	case Tick:
 		s.forgetExpiredKeys()
 		s.forgetHandovers()
+		s.ledger.held.forget(s.table.floor)
 		s.reviewGrants()
 	}
 
@@ -219,6 +246,9 @@
 // reviewGrants emits the claims, extensions, sign-offs, bases and handovers that are due. It is called whenever grants,
 // members or the time have changed.
 func (s *State) reviewGrants() {
+	s.noteLedger()
+	s.restartLedger()
+	s.carryGrants()
 	s.appendBase()
 
 	if s.drain.started {
@@ -241,8 +271,10 @@
 func (s *State) NextOffset() uint64 { return s.ledger.nextOffset() }
 
 // Base returns a snapshot of the current grants, which another daemon can use in BaseOffered. It returns false while
-// this daemon lacks records that have expired.
-func (s *State) Base() (Base, bool) { return s.ledger.base(), !s.ledger.incomplete }
+// this daemon lacks records that have expired, or the ledger was not restarted yet.
+func (s *State) Base() (Base, bool) {
+	return s.ledger.base(), !s.ledger.incomplete && s.ledger.started()
+}
 
 // Owner returns the ID and incarnation of the daemon to which a request with a key has to be sent. It returns false if
 // the key is invalid or no owner can be reached; Apply with Arrived then returns the refusal.
@@ -252,14 +284,23 @@
 		return "", 0, false
 	}
 
-	h := s.ledger.partition(service, parsed.Partition)
-	if g, ok := h.covering(parsed.Issued); ok && s.reachable(service, g) {
-		return g.Owner, g.Incarnation, true
+	if service == s.service && s.ledger.held.covers(parsed) {
+		return s.self.id, s.self.incarnation, true
+	}
+
+	histories := s.ledger.histories(service, parsed.Partition)
+
+	for _, h := range histories {
+		if g, ok := h.covering(parsed.Issued); ok && s.reachable(service, g) {
+			return g.Owner, g.Incarnation, true
+		}
 	}
 
 	// The last owner may have received the key in a handover, or may hold a longer grant than this daemon has read.
-	if g, ok := h.last(); ok && s.reachable(service, g) {
-		return g.Owner, g.Incarnation, true
+	for _, h := range histories {
+		if g, ok := h.last(); ok && s.reachable(service, g) {
+			return g.Owner, g.Incarnation, true
+		}
 	}
 
 	return "", 0, false
--- a/internal/keys/messages.go
+++ b/internal/keys/messages.go
@@ -7,6 +7,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
@@ -43,8 +44,13 @@
 	// Cancelled reports that the caller of a waiting request has disconnected. An admitted request is not affected; it
 	// runs until Finished.
 	Cancelled struct{ ID request.ID }
+	// EpochChanged reports the epoch that the store has stated in a response about any topic. If it is newer than the one
+	// before, the store has come back from an older copy, and the stream "grants" has to be read from its start.
+	EpochChanged struct{ Epoch store.Epoch }
 	// RecordsRead reports records that were read from the stream "grants", in offset order.
 	RecordsRead struct {
+		// Epoch is the epoch of the store in which they were read. Records of an older epoch than the newest are ignored.
+		Epoch store.Epoch
 		// First is the offset of the oldest record that the log still has.
 		First   uint64
 		Records []Entry
@@ -197,6 +203,7 @@
 func (Arrived) isEvent()          {}
 func (Finished) isEvent()         {}
 func (Cancelled) isEvent()        {}
+func (EpochChanged) isEvent()     {}
 func (RecordsRead) isEvent()      {}
 func (BaseOffered) isEvent()      {}
 func (MembersChanged) isEvent()   {}
--- a/internal/keys/mutation_test.go
+++ b/internal/keys/mutation_test.go
@@ -17,7 +17,7 @@
 	"run the model test without each guard of testdata/mutations.txtar")
 
 // TestMutations guards against a model test that does not notice a missing guard in the code. Each entry of the list
-// replaces one guard, and TestModel has to fail by an invariant. An entry is named "file: guard" and holds the old
+// replaces one guard, and a model has to fail by an invariant. An entry is named "file: guard" and holds the old
 // text, a line with "=>", and the new text.
 func TestMutations(t *testing.T) {
 	if !*mutations {
@@ -47,7 +47,7 @@
 			require.NoError(t, os.WriteFile(filepath.Join(dir, "overlay.json"), overlay, 0o600))
 
 			command := exec.CommandContext(t.Context(), "go", "test", "-overlay", filepath.Join(dir, "overlay.json"),
-				"-run", "^TestModel$", ".", "-rapid.shrinktime=0s", "-rapid.checks=1500", "-rapid.steps=300")
+				"-run", "^TestModel", ".", "-rapid.shrinktime=0s", "-rapid.checks=1500", "-rapid.steps=300")
 			command.Dir = filepath.Dir(file)
 			out, err := command.CombinedOutput()
 			require.Error(t, err, "the model test passes without the guard")
--- /dev/null
+++ b/internal/keys/returns_test.go
@@ -0,0 +1,228 @@
+package keys
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonmill/tarragonmill/pkg/verdict"
+)
+
+// requiredReturnTransitions are the transitions that TestModelOfReturns has to reach.
+var requiredReturnTransitions = []string{
+	"log came back", "ledger restarted", "restart appended late", "restart not known", "grant carried over",
+	"uncertain grant carried over", "admit by a held grant", "admit by a daemon that has not noticed",
+	"claim after the barrier", "old answer read", "recovered by a base", "admit", "replay",
+}
+
+// TestModelOfReturns guards against a second run of a key and a false "not run" after the log has come back from an older
+// copy, once and several times, beside the failures of TestModel: late appends, delayed answers of earlier epochs, daemons
+// that notice late or never, and daemons that start afterwards. The clocks differ by less than the margin of a barrier,
+// which is an assumption.
+func TestModelOfReturns(t *testing.T) {
+	seen := map[string]int{}
+
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t, seen, "a", "b", "c")
+		sim.rounds(draw(t, 6))
+
+		actions := sim.actions()
+		actions["crash"] = func(t *rapid.T) {
+			if draw(t, 4) == 0 {
+				sim.restart(pick(t, sim.daemons...), pick(t, 0, 30*time.Millisecond, 4*time.Second, -4*time.Second))
+			}
+		}
+		actions["come back"] = sim.comeBack
+		actions["come back and settle"] = func(t *rapid.T) {
+			sim.comeBack(t)
+			sim.rounds(1 + draw(t, 8))
+			sim.arrive(t)
+		}
+		actions["read an old answer"] = func(t *rapid.T) {
+			if d := pick(t, sim.daemons...); d.state != nil {
+				if e, ok := sim.readEarlierLog(d); ok {
+					sim.applyOrDelay(t, "read", d, e)
+					sim.reached["old answer read"]++
+				}
+			}
+		}
+		actions["notice elsewhere"] = func(t *rapid.T) { sim.apply(pick(t, sim.daemons...), EpochChanged{Epoch: sim.epoch}) }
+		actions["wait for the barrier"] = func(t *rapid.T) {
+			if draw(t, 6) == 0 {
+				sim.now = sim.now.Add(policy.Grant)
+				sim.rounds(15)
+			}
+		}
+
+		t.Repeat(actions)
+
+		for _, d := range sim.daemons {
+			sim.finishTrace(d)
+		}
+	})
+
+	if t.Failed() {
+		return
+	}
+
+	for _, what := range sortedKeys(seen) {
+		t.Logf("%8d %s", seen[what], what)
+	}
+
+	for _, what := range requiredReturnTransitions {
+		require.Positive(t, seen[what], "the model never reached: %s", what)
+	}
+}
+
+// comeBack makes the log come back, mostly with the loss of few records.
+func (sim *simulation) comeBack(t *rapid.T) {
+	if draw(t, 3) > 0 {
+		return
+	}
+
+	lost := min(len(sim.log), pick(t, 0, 1, 1, 2, 3, 5, len(sim.log)))
+	sim.returnFromCopy(len(sim.log) - lost)
+}
+
+// returned returns a simulation whose log has come back without any record after orders with keys were answered.
+func returned(t *testing.T) (*simulation, []*keyState) {
+	t.Helper()
+
+	sim := newSimulation(t, map[string]int{}, "a", "b", "c")
+	sim.rounds(5)
+
+	var answered []*keyState
+
+	// An owner stores the responses of few keys.
+	for p := range 4 {
+		k := sim.addKey(sim.now.UnixMilli(), p)
+		sim.sendToOwner(k)
+		answered = append(answered, k)
+	}
+
+	for _, d := range sim.daemons {
+		for _, id := range slices.Clone(d.running) {
+			sim.finish(d, id, verdict.Answered, 10)
+		}
+	}
+
+	sim.returnFromCopy(0)
+
+	return sim, answered
+}
+
+// sendToOwner sends a request with a key to the daemon that the first daemon considers its owner.
+func (sim *simulation) sendToOwner(k *keyState) {
+	id, _, ok := sim.daemons[0].state.Owner(service, k.key.UUID.String())
+	if !ok {
+		id = sim.daemons[0].id
+	}
+
+	d := sim.daemon(id)
+	sim.apply(d, sim.newCall(d, k, 1))
+}
+
+// Guards against owners that refuse the keys of their grants after the log has lost these grants, and against a daemon
+// that starts then and does not learn who the owners are.
+func TestOwnersKeepTheirGrants(t *testing.T) {
+	sim, answered := returned(t)
+	added := &daemon{id: "d"}
+	sim.daemons = append(sim.daemons, added)
+	sim.members = append(sim.members, alive("d", 0))
+	sim.restart(added, 0)
+	sim.rounds(12)
+
+	sim.daemons[0], sim.daemons[3] = sim.daemons[3], sim.daemons[0]
+	replays := sim.reached["replay"]
+
+	for _, k := range answered {
+		sim.sendToOwner(k)
+	}
+
+	require.Equal(t, replays+len(answered), sim.reached["replay"])
+
+	// New keys are accepted meanwhile and after the old grants have ended.
+	for range 4 {
+		admitted := sim.reached["admit"]
+
+		for p := range 4 {
+			sim.sendToOwner(sim.addKey(sim.now.UnixMilli(), p))
+		}
+
+		require.Equal(t, admitted+4, sim.reached["admit"])
+		sim.rounds(30)
+	}
+}
+
+// Guards against keys that nobody can admit for longer than the barrier after all owners were lost together with their
+// grants.
+func TestLostOwnersEndAtBarrier(t *testing.T) {
+	sim, answered := returned(t)
+
+	for _, d := range sim.daemons {
+		sim.restart(d, 0)
+	}
+
+	barrier := policy.Grant + policy.Grant/extensionsPerGrant + 2*policy.Tolerance
+	end := sim.now.Add(barrier)
+
+	for sim.now.Before(end) {
+		sim.rounds(1)
+
+		for _, k := range answered {
+			sim.sendToOwner(k)
+		}
+
+		require.Equal(t, len(answered), sim.reached["admit"], "second run")
+	}
+
+	sim.rounds(15)
+
+	for p := range Partitions {
+		sim.sendToOwner(sim.addKey(sim.now.UnixMilli(), p))
+	}
+
+	require.Equal(t, len(answered)+Partitions, sim.reached["admit"])
+}
+
+// Guards against a restart that takes effect after others have made grants, because it was appended late.
+func TestLateRestart(t *testing.T) {
+	l := newLedger(service, daemonRun{"a", 1})
+	l.changeEpoch(2)
+
+	restart := func(through uint64) Record {
+		return Record{Restart: &Restart{Epoch: 2, Through: through, Barrier: 100}}
+	}
+	claim := Record{Ledger: LedgerID{2, 0}, Claims: []Claim{{
+		Service: service, Partitions: []int{0}, Owner: "b", Incarnation: 1, From: 100, Until: 200,
+	}}}
+
+	l.addRecords(0, []Entry{{0, restart(0)}, {1, claim}, {2, restart(0)}, {3, restart(1)}}, 4)
+	require.Equal(t, LedgerID{2, 0}, l.id)
+	require.Len(t, l.partition(service, 0), 1)
+
+	l.addRecords(0, []Entry{{4, restart(4)}}, 5)
+	require.Equal(t, LedgerID{2, 4}, l.id)
+	require.Empty(t, l.partition(service, 0))
+}
+
+// Guards against a claim of an earlier epoch that is appended after the log has come back and then counts.
+func TestLateClaimOfEarlierEpoch(t *testing.T) {
+	sim := newSimulation(t, map[string]int{}, "a")
+	sim.apply(sim.daemons[0], RecordsRead{Epoch: 1})
+
+	for sim.reached["claim accepted"] == 0 && len(sim.network) == 0 {
+		sim.now = sim.now.Add(time.Second)
+		sim.apply(sim.daemons[0], Tick{})
+	}
+
+	sim.returnFromCopy(0)
+	sim.rounds(3)
+
+	k := sim.addKey(sim.now.UnixMilli(), 0)
+	sim.sendToOwner(k)
+	require.Zero(t, sim.reached["admit"])
+}
--- a/internal/keys/simulation_test.go
+++ b/internal/keys/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/request"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
@@ -26,6 +27,9 @@
 	firstOffset uint64
 	// logDown is set during an outage of the log.
 	logDown bool
+	// epoch is the epoch of the log, and earlier holds what it held at the end of each earlier epoch.
+	epoch   store.Epoch
+	earlier map[store.Epoch][]Entry
 	// network holds the messages that were not delivered yet.
 	network []message
 	// posted is the number of messages that were sent.
@@ -106,7 +110,10 @@
 }
 
 func newSimulation(t require.TestingT, seen map[string]int, ids ...instance.ID) *simulation {
-	sim := &simulation{t: t, now: start, calls: map[request.ID]*call{}, reached: seen}
+	sim := &simulation{
+		t: t, now: start, calls: map[request.ID]*call{}, reached: seen,
+		epoch: firstEpoch, earlier: map[store.Epoch][]Entry{},
+	}
 	for _, id := range ids {
 		sim.daemons = append(sim.daemons, &daemon{id: id})
 		sim.members = append(sim.members, alive(id, 0))
@@ -132,6 +139,7 @@
 	d.skew = skew
 	d.state = newModelState(d)
 	sim.setMember(d, instance.Alive)
+	sim.apply(d, EpochChanged{Epoch: sim.epoch})
 	sim.apply(d, PolicyChanged{Keys: policy})
 	sim.apply(d, MembersChanged{Service: service, Members: slices.Clone(sim.members)})
 }
@@ -179,15 +187,17 @@
 	}
 
 	now, woken := sim.now.Add(d.skew), !d.clockAtPause.IsZero()
-	if woken {
+	// A daemon reads its clock after it has got what the log says.
+	if _, read := e.(RecordsRead); woken && !(read && sim.epoch > firstEpoch) {
 		now, d.clockAtPause = d.clockAtPause, time.Time{}
 	}
 
-	lost := d.state.ledger.incomplete
+	lost, unknown := d.state.ledger.incomplete, d.state.ledger.unknown
 	effects := d.state.Apply(now, e)
 	d.trace = append(d.trace, traceStep{now, e, effects})
 	sim.countIf(lost && !d.state.ledger.incomplete, "recovered by a base")
 	sim.countIf(!lost && d.state.ledger.incomplete, "records expired before they were read")
+	sim.countIf(!unknown && d.state.ledger.unknown, "restart not known")
 
 	for _, effect := range effects {
 		sim.output = append(sim.output, fmt.Sprintf("%s: %s", d.id, formatEffect(effect)))
@@ -251,7 +261,9 @@
 	d.running = append(d.running, c.request.ID)
 
 	h := d.state.ledger.partition(service, c.key.key.Partition)
-	g, _ := h.covering(c.key.key.Issued)
+	g, inLedger := h.covering(c.key.key.Issued)
+	sim.countIf(!inLedger, "admit by a held grant")
+	sim.countIf(d.state.ledger.epoch < sim.epoch, "admit by a daemon that has not noticed")
 	last, _ := sim.replayLog().partition(service, c.key.key.Partition).last()
 	sim.reached["admit"]++
 	sim.countIf(c.key.key.Issued == g.From, "admit at the start of a grant")
@@ -271,7 +283,8 @@
 
 // replayLog returns the grants that follow from the whole log.
 func (sim *simulation) replayLog() *ledger {
-	l := newLedger()
+	l := newLedger("", daemonRun{})
+	l.changeEpoch(sim.epoch)
 	l.applyAll(sim.log)
 
 	return &l
@@ -285,9 +298,13 @@
 		return
 	}
 
-	before := sim.replayLog().base()
+	ledger := sim.replayLog()
+	before := ledger.base()
 	sim.log = append(sim.log, Entry{uint64(len(sim.log)), r})
 	after := sim.replayLog().base()
+	sim.countIf(before.Ledger != after.Ledger, "ledger restarted")
+	sim.countIf(r.Restart != nil && before.Ledger == after.Ledger, "restart appended late")
+
 	same := fmt.Sprint(before.Grants) == fmt.Sprint(after.Grants)
 	sim.countIf(same && len(r.Claims) > 0, "claim rejected")
 	sim.countIf(!same && len(r.Claims) > 0, "claim accepted")
@@ -295,15 +312,28 @@
 	sim.countIf(!same && len(r.Extensions) > 0, "extension accepted")
 	sim.countIf(!same && len(r.Signoffs) > 0, "sign-off accepted")
 	sim.countIf(r.Base != nil, "base written")
+
+	for _, c := range r.Carried {
+		sim.countIf(!same, "grant carried over")
+		sim.countIf(!same && c.Uncertain, "uncertain grant carried over")
+	}
+
+	for _, c := range r.Claims {
+		sim.countIf(!same && ledger.barrier > 0 && c.From == ledger.barrier, "claim after the barrier")
+	}
 }
 
 // readLog returns the log's answer to a read by a daemon. It holds records with offsets below upTo, as a read that
 // returns old data does.
 func (sim *simulation) readLog(d *daemon, upTo uint64) RecordsRead {
-	from := max(d.state.NextOffset(), sim.firstOffset)
+	from := sim.firstOffset
+	if d.state.ledger.epoch == sim.epoch {
+		from = max(from, d.state.NextOffset())
+	}
+
 	upTo = min(upTo, uint64(len(sim.log)))
 
-	e := RecordsRead{First: min(sim.firstOffset, upTo), Next: upTo}
+	e := RecordsRead{Epoch: sim.epoch, First: min(sim.firstOffset, upTo), Next: upTo}
 	if from < upTo {
 		e.Records = sim.log[from:upTo:upTo]
 	}
@@ -311,6 +341,28 @@
 	return e
 }
 
+// readEarlierLog returns the delayed answer to a read by a daemon that has not noticed yet that the log has come back
+// from an older copy. It returns false if there is none.
+func (sim *simulation) readEarlierLog(d *daemon) (RecordsRead, bool) {
+	log, ok := sim.earlier[d.state.ledger.epoch]
+	from := d.state.NextOffset()
+
+	if !ok || from >= uint64(len(log)) {
+		return RecordsRead{}, false
+	}
+
+	return RecordsRead{Epoch: d.state.ledger.epoch, Records: log[from:], Next: uint64(len(log))}, true
+}
+
+// returnFromCopy makes the log come back from an older copy with the first records only.
+func (sim *simulation) returnFromCopy(records int) {
+	sim.earlier[sim.epoch] = sim.log
+	sim.log = slices.Clone(sim.log[:records])
+	sim.firstOffset = min(sim.firstOffset, uint64(records))
+	sim.epoch++
+	sim.reached["log came back"]++
+}
+
 // deliverHandover returns a function that delivers a message to the incarnation that runs at that time, and reports the
 // outcome to the sending incarnation.
 func (sim *simulation) deliverHandover(d *daemon, e SendHandover) func() {
@@ -413,10 +465,19 @@
 			parts = append(parts, fmt.Sprintf("sign-off of %s end=%s", x.Owner, at(x.End)))
 		}
 
+		for _, c := range e.Record.Carried {
+			parts = append(parts, fmt.Sprintf("carry n=%d [%s,%s) uncertain=%t",
+				len(c.Partitions), at(c.From), at(c.Until), c.Uncertain))
+		}
+
 		if e.Record.Base != nil {
 			parts = append(parts, "base")
 		}
 
+		if r := e.Record.Restart; r != nil {
+			parts = append(parts, fmt.Sprintf("restart epoch=%d through=%d barrier=%s", r.Epoch, r.Through, at(r.Barrier)))
+		}
+
 		return "append " + strings.Join(parts, ", ")
 	default:
 		return fmt.Sprintf("%T", e)
