membership: entries are written again after the store came back from an older copy

Callers got 502 for orders whose owner they could not reach through a daemon that had started after the return: it did not find the owner. Cause: a daemon took a write that the store had confirmed for lasting, and noticed the loss of its entry only with the next list, 2 to 16 minutes later. Change: the epoch of the store is one event of the reducer, which membership gets as StoreReturned. A daemon writes its entry again, spread over 10 ms for each member, and then reads the entries, so that it finds those that have started meanwhile.

--- a/internal/core/epoch.go
+++ b/internal/core/epoch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/store"
 )
 
@@ -21,6 +22,8 @@
 		return effects
 	}
 
+	effects = append(effects, s.handleMembershipEffects(now, s.membership.Apply(now, membership.StoreReturned{}))...)
+
 	return append(effects, StoreReturned{Epoch: e.Epoch, Previous: previous})
 }
 
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -42,7 +42,7 @@
 		membership.Started{}, membership.EntriesRead{}, membership.EntryWritten{}, membership.BeatHeard{},
 		membership.SelfChanged{}, membership.LoadChanged{}, membership.BudgetChanged{}, membership.Used{},
 		membership.Spread{},
-		membership.Resumed{}, membership.Left{}, membership.Tick{},
+		membership.StoreReturned{}, membership.Resumed{}, membership.Left{}, membership.Tick{},
 	)
 }
 
--- a/internal/daemon/older_copy_test.go
+++ b/internal/daemon/older_copy_test.go
@@ -117,7 +117,8 @@
 }
 
 // requireOneRun sends orders again, to a daemon that starts after the return of the store and to the second one, and
-// requires that none runs twice and that new orders are accepted meanwhile.
+// requires that none runs twice. In the end, all get the stored response of their owner, and meanwhile new orders are
+// accepted.
 func requireOneRun(t *testing.T, f *fleet.Fleet, orders []order) {
 	t.Helper()
 	require.Len(t, sendOrders(t, f.Instances[0], 20), 20, "owners refuse new orders")
@@ -140,6 +141,7 @@
 	}
 
 	for _, o := range orders {
+		require.Equal(t, http.StatusCreated, o.send(t, f.Instances[2]))
 		require.Equal(t, 1, f.Executions()[o.key], o.key)
 	}
 }
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -93,6 +93,11 @@
 func (s *State) dropUnlisted(now time.Time, listed map[instance.ID]bool) bool {
 	dropped := false
 
+	// The others write their entries again.
+	if !s.returnedAt.IsZero() && now.Sub(s.returnedAt) < unlistedRetention {
+		return false
+	}
+
 	for _, p := range slices.Clone(s.order) {
 		if !listed[p.member.ID] && now.Sub(p.heardAt) > unlistedRetention {
 			s.forget(p)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -57,6 +57,9 @@
 	// without it would have to be written again.
 	firstWriteDelay     = 400 * time.Millisecond
 	announcedWriteDelay = 4 * time.Second
+	// rewriteDelay is the mean delay, for each member, before a daemon writes its entry again after the store has come back
+	// from an older copy. The store limits the calls of all daemons together.
+	rewriteDelay = 10 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call to the store, before jitter is applied.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
@@ -97,6 +100,10 @@
 	stored bool
 	// storedAt is when the last write ended.
 	storedAt time.Time
+	// returnedAt is when the store came back from an older copy; zero if it never did. rereadDue is set until the entries
+	// are read again after that.
+	returnedAt time.Time
+	rereadDue  bool
 	// hadEntry is set if the store had an entry of an earlier run at the same address.
 	hadEntry bool
 	writeAt  time.Time
@@ -171,6 +178,10 @@
 		return s.used(now, e.Service)
 	case Spread:
 		return s.startBroadcast(now, e.Message)
+	case StoreReturned:
+		s.storeReturned(now)
+
+		return nil
 	case Resumed:
 		return s.resumed(now)
 	case Left:
@@ -239,8 +250,9 @@
 
 	// Daemons that start for the first time at the same time find each other by reading again after the write. If
 	// there was an entry of an earlier run, the daemons that read it greet this one at the same address.
-	if !s.stored && !s.hadEntry {
+	if !s.stored && !s.hadEntry || s.rereadDue && !s.writing {
 		effects = append(effects, s.readEntries(now)...)
+		s.rereadDue = false
 	}
 
 	s.stored, s.storedAt = true, now
@@ -248,6 +260,21 @@
 	return effects
 }
 
+// storeReturned schedules another write of the daemon's own entry, and a read of all entries after it, as on a first
+// start. The store may have lost the entry, and daemons that have started meanwhile may not have found this one.
+func (s *State) storeReturned(now time.Time) {
+	s.returnedAt = now
+
+	if s.left || !s.stored && !s.writing {
+		// The entry is written for the first time, or no more.
+		return
+	}
+
+	spread := 2 * int64(rewriteDelay) * int64(s.MemberCount())
+	s.dirty, s.rereadDue = true, true
+	s.writeAt = now.Add(time.Duration(s.random.Int64N(spread)))
+}
+
 // nextRetryDelay returns an exponentially growing delay with jitter.
 func (s *State) nextRetryDelay() time.Duration {
 	delay := s.retryDelay/2 + time.Duration(s.random.Int64N(int64(s.retryDelay)))
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -95,6 +95,8 @@
 	Used struct{ Service string }
 	// Spread asks to send a message to all daemons.
 	Spread struct{ Message []byte }
+	// StoreReturned reports that the store has come back from an older copy, which may lack entries.
+	StoreReturned struct{}
 	// Resumed reports that the process was suspended for some time.
 	Resumed struct{}
 	// Left reports that the daemon leaves the fleet. Its watchers and the members that it watches are notified.
@@ -144,6 +146,7 @@
 func (BudgetChanged) isEvent() {}
 func (Used) isEvent()          {}
 func (Spread) isEvent()        {}
+func (StoreReturned) isEvent() {}
 func (Resumed) isEvent()       {}
 func (Left) isEvent()          {}
 func (Tick) isEvent()          {}
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -87,6 +87,8 @@
 		return membership.BudgetChanged{Bytes: line.Float("bytes", 0)}
 	case "use":
 		return membership.Used{Service: line.Word(0)}
+	case "returned":
+		return membership.StoreReturned{}
 	case "resume":
 		return membership.Resumed{}
 	case "leave":
