config: a version is never given out twice

Cause: the publisher numbered versions from the newest record. After a return of the store from an older copy it gave out numbers that daemons had in force already with another manifest, so that they ignored the new one, and a conditional append could succeed on a history that its author had not read. Change: once the store has come back, a version holds the epoch and the offset of its record. An append that was performed in another epoch than the read before it is made once more with a new version, or has an unknown outcome if the operator has stated a base.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,9 @@
 // nothing was appended since. If two publishers append to the same version, the store accepts only one of them. Each
 // publish has an identifier. If the response to an append is lost, the publisher reads the topic and looks for its
 // identifier to find the outcome.
+//
+// A version is never given out twice, also if the store comes back from an older copy that lacks versions: if it has ever
+// come back, the upper half of a version is the epoch of the store, and the lower half the offset of the record.
 package config
 
 import (
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -90,6 +90,10 @@
 
 // Publish publishes the text of a manifest as the next version. If base is not nil and not the current version, the
 // publish is Rejected. An error means that nothing was published.
+//
+// If the store comes back from an older copy meanwhile, the manifest may stand there with a version that was given out
+// before. Then it is published once more with a version of the new epoch, or, if base is not nil, the outcome is Unknown,
+// because the base may be lost.
 func (p *Publisher) Publish(ctx context.Context, text string, base *uint64) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
@@ -110,7 +114,7 @@
 			return Result{Outcome: Rejected, Publish: Publish{ID: id}, Current: current.Publish}, nil
 		}
 
-		next := current.nextVersion(id, text)
+		next := current.nextVersion(id, text, end)
 
 		err = p.log.AppendAt(ctx, end, encode(next))
 
@@ -120,6 +124,10 @@
 		case errors.Is(err, store.ErrConflict):
 			// Another publisher has appended since the read.
 			continue
+		case errors.Is(err, store.ErrReturned) && base == nil:
+			continue
+		case errors.Is(err, store.ErrReturned):
+			return Result{Publish: next.Publish, Current: current.Publish}, nil
 		case errors.Is(err, store.ErrRejected):
 			if task.Sleep(ctx, retryDelay) {
 				continue
@@ -127,14 +135,35 @@
 
 			return Result{}, errors.Wrap(err, "publish")
 		default:
-			return p.Resolve(context.WithoutCancel(ctx), id)
+			result, epoch := p.resolve(context.WithoutCancel(ctx), id)
+			if epoch == end.Epoch || result.Outcome != Accepted {
+				return result, nil
+			}
+
+			if base != nil {
+				return Result{Publish: next.Publish, Current: result.Current}, nil
+			}
 		}
 	}
 }
 
-// nextVersion returns the record of a publish on top of p.
-func (p Published) nextVersion(id, text string) Published {
-	next := Published{Publish: Publish{ID: id, Version: p.Version + 1}, Manifest: text}
+const (
+	// firstEpoch is the epoch of a store that has never come back from an older copy.
+	firstEpoch store.Epoch = 1
+	// epochShift is the number of bits of a version that hold the offset of its record.
+	epochShift = 32
+)
+
+// nextVersion returns the record of a publish on top of p, which is appended at the position end. After a return of the
+// store from an older copy, the newest record does not show which versions were given out. The epoch and the offset
+// together are never used twice, and higher than those of all earlier versions.
+func (p Published) nextVersion(id, text string, end store.Position) Published {
+	version := p.Version + 1
+	if end.Epoch > firstEpoch {
+		version = max(version, uint64(end.Epoch)<<epochShift+uint64(end.Offset))
+	}
+
+	next := Published{Publish: Publish{ID: id, Version: version}, Manifest: text}
 
 	if p.ID != "" {
 		next.Earlier = append([]Publish{p.Publish}, p.Earlier...)
@@ -147,25 +176,32 @@
 // Resolve finds the outcome of a publish whose response was lost. The outcome is Unknown if the store cannot be read or
 // does not contain the publish, because the publish may still take effect. The error is always nil.
 func (p *Publisher) Resolve(ctx context.Context, id string) (Result, error) {
+	result, _ := p.resolve(ctx, id)
+
+	return result, nil
+}
+
+// resolve does what Resolve does, and also returns the epoch of the store in which the outcome was found.
+func (p *Publisher) resolve(ctx context.Context, id string) (Result, store.Epoch) {
 	ctx, cancel := context.WithTimeout(ctx, max(p.timeout, maxAppendDelay))
 	defer cancel()
 
 	result := Result{Publish: Publish{ID: id}}
 
 	for {
-		current, _, err := p.read(ctx)
+		current, end, err := p.read(ctx)
 		if err == nil {
 			result.Current = current.Publish
 
 			if found, ok := current.findPublish(id); ok {
 				result.Outcome, result.Publish = Accepted, found
 
-				return result, nil
+				return result, end.Epoch
 			}
 		}
 
 		if !task.Sleep(ctx, retryDelay) {
-			return result, nil
+			return result, end.Epoch
 		}
 	}
 }
--- a/internal/config/publish_test.go
+++ b/internal/config/publish_test.go
@@ -20,6 +20,14 @@
 	t.Helper()
 
 	s := standin.New()
+
+	return s, config.NewPublisher(newClient(t, s).Topic(platform.ManifestTopic), 2*time.Second)
+}
+
+// newClient returns a client for a stand-in store.
+func newClient(t *testing.T, s *standin.Store) *platform.Store {
+	t.Helper()
+
 	server := httptest.NewServer(s.Handler())
 	client := platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()))
 
@@ -29,7 +37,7 @@
 		server.Close()
 	})
 
-	return s, config.NewPublisher(client.Topic(platform.ManifestTopic), 2*time.Second)
+	return client
 }
 
 // Guards against two concurrent publishers that create the same version, and against a version that is skipped.
