core: a manifest of the same version and a later epoch replaces another one

Cause: a publish that the store performs late, after it came back from an older copy, can carry a version that daemons have in force with another manifest. Those would keep theirs, and daemons that start would use the other one. Change: if the manifest read in a later epoch differs under the same version, all follow the store. One that an operator writes again is the same and changes nothing. Beats that state a newer epoch do not wait for the budget of beats. Evidence: TestSameVersionOfLaterEpoch, TestEpochSeen, TestEpochHeard.

--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -57,7 +57,7 @@
 		}
 	}
 
-	for _, policy := range s.services {
+	for _, policy := range s.manifest.Services {
 		if policy.Name == service {
 			return policy.Budget, float64(max(1, members))
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -95,8 +96,9 @@
 
 	// version is that of the manifest in force; zero if there is none.
 	version uint64
-	// services are those of the manifest in force.
-	services []manifest.Service
+	// manifest is the manifest in force, and manifestEpoch the epoch of the store in which it was read last.
+	manifest      manifest.Manifest
+	manifestEpoch store.Epoch
 	// replyLimiter limits the bytes of load reports in replies, crossRegionReplyLimiter those that go to other
 	// regions.
 	replyLimiter, crossRegionReplyLimiter *rate.Limiter
@@ -287,18 +289,31 @@
 
 // handleManifestRead puts a manifest in force unless its version is the present one or older.
 func (s *State) handleManifestRead(now time.Time, e ManifestRead) []Effect {
-	if e.Version <= s.version {
+	if e.Version < s.version || e.Version == s.version && !s.replacesManifest(e) {
 		return nil
 	}
 
-	s.version, s.services = e.Version, e.Manifest.Services
+	s.version, s.manifest, s.manifestEpoch = e.Version, e.Manifest, e.Epoch
 	effects := s.applyMeasurementBudget(now)
 	effects = append(effects, s.handleRoutingEffects(now, s.routing.Apply(now, routing.PolicyChanged{
 		Services: e.Manifest.Services,
 	}))...)
 	effects = append(effects, s.applyKeyPolicy(now, e.Manifest.Keys)...)
 
-	return append(effects, ManifestChanged(e))
+	return append(effects, ManifestChanged{Version: e.Version, Manifest: e.Manifest})
+}
+
+// replacesManifest reports whether a manifest replaces another one of the same version. An operator who writes a lost
+// version again writes the same manifest. A different one comes from a publish that the store has performed late, after it
+// came back from an older copy without the first one; then all daemons follow the store.
+func (s *State) replacesManifest(e ManifestRead) bool {
+	if e.Epoch <= s.manifestEpoch || s.version == 0 {
+		return false
+	}
+
+	s.manifestEpoch = e.Epoch
+
+	return !reflect.DeepEqual(e.Manifest, s.manifest)
 }
 
 const (
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -81,6 +81,8 @@
 	ServerCrashed struct{}
 	// ManifestRead reports a manifest that was read from the store.
 	ManifestRead struct {
+		// Epoch is the epoch of the store in which it was read.
+		Epoch    store.Epoch
 		Version  uint64
 		Manifest manifest.Manifest
 	}
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -252,7 +252,7 @@
 			continue
 		}
 
-		d.apply(core.ManifestRead{Version: version, Manifest: m})
+		d.apply(core.ManifestRead{Epoch: page.Epoch, Version: version, Manifest: m})
 	}
 }
 
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -97,18 +97,22 @@
 
 func (s *State) loadChanged(now time.Time, e LoadChanged) []Effect {
 	kind := classifyChange(s.baseline, e.Report)
-	news := e.Version != s.version || e.Epoch > s.epoch && s.epoch != 0
+	newVersion := e.Version != s.version
+	returned := e.Epoch > s.epoch && s.epoch != 0
 	s.report, s.version, s.epoch = e.Report, e.Version, e.Epoch
 
 	if kind > requestCountChange {
 		s.baseline = e.Report
 	}
 
-	if news {
+	switch {
+	case returned:
+		return append(s.notifyWatchers(now, urgentChange), s.notifyWatched(now)...)
+	case newVersion:
 		return append(s.notifyWatchers(now, loadChange), s.notifyWatched(now)...)
+	default:
+		return s.notifyWatchers(now, kind)
 	}
-
-	return s.notifyWatchers(now, kind)
 }
 
 // notifyWatched sends a beat to each watched member that does not get one as a watcher.
