caller: a daemon that knows of a newer manifest does not answer 404

Callers do not repeat a request after a 404, also for a route that only the newest manifest has. A daemon that starts after the store came back from an older copy, before the operator has written the newest version again, knows from others that there is a newer one. Change: such a request is refused as not run, with Retry-After. The reads for a newer version back off from 2 s to 32 s, because the store may have lost it. Evidence: TestNewerManifest, TestLostVersion.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -114,6 +114,8 @@
 	// instanceAddress is the address from which the backend server makes calls; invalid if other instances share it.
 	instanceAddress netip.Addr
 	observer        Observer
+	// newerManifest reports whether there is a newer manifest than that of the matcher.
+	newerManifest func() bool
 }
 
 // Option configures a Handler.
@@ -131,6 +133,12 @@
 	return func(h *Handler) { h.instanceAddress = address }
 }
 
+// WithNewerManifest sets a function that reports whether there is a newer manifest than that of the matcher. A request
+// that matches no rule is then refused as not run, because the newer one may have a rule for it.
+func WithNewerManifest(exists func() bool) Option {
+	return func(h *Handler) { h.newerManifest = exists }
+}
+
 // WithObserver sets the function that is called with the outcome of each request.
 func WithObserver(observer Observer) Option { return func(h *Handler) { h.observer = observer } }
 
@@ -141,7 +149,7 @@
 ) *Handler {
 	h := &Handler{
 		matcher: matcher, parents: parents, submitter: submitter, now: now, dialect: dialect.Default(),
-		observer: func(Outcome) {},
+		observer: func(Outcome) {}, newerManifest: func() bool { return false },
 	}
 	for _, option := range options {
 		option(h)
@@ -226,7 +234,7 @@
 
 	match, err := matcher.Match(r.Host, r.Method, r.URL)
 	if err != nil {
-		return Submission{}, notRunRefusal(NoRule), false
+		return Submission{}, h.refuseUnmatched(), false
 	}
 
 	if r.ContentLength > match.Rule.Body {
@@ -261,9 +269,22 @@
 	return submission, Refusal{}, true
 }
 
-// noManifestRetryAfter is the Retry-After of a daemon that has just started and not read the manifest yet.
+// noManifestRetryAfter is the Retry-After of a daemon that has just started and not read the manifest yet, or has not read
+// the newest one.
 const noManifestRetryAfter = 300 * time.Millisecond
 
+// refuseUnmatched returns the refusal of a request that matches no rule.
+func (h *Handler) refuseUnmatched() Refusal {
+	if !h.newerManifest() {
+		return notRunRefusal(NoRule)
+	}
+
+	refusal := notRunRefusal(ManifestBehind)
+	refusal.RetryAfter = noManifestRetryAfter
+
+	return refusal
+}
+
 func bodyReason(err error) Reason {
 	if err == nil || errors.Is(err, http1.ErrBodyTooLarge) {
 		return BodyTooLarge
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -59,7 +59,7 @@
 var testTime = time.Unix(1_800_000_000, 0)
 
 // serve starts the caller interface with a manifest. An empty text means that the daemon has no manifest.
-func serve(t *testing.T, text string, result caller.Result) (string, *submitter) {
+func serve(t *testing.T, text string, result caller.Result, options ...caller.Option) (string, *submitter) {
 	t.Helper()
 
 	var matcher caller.Matcher
@@ -74,7 +74,7 @@
 
 	s := &submitter{result: result, submissions: make(chan caller.Submission, 1)}
 	handler := caller.NewHandler(
-		func() caller.Matcher { return matcher }, noParents{}, s, func() time.Time { return testTime })
+		func() caller.Matcher { return matcher }, noParents{}, s, func() time.Time { return testTime }, options...)
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -199,6 +199,20 @@
 	}
 }
 
+// Guards against a 404 for a route of the newest manifest from a daemon that knows that it has not read it yet: callers do
+// not send such a request again.
+func TestNewerManifest(t *testing.T) {
+	newer := caller.WithNewerManifest(func() bool { return true })
+	url, s := serve(t, rules, answer(strings.NewReader(""), 0), newer)
+
+	response, _, err := do(t, http.MethodGet, url+"/nowhere", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "not-run", response.Header.Get("Tarragonmill-Verdict"))
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, s.submissions)
+}
+
 // brokenReader returns an error instead of io.EOF at the end of its text.
 type brokenReader struct{ text io.Reader }
 
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -31,9 +31,11 @@
 
 // Reasons that arise at the caller interface, and reasons with an HTTP status of their own.
 const (
-	Unsupported       Reason = "unsupported"
-	NoManifest        Reason = "no-manifest"
-	NoRule            Reason = "no-rule"
+	Unsupported Reason = "unsupported"
+	NoManifest  Reason = "no-manifest"
+	NoRule      Reason = "no-rule"
+	// ManifestBehind means that no rule matches, but another daemon has a newer manifest.
+	ManifestBehind    Reason = "manifest-behind"
 	BodyTooLarge      Reason = "body-too-large"
 	BodyBroken        Reason = "body-broken"
 	TooDeep           Reason = "too-deep"
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -116,8 +116,10 @@
 	closing bool
 	// newestVersion is the highest manifest version heard from another daemon.
 	newestVersion uint64
-	// rereadAt is when to read the manifest again; zero if no daemon has a newer one.
-	rereadAt time.Time
+	// rereadAt is when to read the manifest again; zero if no daemon has a newer one. rereadInterval is the time until the
+	// read after that.
+	rereadAt       time.Time
+	rereadInterval time.Duration
 	// epoch is the newest epoch that the store has stated, and heardEpoch the newest one heard from another daemon.
 	epoch, heardEpoch store.Epoch
 	// publishedReport is the load report that routing and the other daemons received last, publishedVersion the version of
@@ -320,8 +322,10 @@
 	// newVersionWait is how long a newer version that another daemon has may take to arrive from the store by itself.
 	// After it, the daemon reads the store again.
 	newVersionWait = 400 * time.Millisecond
-	// rereadInterval is the time between two such reads.
-	rereadInterval = 2 * time.Second
+	// minRereadInterval and maxRereadInterval bound the time between two such reads, which doubles each time: a store that
+	// came back from an older copy may lack the version until the operator publishes again.
+	minRereadInterval = 2 * time.Second
+	maxRereadInterval = 32 * time.Second
 )
 
 // handleVersionHeard records the manifest version of another daemon and schedules a read if it is the newest.
@@ -330,12 +334,15 @@
 		return
 	}
 
-	s.newestVersion = version
+	s.newestVersion, s.rereadInterval = version, minRereadInterval
 	if s.rereadAt.IsZero() {
 		s.rereadAt = now.Add(newVersionWait)
 	}
 }
 
+// ManifestBehind reports whether another daemon has a newer manifest in force.
+func (s *State) ManifestBehind() bool { return s.newestVersion > s.version }
+
 // requestNewerManifest asks for the manifest again if another daemon has had a newer version for newVersionWait.
 func (s *State) requestNewerManifest(now time.Time) []Effect {
 	switch {
@@ -347,7 +354,8 @@
 		return nil
 	}
 
-	s.rereadAt = now.Add(rereadInterval)
+	s.rereadAt = now.Add(s.rereadInterval)
+	s.rereadInterval = min(2*s.rereadInterval, maxRereadInterval)
 
 	return []Effect{RereadManifest{Version: s.newestVersion}}
 }
--- a/internal/core/manifest_test.go
+++ b/internal/core/manifest_test.go
@@ -63,3 +63,25 @@
 
 	require.EqualValues(t, 9, stated)
 }
+
+// Guards against daemons that read the store every two seconds for a version that it has lost, and against one that takes
+// a version from before for the newest.
+func TestLostVersion(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s, watcher := epochState(now)
+	rereads := 0
+
+	s.Apply(now, membership.BeatHeard{Beat: membership.Beat{From: watcher, Version: 9}, Source: watcher.Peer})
+	require.True(t, s.ManifestBehind())
+
+	for range 300 {
+		now = now.Add(time.Second)
+		rereads += len(effectsOf[RereadManifest](s.Apply(now, Tick{})))
+	}
+
+	require.GreaterOrEqual(t, rereads, 5)
+	require.LessOrEqual(t, rereads, 15)
+
+	s.Apply(now, ManifestRead{Epoch: 2, Version: 9, Manifest: keyedManifest(time.Minute)})
+	require.False(t, s.ManifestBehind())
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -244,7 +244,7 @@
 func (d *Daemon) newCallerHandler(initial settings.Settings) *caller.Handler {
 	options := []caller.Option{
 		caller.WithDialect(d.platform.Dialect), caller.WithOrigin(initial.Service),
-		caller.WithObserver(d.observeResult),
+		caller.WithObserver(d.observeResult), caller.WithNewerManifest(d.manifestBehind),
 	}
 
 	// On loopback, callers and the backend server have the same address, which cannot tell them apart.
@@ -268,6 +268,14 @@
 	return nil
 }
 
+// manifestBehind reports whether another daemon has a newer manifest in force.
+func (d *Daemon) manifestBehind() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.state.ManifestBehind()
+}
+
 // Ready reports whether the daemon accepts requests of callers.
 func (d *Daemon) Ready() bool { return d.checkReady() == nil }
 
--- a/internal/keys/returns_test.go
+++ b/internal/keys/returns_test.go
@@ -226,3 +226,44 @@
 	sim.sendToOwner(k)
 	require.Zero(t, sim.reached["admit"])
 }
+
+// Guards against a record that takes effect in another ledger than the one for which it was decided: in a later epoch, and
+// after another restart in the same epoch.
+func TestRecordOfAnotherLedger(t *testing.T) {
+	grant := Claim{Service: service, Partitions: []int{0}, Owner: "b", Incarnation: 1, From: 10, Until: 20}
+	later := Claim{Service: service, Partitions: []int{1}, Owner: "b", Incarnation: 1, From: 100, Until: 200}
+	l := newLedger(service, daemonRun{"a", 1})
+	l.changeEpoch(3)
+
+	records := []Record{{Restart: &Restart{Epoch: 3, Through: 0, Barrier: 100}}}
+	for _, id := range []LedgerID{{}, {Epoch: 2, Start: 0}, {Epoch: 3, Start: 7}, {Epoch: 4, Start: 0}} {
+		records = append(records, Record{Ledger: id, Carried: []Claim{grant}, Claims: []Claim{later}})
+	}
+
+	var entries []Entry
+	for offset, r := range records {
+		entries = append(entries, Entry{uint64(offset), r})
+	}
+
+	l.addRecords(0, entries, uint64(len(entries)))
+	require.Empty(t, l.services)
+
+	l.addRecords(0, []Entry{{l.through, Record{Ledger: l.id, Carried: []Claim{grant}, Claims: []Claim{later}}}}, l.through+1)
+	require.Len(t, l.partition(service, 0), 1)
+	require.Len(t, l.partition(service, 1), 1)
+}
+
+// Guards against a base of an earlier epoch that is adopted because its end is an offset that the log has again.
+func TestBaseOfEarlierEpoch(t *testing.T) {
+	s := New(WithSelf("a", 1, service))
+	s.Apply(start, EpochChanged{Epoch: 2})
+
+	claims := []Claim{{Service: service, Partitions: []int{0}, Owner: "b", Incarnation: 1, From: 10, Until: 20}}
+	s.Apply(start, BaseOffered{Base{Through: 5, Grants: claims}})
+	s.Apply(start, BaseOffered{Base{Through: 6, Ledger: LedgerID{Epoch: 1, Start: 2}, Grants: claims}})
+	require.Empty(t, s.ledger.services)
+
+	s.Apply(start, BaseOffered{Base{Through: 7, Ledger: LedgerID{Epoch: 2, Start: 2}, Barrier: 9, Grants: claims}})
+	require.Len(t, s.ledger.partition(service, 0), 1)
+	require.EqualValues(t, 9, s.ledger.barrier)
+}
