simulation, soak: the store comes back from an older copy

Change: storms draw returns, in which entries and versions are lost, daemons learn of it by their next call or from each other, and the operator writes the newest version again. The soak draws them as planned events, since callers must not notice, sometimes with a publication just before or after.

--- a/internal/simulation/daemon.go
+++ b/internal/simulation/daemon.go
@@ -199,7 +199,7 @@
 	case core.ManifestChanged:
 		p.daemon.fleet.guarantees.checkVersion(p, e.Version)
 		p.version = e.Version
-	case core.RereadManifest:
+	case core.RereadManifest, core.CheckStore, core.StoreReturned:
 		p.daemon.fleet.store.readManifest(p)
 	}
 }
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -46,6 +46,8 @@
 		f.store.outages++
 
 		return func() { f.store.outages-- }
+	case Return:
+		f.store.comeBack(time.Duration(fault.Factor * float64(time.Second)))
 	case Publish:
 		f.store.publish()
 	}
--- a/internal/simulation/fleet.go
+++ b/internal/simulation/fleet.go
@@ -58,7 +58,7 @@
 		byID: make(map[instance.ID]*daemon), byPeer: make(map[netip.AddrPort]*daemon), kinds: make(map[string]*Kind),
 	}
 	f.network = network{clock: &f.clock, random: rand.New(rand.NewPCG(seed, 2)), cutFaults: make(map[*daemon]int)}
-	f.store = &platformStore{fleet: f, entries: make(map[instance.ID]membership.Entry), version: 1}
+	f.store = &platformStore{fleet: f, entries: make(map[instance.ID]membership.Entry), version: 1, epoch: firstEpoch}
 	f.callers = &callers{fleet: f, random: rand.New(rand.NewPCG(seed, 3)), rateFactor: 1}
 	f.guarantees = newGuarantees(f)
 	f.result = newResult(f)
--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -104,6 +104,8 @@
 	Drop FaultKind = "drop"
 	// Outage makes the store answer no calls.
 	Outage FaultKind = "outage"
+	// Return makes the store come back from a copy that is Factor seconds old, at the start of the fault.
+	Return FaultKind = "return"
 	// Publish puts a new version of the configuration into the store.
 	Publish FaultKind = "publish"
 )
@@ -213,7 +215,8 @@
 		Name: s.Names[0],
 		Kind: FaultKind(ini.Required(s, "what", ini.OneOf(
 			string(Burst), string(Abuse), string(Slow), string(Crash), string(Shed), string(Fail), string(Lose), string(Leave),
-			string(Kill), string(Freeze), string(Cut), string(Split), string(Drop), string(Outage), string(Publish),
+			string(Kill), string(Freeze), string(Cut), string(Split), string(Drop), string(Outage), string(Return),
+			string(Publish),
 		))),
 		At: ini.Required(s, "at", ini.Duration), Duration: ini.Optional(s, "for", 0, ini.Duration),
 		Service: ini.Optional(s, "service", "", ini.Text),
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -17,6 +17,9 @@
 	// Attempts, Beats, BeatBytes, Probes and StoreCalls are totals of the whole run: attempts and beats that daemons
 	// sent to each other, the bytes of the beats with their datagram headers, health probes, and calls to the store.
 	Attempts, Beats, BeatBytes, Probes, StoreCalls int
+	// Unlisted is the number of daemons that run at the end without an entry in the store, and Behind the number of those
+	// that do not use the newest configuration.
+	Unlisted, Behind int
 
 	// These are counted during the run. At its end, collect copies them to the exported fields.
 	attempts, beats, beatBytes, probes int
@@ -120,6 +123,20 @@
 	r.Violations = r.fleet.guarantees.violations
 	r.Attempts, r.Probes, r.StoreCalls = r.attempts, r.probes, r.fleet.store.callCount
 	r.Beats, r.BeatBytes = r.beats, r.beatBytes
+
+	for _, d := range r.fleet.daemons {
+		if d.process == nil {
+			continue
+		}
+
+		if _, listed := r.fleet.store.entries[d.id]; !listed {
+			r.Unlisted++
+		}
+
+		if d.process.version < r.fleet.store.version {
+			r.Behind++
+		}
+	}
 }
 
 // Kind returns the result of a kind by its name.
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -69,3 +70,39 @@
 	require.Less(t, 2*float64(result.BeatBytes)/seconds/float64(daemons), float64(maxBytes))
 	require.GreaterOrEqual(t, result.EarnedShare(), 0.99)
 }
+
+// Guards against entries that stay lost, versions that are not in force, and requests that suffer after the store came back
+// from an older copy, several times and with publications just before; and against more calls to the store than it allows.
+func TestReturns(t *testing.T) {
+	const (
+		// maxCalls is what each return may cost a daemon: a read of the configuration, a write and a read of entries, and
+		// one more read if it hears of the return before.
+		maxCalls = 4
+		returns  = 3
+	)
+
+	p := loadPattern(t, "rest")
+	calm := simulation.Run(p, 1)
+
+	for at := range returns {
+		start := time.Duration(5*at) * time.Second
+		p.Faults = append(p.Faults,
+			simulation.Fault{Kind: simulation.Publish, At: start},
+			simulation.Fault{Kind: simulation.Return, At: start + 100*time.Millisecond, Factor: 600})
+	}
+
+	daemons := 0
+	for _, service := range p.Services {
+		daemons += service.Servers
+	}
+
+	result := simulation.Run(p, 1)
+	require.Empty(t, result.Violations)
+	require.Zero(t, result.Unlisted)
+	require.Zero(t, result.Behind)
+	require.GreaterOrEqual(t, result.EarnedShare(), 0.99)
+
+	// Each return comes with two publications, which each daemon reads.
+	calls := result.StoreCalls - calm.StoreCalls - 2*returns*daemons
+	require.LessOrEqual(t, calls, maxCalls*returns*daemons)
+}
--- a/internal/simulation/storm.go
+++ b/internal/simulation/storm.go
@@ -18,12 +18,13 @@
 
 // stormFactors are the largest factors of the faults that have one.
 var stormFactors = map[FaultKind]float64{
-	Burst: 3, Abuse: 4, Slow: 12, Shed: 1, Fail: 1, Lose: 0.5, Drop: 0.5, Crash: 1, Leave: 1,
+	Burst: 3, Abuse: 4, Slow: 12, Shed: 1, Fail: 1, Lose: 0.5, Drop: 0.5, Crash: 1, Leave: 1, Return: 8,
 }
 
 // stormKinds are the faults that a storm draws from.
 var stormKinds = []FaultKind{
 	Burst, Abuse, Slow, Crash, Shed, Fail, Lose, Leave, Kill, Freeze, Cut, Split, Drop, Outage, Publish, Publish,
+	Return,
 }
 
 // Storm returns the pattern with random faults, in series and overlapping, in place of its own.
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -48,6 +48,16 @@
 	s.store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(configText(s.config.version)))
 }
 
+// restoreStore makes the store come back from a copy of the given age, and writes the newest version again, as an operator
+// does. Versions between the copy and the newest one stay lost.
+func (s *Soak) restoreStore(age time.Duration) {
+	s.config.mutex.Lock()
+	defer s.config.mutex.Unlock()
+
+	s.store.Restore(age)
+	s.store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(configText(s.config.version)))
+}
+
 // configText returns the configuration in the format of the users' platform. No route names the service spare.
 func configText(version int) string {
 	var rows []string
--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -27,6 +27,7 @@
 	{name: "publish", planned: true, run: publish},
 	{name: "drain", planned: true, run: drain},
 	{name: "silent store", planned: true, run: silenceStore},
+	{name: "older store", planned: true, run: restoreStore},
 	{name: "limit", planned: true, run: limitServer},
 	{name: "leaving", run: leaveByResponses},
 	{name: "kill", run: kill},
@@ -59,6 +60,13 @@
 	}
 }
 
+const (
+	// maxCopyAge is the largest age of a copy from which the store comes back.
+	maxCopyAge = 8 * time.Second
+	// maxPublishGap is the longest time from a publication to a return of the store that is drawn together with it.
+	maxPublishGap = 400 * time.Millisecond
+)
+
 // drawDuration draws how long a fault lasts.
 func drawDuration(random *rand.Rand) time.Duration {
 	return 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond)))
@@ -84,6 +92,20 @@
 
 func publish(_ context.Context, s *Soak, _ *node, _ *rand.Rand) { s.publish() }
 
+// restoreStore makes the store come back from an older copy. Sometimes a version is published just before and just after.
+func restoreStore(ctx context.Context, s *Soak, _ *node, random *rand.Rand) {
+	if random.IntN(2) == 0 {
+		s.publish()
+		task.Sleep(ctx, time.Duration(random.Int64N(int64(maxPublishGap))))
+	}
+
+	s.restoreStore(time.Duration(random.Int64N(int64(maxCopyAge))))
+
+	if random.IntN(2) == 0 {
+		s.publish()
+	}
+}
+
 func drain(ctx context.Context, s *Soak, n *node, _ *rand.Rand) {
 	if err := s.drainServer(ctx, n); err != nil {
 		s.results.addViolation("SOAK", "%v", err)
