daemon: a planned stop takes no order that it may cut off

Callers got 502 (may have run) for orders that a stopping daemon had accepted up to 2 s after SIGTERM and cut off at the end of the grace. Cause: for 2.8 s, a stopping daemon accepted requests whatever their deadline. Change: a non-idempotent request whose deadline lies beyond the end of the drain is refused at once as not run, at the entry and beside the server, so that its caller or its entry goes elsewhere. The refusal of a request with an idempotency key no longer says that no earlier delivery has run, which a stopping entry does not know.

--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -92,8 +92,9 @@
 	return effects
 }
 
-// usesKeyTable reports whether the key table decides on a request.
-func (s *State) usesKeyTable(r request.Request) bool {
+// UsesKeyTable reports whether the key table decides on a request: a non-idempotent one with a key, if the manifest uses
+// keys.
+func (s *State) UsesKeyTable(r request.Request) bool {
 	return s.keyReducer != nil && !r.Idempotent() && r.Key != ""
 }
 
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -31,7 +31,7 @@
 	s.requests[r.ID] = r
 	effects := s.handleMembershipEffects(now, s.membership.Apply(now, membership.Used{Service: r.Service}))
 
-	if s.usesKeyTable(r) {
+	if s.UsesKeyTable(r) {
 		return append(effects, s.routeByKey(now, r)...)
 	}
 
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -7,6 +7,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
@@ -14,8 +15,8 @@
 	// listenPeriod is how long a draining daemon accepts new connections. Callers are directed here until two
 	// readiness checks in a row, a second apart, have failed.
 	listenPeriod = 2300 * time.Millisecond
-	// acceptAllPeriod is how long a draining daemon accepts requests whatever their deadline. Callers may still come here
-	// because the other daemons of the failure domain are draining, too.
+	// acceptAllPeriod is how long a draining daemon accepts idempotent requests whatever their deadline. Callers may still
+	// come here because the other daemons of the failure domain are draining, too.
 	acceptAllPeriod = 2800 * time.Millisecond
 	// serverOpenPeriod is how long the backend server of a draining daemon accepts attempts of other daemons. It ends
 	// before listenPeriod, so that they know of it when the sockets close.
@@ -89,12 +90,14 @@
 	deadline time.Time
 }
 
-// accepts reports whether the daemon still accepts a request with that much time left until its deadline. After
-// acceptAllPeriod, the request's deadline must be before the end of the drain.
-func (s *drain) accepts(timeLeft time.Duration) bool {
+// accepts reports whether the daemon still accepts a request with that much time left until its deadline. A request that
+// may not end before the process does is accepted only in the first part of the drain, and only if its caller may send it
+// again after it was cut off.
+func (s *drain) accepts(r request.Request, timeLeft time.Duration) bool {
 	now := time.Now()
+	endsInTime := now.Add(timeLeft).Before(s.deadline.Add(-finalAnswerMargin))
 
-	return now.Sub(s.startedAt) < acceptAllPeriod || now.Add(timeLeft).Before(s.deadline)
+	return endsInTime || r.Idempotent() && now.Sub(s.startedAt) < acceptAllPeriod
 }
 
 // busy reports whether requests or attempts are in progress.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -116,7 +116,7 @@
 		return d.refuseAttempt(call, verdict.NotRun, misdirected)
 	}
 
-	if draining := d.drain.Load(); draining != nil && !draining.accepts(call.Timeout) {
+	if draining := d.drain.Load(); draining != nil && !draining.accepts(call.Request, call.Timeout) {
 		return d.refuseAttempt(call, verdict.NotRun, string(admission.Draining))
 	}
 
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -47,9 +47,11 @@
 
 // Submit implements caller.Submitter.
 func (d *Daemon) Submit(ctx context.Context, submission caller.Submission) caller.Result {
-	if draining := d.drain.Load(); draining != nil && !draining.accepts(submission.Request.Deadline.Sub(d.now())) {
+	r := submission.Request
+	if draining := d.drain.Load(); draining != nil && !draining.accepts(r, r.Deadline.Sub(d.now())) {
 		return caller.Result{Refusal: caller.Refusal{
-			Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: caller.ShuttingDown, RetryAfter: restartRetryAfter,
+			Verdict: d.verdictOfEarlier(r), Delivery: verdict.NotRun, Reason: caller.ShuttingDown,
+			RetryAfter: restartRetryAfter,
 		}}
 	}
 
@@ -61,6 +63,19 @@
 	return result
 }
 
+// verdictOfEarlier returns the verdict on all deliveries of a request that was not passed to the reducer. With an
+// idempotency key, an earlier one may have run.
+func (d *Daemon) verdictOfEarlier(r request.Request) verdict.Verdict {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.state.UsesKeyTable(r) {
+		return verdict.MayHaveRun
+	}
+
+	return verdict.NotRun
+}
+
 // submit routes a request and waits for its result. owned is set if another daemon forwarded the request because this
 // one owns its key.
 func (d *Daemon) submit(ctx context.Context, submission caller.Submission, owned bool) caller.Result {
