--- a/internal/keys/returns_test.go
+++ b/internal/keys/returns_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
@@ -267,3 +268,57 @@
 	require.Len(t, s.ledger.partition(service, 0), 1)
 	require.EqualValues(t, 9, s.ledger.barrier)
 }
+
+// Guards against a grant that is carried over as the last one of its partition, and extended or followed by others,
+// although the log may have lost one that follows it: it was not the last one, a claim may have followed it already, or its
+// owner was leaving.
+func TestUncertainGrants(t *testing.T) {
+	owner := func(claims ...Claim) *State {
+		s := New(WithSelf("a", 1, service))
+		s.Apply(start, EpochChanged{Epoch: 1})
+		s.Apply(start, PolicyChanged{Keys: policy})
+		s.Apply(start, RecordsRead{Epoch: 1, Records: []Entry{{0, Record{Claims: claims}}}, Next: 1})
+
+		return s
+	}
+	claim := func(owner instance.ID, from, until time.Duration) Claim {
+		return Claim{
+			Service: service, Partitions: []int{0}, Owner: owner, Incarnation: 1,
+			From: start.Add(from).UnixMilli(), Until: start.Add(until).UnixMilli(),
+		}
+	}
+	carried := func(s *State, after time.Duration) Claim {
+		s.Apply(start.Add(after), EpochChanged{Epoch: 2})
+		s.Apply(start.Add(after), RecordsRead{
+			Epoch: 2, Records: []Entry{{0, Record{Restart: &Restart{Epoch: 2, Barrier: 1}}}}, Next: 1,
+		})
+
+		claims := s.missingGrants()
+		require.Len(t, claims, 1)
+
+		return claims[0]
+	}
+
+	own := claim("a", 0, time.Minute)
+	certain := carried(owner(own), 0)
+	require.False(t, certain.Uncertain)
+	require.Equal(t, own.Until, certain.Until)
+
+	require.True(t, carried(owner(own, claim("b", time.Minute, 2*time.Minute)), 0).Uncertain, "not the last one")
+	require.True(t, carried(owner(own), 50*time.Second).Uncertain, "a claim may have followed")
+
+	leaving := owner(own)
+	leaving.Apply(start.Add(time.Second), DrainStarted{})
+	left := carried(leaving, time.Second)
+	require.True(t, left.Uncertain, "leaving")
+	require.Equal(t, start.Add(time.Second).UnixMilli()+1, left.Until)
+}
+
+// Guards against records of an earlier epoch that are applied because they were read late.
+func TestLateRecordsOfEarlierEpoch(t *testing.T) {
+	s := New(WithSelf("a", 1, service))
+	s.Apply(start, EpochChanged{Epoch: 2})
+	s.Apply(start, RecordsRead{Epoch: 1, Records: []Entry{{0, Record{}}}, Next: 5})
+	require.Zero(t, s.NextOffset())
+	require.Zero(t, s.ledger.next)
+}
