daemon: a lost decision on an attempt does not keep its slot

Lookups after a panic were refused as overloaded or at their deadline. Cause: a panic during the event that starts an attempt loses the effect that tells the goroutine that it may run. When its caller leaves, the reducer counts it as running, and nobody frees the slot. Each such panic took one slot for good. Change: a cancelled attempt that never got its decision is reported as served without having run, which is without effect if it has no slot. Evidence: with panics at core.AttemptArrived only, the number of running attempts grew by one each time.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -205,6 +205,9 @@
 				return true
 			}
 		default:
+			// If the decision was lost by a panic, the attempt has a slot of which nobody knows.
+			d.apply(core.AttemptServed{Attempt: id})
+
 			return false
 		}
 	}
