http1: connections in the accept queue are served when the listener closes

Callers got a reset on a connection that they had just opened to a daemon in a planned stop, before it had read their request. Cause: the queue counts as empty after 2 ms without a connection. On a busy processor, connections arrive between that and the close, and the kernel resets them. Change: the queue is emptied once more by calls that do not wait, and the socket stops listening in the next call.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -139,8 +139,15 @@
 			}
 
 			return nil
-		case errors.Is(err, net.ErrClosed), err != nil && s.stopped.Load():
+		case errors.Is(err, net.ErrClosed):
 			return errors.Wrap(errors.CombineErrors(err, listener.Close()), "accept")
+		case err != nil && s.stopped.Load():
+			last := closeAfterQueue(listener)
+			for _, accepted := range last {
+				s.serve(accepted)
+			}
+
+			return errors.Wrap(err, "accept")
 		case err != nil:
 			task.Sleep(ctx, acceptRetryDelay)
 
@@ -151,16 +158,21 @@
 			s.drainAcceptQueue(listener)
 		}
 
-		limitUnacked(accepted)
+		s.serve(accepted)
+	}
+}
+
+// serve starts to serve a connection.
+func (s *Server) serve(accepted net.Conn) {
+	limitUnacked(accepted)
 
-		c := newConn(s, accepted)
-		s.add(c)
+	c := newConn(s, accepted)
+	s.add(c)
 
-		if !s.tasks.Go("connection", c.run) {
-			s.remove(c)
+	if !s.tasks.Go("connection", c.run) {
+		s.remove(c)
 
-			_ = accepted.Close()
-		}
+		_ = accepted.Close()
 	}
 }
 
