backend: a refusal that the dialect does not know ends its connection

Cause: in a dialect without identifiers of attempts, only a refusal in its own field ended the connection. Change: so does any response whose status may say that a server has not run a request, unless it repeats the token of the call. Evidence: TestUnknownRefusalWrittenTwice failed before (empty response instead of the own one) and passes.

--- a/internal/backend/refusal_test.go
+++ b/internal/backend/refusal_test.go
@@ -56,6 +56,24 @@
 	require.Equal(t, "taken", read(t, second))
 }
 
+// TestUnknownRefusalWrittenTwice guards against the same for a refusal that the dialect does not know: its caller would get
+// the refusal of an earlier request as the response to an order that was run.
+func TestUnknownRefusalWrittenTwice(t *testing.T) {
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"} {
+		refusal := "HTTP/1.1 " + status + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		address := serveRefusedTwice(t, refusal, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ntaken")
+		s := newServer(t, address, dialect.Default())
+
+		first, err := s.Do(t.Context(), order("", true))
+		require.NoError(t, err)
+		read(t, first)
+
+		second, err := s.Do(t.Context(), order("", true))
+		require.NoError(t, err)
+		require.Equal(t, "taken", read(t, second), status)
+	}
+}
+
 // TestRefusalOfNobody guards against a refusal without an identifier that arrives on a connection in use for another
 // request and is taken for the refusal of that request.
 func TestRefusalOfNobody(t *testing.T) {
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -293,15 +293,27 @@
 // isDuplicateDetectable reports whether a late duplicate of a response can be distinguished from the response to a
 // later request. This holds for a success without an identifier, because it never matches a request that has one. In
 // a dialect without attempt identifiers, only a refusal has to be distinguishable, by the call token: taken for the
-// refusal of a later request, it would state that this one was not run.
+// refusal of a later request, it would state that this one was not run. To a caller, a status may state that by itself.
 func (s *Server) isDuplicateDetectable(response *http.Response) bool {
 	if s.dialect.Attempt == "" {
-		return !s.isNotRun(response) || response.Header.Get(s.dialect.CallToken) != ""
+		refused := s.isNotRun(response) || mayRefuse(response.StatusCode)
+
+		return !refused || response.Header.Get(s.dialect.CallToken) != ""
 	}
 
 	return s.dialect.AttemptOf(response.Header) != "" || isSuccess(response.StatusCode)
 }
 
+// mayRefuse reports whether a status may say that a server has not run a request.
+func mayRefuse(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return true
+	default:
+		return status >= http.StatusInternalServerError
+	}
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
