daemon, config: pauses after responses of an earlier epoch

A store that was replaced by one with a lower epoch answers each call with an outdated response; the daemon paused between lists of the configuration and reads of grants from the start as after a success, or not at all. A publish that fails after a record was appended in another epoch has an unknown outcome.

--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -99,6 +99,8 @@
 	defer cancel()
 
 	id := uuid.NewString()
+	// returned is set once a record was appended in another epoch.
+	returned := false
 
 	for {
 		current, end, err := p.read(ctx)
@@ -107,7 +109,7 @@
 				continue
 			}
 
-			return Result{}, err
+			return p.failed(id, returned, err)
 		}
 
 		if base != nil && *base != current.Version {
@@ -116,35 +118,52 @@
 
 		next := current.nextVersion(id, text, end)
 
-		err = p.log.AppendAt(ctx, end, encode(next))
+		result, err := p.append(ctx, next, end)
+		returned = returned || errors.Is(err, store.ErrReturned)
 
 		switch {
 		case err == nil:
-			return Result{Outcome: Accepted, Publish: next.Publish, Current: next.Publish}, nil
-		case errors.Is(err, store.ErrConflict):
-			// Another publisher has appended since the read.
-			continue
-		case errors.Is(err, store.ErrReturned) && base == nil:
+			return result, nil
+		case errors.Is(err, store.ErrReturned) && base == nil, errors.Is(err, store.ErrConflict):
+			// The record has a version of an earlier epoch, or another publisher has appended since the read.
 			continue
 		case errors.Is(err, store.ErrReturned):
 			return Result{Publish: next.Publish, Current: current.Publish}, nil
-		case errors.Is(err, store.ErrRejected):
-			if task.Sleep(ctx, retryDelay) {
-				continue
-			}
+		case task.Sleep(ctx, retryDelay):
+			continue
+		}
 
-			return Result{}, errors.Wrap(err, "publish")
-		default:
-			result, epoch := p.resolve(context.WithoutCancel(ctx), id)
-			if epoch == end.Epoch || result.Outcome != Accepted {
-				return result, nil
-			}
+		return p.failed(id, returned, errors.Wrap(err, "publish"))
+	}
+}
 
-			if base != nil {
-				return Result{Publish: next.Publish, Current: result.Current}, nil
-			}
-		}
+// failed returns the result of a publish that ends with an error. Its outcome is Unknown if a record was appended.
+func (p *Publisher) failed(id string, appended bool, err error) (Result, error) {
+	if appended {
+		return Result{Publish: Publish{ID: id}}, nil
+	}
+
+	return Result{}, err
+}
+
+// append appends a record at the position end and finds the outcome if the response is lost. It returns store.ErrReturned
+// if the record was appended in another epoch than that of the position. Any other error means that it was not appended.
+func (p *Publisher) append(ctx context.Context, next Published, end store.Position) (Result, error) {
+	err := p.log.AppendAt(ctx, end, encode(next))
+
+	switch {
+	case err == nil:
+		return Result{Outcome: Accepted, Publish: next.Publish, Current: next.Publish}, nil
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrReturned), errors.Is(err, store.ErrRejected):
+		return Result{}, err
+	}
+
+	result, epoch := p.resolve(context.WithoutCancel(ctx), next.ID)
+	if result.Outcome == Accepted && epoch != end.Epoch {
+		return Result{}, store.ErrReturned
 	}
+
+	return result, nil
 }
 
 const (
--- a/internal/core/epoch_test.go
+++ b/internal/core/epoch_test.go
@@ -80,7 +80,7 @@
 
 	s.Apply(now, keys.RecordsRead{Epoch: 3})
 
-	var restarts []keys.AppendGrants
+	restarts := make([]keys.AppendGrants, 0, 1)
 
 	for range 3 {
 		now = now.Add(keys.TickInterval)
--- a/internal/daemon/config_reads.go
+++ b/internal/daemon/config_reads.go
@@ -12,7 +12,7 @@
 
 // configReads counts the reads of the configuration by how they ended.
 type configReads struct {
-	answered, expired, interrupted, silent, failed atomic.Int64
+	answered, expired, returned, interrupted, silent, failed atomic.Int64
 	// rejected counts the configurations that were read and not used, because they are malformed or invalid.
 	rejected atomic.Int64
 	// answeredAt is the time of the last answer in Unix nanoseconds; zero if there was none.
@@ -28,6 +28,8 @@
 	case ctx.Err() != nil:
 	case errors.Is(err, errNewerConfig):
 		r.interrupted.Add(1)
+	case errors.Is(err, store.ErrReturned):
+		r.returned.Add(1)
 	case errors.HasType(err, (*store.ExpiredError)(nil)):
 		r.expired.Add(1)
 	case errors.Is(err, store.ErrSilent):
@@ -40,8 +42,8 @@
 // export exports the totals and the time since the last answer.
 func (r *configReads) export(m *metrics) {
 	for outcome, total := range map[string]*atomic.Int64{
-		"answered": &r.answered, "expired": &r.expired, "interrupted": &r.interrupted, "silent": &r.silent,
-		"failed": &r.failed,
+		"answered": &r.answered, "expired": &r.expired, "returned": &r.returned, "interrupted": &r.interrupted,
+		"silent": &r.silent, "failed": &r.failed,
 	} {
 		m.exportTotal("config_reads_total", outcomeLabel, outcome, total.Load())
 	}
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -90,8 +90,13 @@
 		f.applyPage(page)
 		f.pauseAfter(ctx, page, waited)
 	case errors.Is(err, store.ErrReturned):
-		// The newest record may stand before the position.
-		task.Sleep(ctx, rand.N(returnSpread))
+		if waited {
+			// The newest record may stand before the position.
+			task.Sleep(ctx, rand.N(returnSpread))
+		} else {
+			// The list itself is older than another response.
+			f.backOff(ctx)
+		}
 
 		f.hasNext = false
 	case errors.HasType(err, (*store.ExpiredError)(nil)):
--- a/internal/daemon/grants.go
+++ b/internal/daemon/grants.go
@@ -48,7 +48,7 @@
 			d.apply(decodeGrants(page, from.Offset))
 
 			from, wait = page.Next(from.Offset), longWait
-		case errors.Is(err, store.ErrReturned):
+		case errors.Is(err, store.ErrReturned) && from.Offset > 0:
 			from, wait = store.Position{}, 0
 		case errors.As(err, &expired):
 			d.offerBase(ctx)
--- a/internal/http1/queue_test.go
+++ b/internal/http1/queue_test.go
@@ -30,7 +30,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
-	var callers []net.Conn
+	callers := make([]net.Conn, 0, queued)
 
 	for range queued {
 		caller, err := net.Dial("tcp", listener.Addr().String())
--- a/internal/keys/model_test.go
+++ b/internal/keys/model_test.go
@@ -76,6 +76,14 @@
 		}
 	})
 
+	requireTransitions(t, seen, requiredTransitions)
+}
+
+// requireTransitions requires that a model has reached some transitions, and logs how often it has reached each. It does
+// nothing after a failure.
+func requireTransitions(t *testing.T, seen map[string]int, required []string) {
+	t.Helper()
+
 	if t.Failed() {
 		return
 	}
@@ -84,7 +92,7 @@
 		t.Logf("%8d %s", seen[what], what)
 	}
 
-	for _, what := range requiredTransitions {
+	for _, what := range required {
 		require.Positive(t, seen[what], "the model never reached: %s", what)
 	}
 }
--- a/internal/keys/returns_test.go
+++ b/internal/keys/returns_test.go
@@ -65,17 +65,7 @@
 		}
 	})
 
-	if t.Failed() {
-		return
-	}
-
-	for _, what := range sortedKeys(seen) {
-		t.Logf("%8d %s", seen[what], what)
-	}
-
-	for _, what := range requiredReturnTransitions {
-		require.Positive(t, seen[what], "the model never reached: %s", what)
-	}
+	requireTransitions(t, seen, requiredReturnTransitions)
 }
 
 // comeBack makes the log come back, mostly with the loss of few records.
@@ -95,10 +85,12 @@
 	sim := newSimulation(t, map[string]int{}, "a", "b", "c")
 	sim.rounds(5)
 
-	var answered []*keyState
-
 	// An owner stores the responses of few keys.
-	for p := range 4 {
+	const partitions = 4
+
+	answered := make([]*keyState, 0, partitions)
+
+	for p := range partitions {
 		k := sim.addKey(sim.now.UnixMilli(), p)
 		sim.sendToOwner(k)
 		answered = append(answered, k)
@@ -236,17 +228,13 @@
 	l := newLedger(service, daemonRun{"a", 1})
 	l.changeEpoch(3)
 
-	records := []Record{{Restart: &Restart{Epoch: 3, Through: 0, Barrier: 100}}}
-	for _, id := range []LedgerID{{}, {Epoch: 2, Start: 0}, {Epoch: 3, Start: 7}, {Epoch: 4, Start: 0}} {
-		records = append(records, Record{Ledger: id, Carried: []Claim{grant}, Claims: []Claim{later}})
-	}
+	l.addRecords(0, []Entry{{0, Record{Restart: &Restart{Epoch: 3, Through: 0, Barrier: 100}}}}, 1)
 
-	var entries []Entry
-	for offset, r := range records {
-		entries = append(entries, Entry{uint64(offset), r})
+	for _, id := range []LedgerID{{}, {Epoch: 2, Start: 0}, {Epoch: 3, Start: 7}, {Epoch: 4, Start: 0}} {
+		record := Record{Ledger: id, Carried: []Claim{grant}, Claims: []Claim{later}}
+		l.addRecords(0, []Entry{{l.through, record}}, l.through+1)
 	}
 
-	l.addRecords(0, entries, uint64(len(entries)))
 	require.Empty(t, l.services)
 
 	l.addRecords(0, []Entry{{l.through, Record{Ledger: l.id, Carried: []Claim{grant}, Claims: []Claim{later}}}}, l.through+1)
--- a/internal/keys/simulation_test.go
+++ b/internal/keys/simulation_test.go
@@ -188,7 +188,7 @@
 
 	now, woken := sim.now.Add(d.skew), !d.clockAtPause.IsZero()
 	// A daemon reads its clock after it has got what the log says.
-	if _, read := e.(RecordsRead); woken && !(read && sim.epoch > firstEpoch) {
+	if _, read := e.(RecordsRead); woken && (!read || sim.epoch == firstEpoch) {
 		now, d.clockAtPause = d.clockAtPause, time.Time{}
 	}
 
