--- a/internal/keys/returns_test.go
+++ b/internal/keys/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -310,3 +311,59 @@
 	require.Zero(t, s.NextOffset())
 	require.Zero(t, s.ledger.next)
 }
+
+// Guards against refusals of more keys, or for longer, than those of the owners that were lost together with their grants:
+// one of three owners ends when the log comes back without any grant.
+func TestShareOfRefusedKeys(t *testing.T) {
+	sim, _ := returned(t)
+	lost := sim.daemons[2]
+	ledger := sim.daemons[0].state.ledger
+	owned := 0
+
+	for p := range Partitions {
+		if last, ok := ledger.partition(service, p).last(); ok && last.Owner == lost.id {
+			owned++
+		}
+	}
+
+	require.Positive(t, owned)
+	sim.restart(lost, 0)
+	sim.rounds(3)
+
+	barrier := policy.Grant + policy.Grant/extensionsPerGrant + 2*policy.Tolerance
+	end := sim.now.Add(barrier + 20*time.Second)
+	refusedSeconds := make(map[int]int)
+
+	for sim.now.Before(end) {
+		sim.rounds(1)
+
+		for p := range Partitions {
+			admitted := sim.reached["admit"]
+			sim.sendToOwner(sim.addKey(sim.now.UnixMilli(), p))
+
+			for _, d := range sim.daemons {
+				for _, id := range slices.Clone(d.running) {
+					sim.finish(d, id, verdict.NotRun, 0)
+				}
+			}
+
+			if sim.reached["admit"] == admitted && !sim.tableFull() {
+				refusedSeconds[p]++
+			}
+		}
+	}
+
+	require.Len(t, refusedSeconds, owned)
+
+	for p, seconds := range refusedSeconds {
+		t.Logf("keys of partition %d are refused for %d s", p, seconds)
+		require.LessOrEqual(t, time.Duration(seconds)*time.Second, barrier+15*time.Second)
+	}
+}
+
+// tableFull reports whether the last refusal was for a full table, which is small in the model.
+func (sim *simulation) tableFull() bool {
+	last := sim.output[len(sim.output)-1]
+
+	return strings.Contains(last, string(TableFull))
+}
