--- a/internal/core/epoch_test.go
+++ b/internal/core/epoch_test.go
@@ -89,6 +89,11 @@
 
 	require.Len(t, restarts, 1)
 	require.EqualValues(t, 3, restarts[0].Record.Restart.Epoch)
+
+	// An operator sees both.
+	require.EqualValues(t, 3, s.Dump(now).Epoch)
+	require.EqualValues(t, 3, s.Dump(now).Keys.Epoch)
+	require.False(t, s.Dump(now).Keys.Started)
 }
 
 // Guards against a daemon that waits for the end of its read, up to 30 s, although another daemon has seen that the store
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -7,9 +7,11 @@
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 )
 
@@ -108,25 +110,36 @@
 type Dump struct {
 	Requests int
 	// Serving is the number of attempts that wait for the backend server or run there.
-	Serving    int
-	Crashes    int
-	Version    uint64
+	Serving int
+	Crashes int
+	Version uint64
+	// Epoch is the newest epoch that the store has stated; zero if it states none.
+	Epoch      store.Epoch
 	Draining   bool
 	Routing    routing.Dump
 	Admission  admission.Dump
 	Health     health.Dump
 	Suspects   suspects.Dump
 	Membership membership.Dump
+	// Keys is nil if the manifest uses no idempotency keys.
+	Keys *keys.Dump
 	// Told is the load report that routing and the other daemons received last.
 	Told load.Report
 }
 
 // Dump returns a copy of the state in plain values.
 func (s *State) Dump(now time.Time) Dump {
-	return Dump{
+	d := Dump{
 		Requests: len(s.requests), Serving: len(s.localAttempts), Crashes: s.crashCount, Version: s.version,
-		Draining: s.draining, Routing: s.routing.Dump(now), Admission: s.admission.Dump(),
+		Epoch: s.epoch, Draining: s.draining, Routing: s.routing.Dump(now), Admission: s.admission.Dump(),
 		Health: s.health.Dump(now), Suspects: s.suspects.Dump(now), Membership: s.membership.Dump(now),
 		Told: s.publishedReport,
 	}
+
+	if s.keyReducer != nil {
+		table := s.keyReducer.table.Dump()
+		d.Keys = &table
+	}
+
+	return d
 }
--- a/internal/keys/restart.go
+++ b/internal/keys/restart.go
@@ -41,6 +41,10 @@
 	unknown := !late && r.Through < l.knownFrom
 	l.activeThrough = offset + 1
 
+	if !late {
+		l.held.rememberOwners(l.services)
+	}
+
 	switch {
 	case late:
 	case unknown:
@@ -78,10 +82,7 @@
 	}
 
 	l.held.keep(l)
-
-	if len(l.services) > 0 {
-		l.held.previous = l.services
-	}
+	l.held.rememberOwners(l.services)
 
 	held := l.held
 	held.returned = true
@@ -161,6 +162,13 @@
 	}
 }
 
+// rememberOwners keeps the grants of a ledger that ends as those of the previous ledger, unless it has none.
+func (h *heldGrants) rememberOwners(services map[string]*[Partitions]history) {
+	if len(services) > 0 {
+		h.previous = services
+	}
+}
+
 // fence ends the held grants of a partition where another daemon's grant starts.
 func (h *heldGrants) fence(service string, p int, g Grant) {
 	if service != h.service || g.heldBy(h.self.id, h.self.incarnation) {
