store: one constant for the first epoch; carried grants use appendRecord

The first epoch of a log stood in keys, config and simulation, and carrying grants over set the ledger of its record by itself. Behaviour is unchanged.

--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -166,19 +166,15 @@
 	return result, nil
 }
 
-const (
-	// firstEpoch is the epoch of a store that has never come back from an older copy.
-	firstEpoch store.Epoch = 1
-	// epochShift is the number of bits of a version that hold the offset of its record.
-	epochShift = 32
-)
+// epochShift is the number of bits of a version that hold the offset of its record.
+const epochShift = 32
 
 // nextVersion returns the record of a publish on top of p, which is appended at the position end. After a return of the
 // store from an older copy, the newest record does not show which versions were given out. The epoch and the offset
 // together are never used twice, and higher than those of all earlier versions.
 func (p Published) nextVersion(id, text string, end store.Position) Published {
 	version := p.Version + 1
-	if end.Epoch > firstEpoch {
+	if end.Epoch > store.FirstEpoch {
 		version = max(version, uint64(end.Epoch)<<epochShift+uint64(end.Offset))
 	}
 
--- a/internal/keys/restart.go
+++ b/internal/keys/restart.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// firstEpoch is the epoch of a store that has never come back from an older copy.
-	firstEpoch store.Epoch = 1
 	// minClockMargin is the least difference between the clocks of two daemons that a barrier allows for.
 	minClockMargin = 5 * time.Second
 	// restartDelay and carryDelay are the mean delays, for each known member, before a daemon restarts the ledger and
@@ -25,7 +23,7 @@
 // belongs reports whether a ledger is one of the present epoch.
 func (l *ledger) belongs(id LedgerID) bool {
 	if id == (LedgerID{}) {
-		return l.epoch <= firstEpoch && !l.held.returned
+		return l.epoch <= store.FirstEpoch && !l.held.returned
 	}
 
 	return id.Epoch == l.epoch
@@ -296,7 +294,7 @@
 	}
 
 	s.carryAt = s.appendRetryAt()
-	s.emit(AppendGrants{Record: Record{Ledger: s.ledger.id, Carried: claims}})
+	s.appendRecord(Record{Carried: claims})
 }
 
 // missingGrants returns the held grants that the ledger lacks. A grant that was fenced may differ from the one in the
--- a/internal/keys/simulation_test.go
+++ b/internal/keys/simulation_test.go
@@ -112,7 +112,7 @@
 func newSimulation(t require.TestingT, seen map[string]int, ids ...instance.ID) *simulation {
 	sim := &simulation{
 		t: t, now: start, calls: map[request.ID]*call{}, reached: seen,
-		epoch: firstEpoch, earlier: map[store.Epoch][]Entry{},
+		epoch: store.FirstEpoch, earlier: map[store.Epoch][]Entry{},
 	}
 	for _, id := range ids {
 		sim.daemons = append(sim.daemons, &daemon{id: id})
@@ -188,7 +188,7 @@
 
 	now, woken := sim.now.Add(d.skew), !d.clockAtPause.IsZero()
 	// A daemon reads its clock after it has got what the log says.
-	if _, read := e.(RecordsRead); woken && (!read || sim.epoch == firstEpoch) {
+	if _, read := e.(RecordsRead); woken && (!read || sim.epoch == store.FirstEpoch) {
 		now, d.clockAtPause = d.clockAtPause, time.Time{}
 	}
 
--- a/internal/simulation/fleet.go
+++ b/internal/simulation/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
@@ -58,7 +59,7 @@
 		byID: make(map[instance.ID]*daemon), byPeer: make(map[netip.AddrPort]*daemon), kinds: make(map[string]*Kind),
 	}
 	f.network = network{clock: &f.clock, random: rand.New(rand.NewPCG(seed, 2)), cutFaults: make(map[*daemon]int)}
-	f.store = &platformStore{fleet: f, entries: make(map[instance.ID]membership.Entry), version: 1, epoch: firstEpoch}
+	f.store = &platformStore{fleet: f, entries: make(map[instance.ID]membership.Entry), version: 1, epoch: store.FirstEpoch}
 	f.callers = &callers{fleet: f, random: rand.New(rand.NewPCG(seed, 3)), rateFactor: 1}
 	f.guarantees = newGuarantees(f)
 	f.result = newResult(f)
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -19,8 +19,6 @@
 	storeTimeout = 2 * time.Second
 	// manifestRetryDelay is the time until a daemon reads the configuration again after a failed call.
 	manifestRetryDelay = time.Second
-	// firstEpoch is the epoch of the store at the start.
-	firstEpoch store.Epoch = 1
 	// noticeDelay is the longest time until the first daemon makes a call after the store has come back from an older copy,
 	// and rewriteDelay the time until the operator has written the newest configuration again.
 	noticeDelay  = 1200 * time.Millisecond
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -38,6 +38,9 @@
 // that copy are lost, and their offsets are given out again. Zero means that the log states no epoch.
 type Epoch uint64
 
+// FirstEpoch is the epoch of a log that has never come back from an older copy.
+const FirstEpoch Epoch = 1
+
 // Position is a place in a topic. An offset alone does not say what stands before it, because it is given out again after
 // a return from an older copy. Nothing stands before offset zero, so that a position there is valid in each epoch.
 type Position struct {
