--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -94,7 +94,13 @@
 		return nil, fmt.Errorf("start the store: %w", err)
 	}
 
-	return f, f.await(f.Store)
+	if err := f.await(f.Store); err != nil {
+		f.Close()
+
+		return nil, err
+	}
+
+	return f, nil
 }
 
 // freeAddress returns a free address that no machine of the fleet has.
@@ -217,7 +223,9 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	_ = m.process.Process.Signal(signal)
+	if m.process != nil {
+		_ = m.process.Process.Signal(signal)
+	}
 }
 
 // AwaitExit waits until the daemon has ended, and reports whether it did so in time.
@@ -226,6 +234,10 @@
 	exited := m.exited
 	m.mutex.Unlock()
 
+	if exited == nil {
+		return true
+	}
+
 	select {
 	case <-exited:
 		return true
