backend, http1: a response proves that it answers its call by name or place

Cause: a server refuses an order, the daemon sends the order again on the same connection 60 ms later, and the server writes a copy of the refusal before it answers. The copy has the attempt identifier of the order, which names the caller's attempt and not the try of the daemon, so that the copy was taken for the answer to the second try. The class: a response counted as the answer to a call because something in it equals something in the call, although the connection has carried the same before.

Change: a response answers a call only if it has the name of the call on a connection that has carried no call of that name, if it has no name and is the first response of its connection, or if it says that the server at the other end is another one than the call expects. A connection keeps the names that it has carried until it is closed, after 1,024 at the latest. The guess that a server which has repeated a call token once repeats it always is gone: once a server omits a token, its connections are not used again, and no verdict depends on it. A health response on a kept connection proves nothing; if it states something new, the probe is sent again on a new connection, and the second one counts in the budget for measuring.

The servers of the soak write copies, too, and the stand-in names requests in refusals.

Tests changed: TestDuplicateResponse expected that a server that never repeats tokens is sent two requests on one connection, where a copy cannot be told from a response; it now expects both responses although the server writes only copies on such a connection. TestRetryOnDroppedConnection and TestNoRetryAfterLostResponse use a server that repeats tokens, as only its connections are used again, and the latter checks that the connection was used again.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -54,6 +54,20 @@
 	return string(body)
 }
 
+// namedOrder returns an order with a call token.
+func namedOrder(token string, once bool) backend.Call {
+	call := order("", once)
+	call.Request.Header.Set(dialect.Default().CallToken, token)
+
+	return call
+}
+
+// repeatToken sets the call token of a request in the header of its response.
+func repeatToken(w http.ResponseWriter, r *http.Request) {
+	field := dialect.Default().CallToken
+	w.Header().Set(field, r.Header.Get(field))
+}
+
 // Guards against a request that must not be sent twice and is sent again after the server closed a reused connection,
 // and against another request that fails because the server had dropped an unused connection.
 func TestRetryOnDroppedConnection(t *testing.T) {
@@ -61,20 +75,22 @@
 		t.Run(fmt.Sprintf("once %t", once), func(t *testing.T) {
 			var calls atomic.Int64
 
-			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if calls.Add(1) == 2 {
 					panic(http.ErrAbortHandler)
 				}
+
+				repeatToken(w, r)
 			}))
 			t.Cleanup(server.Close)
 
 			s := newServer(t, server.Listener.Addr().String(), dialect.Default())
 
-			response, err := s.Do(t.Context(), order("", once))
+			response, err := s.Do(t.Context(), namedOrder("c1", once))
 			require.NoError(t, err)
 			read(t, response)
 
-			response, err = s.Do(t.Context(), order("", once))
+			response, err = s.Do(t.Context(), namedOrder("c2", once))
 
 			if once {
 				require.Error(t, err)
@@ -98,23 +114,26 @@
 
 	var calls atomic.Int64
 
-	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if calls.Add(1) == 2 {
 			time.Sleep(work)
 			panic(http.ErrAbortHandler)
 		}
+
+		repeatToken(w, r)
 	}))
 	t.Cleanup(server.Close)
 
 	s := newServer(t, server.Listener.Addr().String(), dialect.Default())
 
-	response, err := s.Do(t.Context(), order("", false))
+	response, err := s.Do(t.Context(), namedOrder("c1", false))
 	require.NoError(t, err)
 	read(t, response)
 
-	_, err = s.Do(t.Context(), order("", false))
+	_, err = s.Do(t.Context(), namedOrder("c2", false))
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 	require.EqualValues(t, 2, calls.Load())
+	require.EqualValues(t, 1, s.Dials(), "the connection was reused")
 }
 
 // Guards against the verdict "may have run" for a server that refuses connections, which would prevent a retry.
@@ -239,12 +258,6 @@
 func TestDuplicateResponse(t *testing.T) {
 	const field = "Tarragonmill-Call"
 
-	call := func(token string) backend.Call {
-		r := order("", true)
-		r.Request.Header.Set(field, token)
-
-		return r
-	}
 	respond := func(token, body string) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", token, len(body), body)
 	}
@@ -264,18 +277,27 @@
 			s := newServer(t, address, dialect.Default())
 
 			for n, token := range []string{"c1", "c2"} {
-				response, err := s.Do(t.Context(), call(token))
+				response, err := s.Do(t.Context(), namedOrder(token, true))
 				require.NoError(t, err)
 				require.Equal(t, fmt.Sprint(n+1), read(t, response))
 			}
 		})
 	}
 
-	address := serveRaw(t, func(number int, _ *http.Request) string { return respond("", fmt.Sprint(number)) })
+	// The first response of a connection needs no token. A later one may be a copy of it.
+	requests := 0
+	address := serveRaw(t, func(number int, _ *http.Request) string {
+		requests++
+		if number > 1 {
+			return respond("", "copy")
+		}
+
+		return respond("", fmt.Sprint(requests))
+	})
 	s := newServer(t, address, dialect.Default())
 
-	for n, token := range []string{"c1", "c2"} {
-		response, err := s.Do(t.Context(), call(token))
+	for n, token := range []string{"c1", "c2", "c3"} {
+		response, err := s.Do(t.Context(), namedOrder(token, true))
 		require.NoError(t, err)
 		require.Equal(t, fmt.Sprint(n+1), read(t, response))
 	}
--- a/internal/daemon/server_state.go
+++ b/internal/daemon/server_state.go
@@ -37,7 +37,7 @@
 
 		d.apply(health.Probed{
 			Answered: err == nil, Healthy: answer.Healthy, Draining: answer.Draining, ID: answer.Instance,
-			Load: answer.Load, Loaded: answer.HasLoad,
+			Load: answer.Load, Loaded: answer.HasLoad, Repeated: answer.Repeated,
 		})
 		d.observeProbe(answer)
 	}, func() { d.apply(health.Probed{}) })
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -180,6 +180,9 @@
 // AttemptOf returns the attempt identifier in a request or response; empty if there is none.
 func (d Dialect) AttemptOf(header http.Header) string { return d.value(header, d.Attempt) }
 
+// CallTokenOf returns the call token in a request or response; empty if there is none.
+func (d Dialect) CallTokenOf(header http.Header) string { return d.value(header, d.CallToken) }
+
 // InstanceOf returns the identifier of the backend server that sent a response; empty if there is none.
 func (d Dialect) InstanceOf(header http.Header) string { return d.value(header, d.Instance) }
 
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -402,6 +402,12 @@
 func (s *State) handleProbed(now time.Time, e Probed) {
 	s.probeStarted = time.Time{}
 
+	if e.Repeated {
+		// The second probe counts as one that was sent when the next one would have been allowed.
+		s.lastProbe = s.lastProbe.Add(max(0, s.minProbeGap))
+		s.counts.Probes++
+	}
+
 	if !e.Answered {
 		s.lostProbes++
 		s.down = s.down || s.lostProbes >= downAfterLostProbes
--- a/internal/health/messages.go
+++ b/internal/health/messages.go
@@ -64,6 +64,8 @@
 		Load dialect.Load
 		// Loaded is set if the answer carried Load.
 		Loaded bool
+		// Repeated is set if the probe was sent twice.
+		Repeated bool
 	}
 	// Busy sets whether the load is needed, by another daemon or for requests that run at the server.
 	Busy struct{ Watched bool }
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -120,11 +121,19 @@
 	p.idle = append(p.idle[:0], p.idle[count:]...)
 }
 
+// Filter reports whether an unused connection may carry a request.
+type Filter func(c *ClientConn) bool
+
 // Get returns the most recently used connection, if the peer has not closed it and it has been unused for at most
 // maxAge; otherwise it opens a connection. With a maxAge of zero, Get always opens a connection.
 func (p *Pool) Get(ctx context.Context, maxAge time.Duration) (*ClientConn, error) {
+	return p.GetFiltered(ctx, maxAge, func(*ClientConn) bool { return true })
+}
+
+// GetFiltered is like Get, but takes only unused connections that the filter accepts.
+func (p *Pool) GetFiltered(ctx context.Context, maxAge time.Duration, accept Filter) (*ClientConn, error) {
 	for {
-		c := p.takeIdle(min(maxAge, p.idleTimeout))
+		c := p.takeIdle(min(maxAge, p.idleTimeout), accept)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -139,7 +148,7 @@
 	}
 }
 
-func (p *Pool) takeIdle(maxAge time.Duration) *ClientConn {
+func (p *Pool) takeIdle(maxAge time.Duration, accept Filter) *ClientConn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
@@ -150,15 +159,16 @@
 
 	p.closeOldest(expired)
 
-	last := len(p.idle) - 1
-	if last < 0 || time.Since(p.idle[last].released) > maxAge {
-		return nil
-	}
+	for n := len(p.idle) - 1; n >= 0 && time.Since(p.idle[n].released) <= maxAge; n-- {
+		c := p.idle[n]
+		if accept(c) {
+			p.idle = slices.Delete(p.idle, n, n+1)
 
-	c := p.idle[last]
-	p.idle = p.idle[:last]
+			return c
+		}
+	}
 
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context) (*ClientConn, error) {
@@ -214,6 +224,8 @@
 	reused bool
 	// received is set once a byte has arrived since the connection was taken from the pool.
 	received bool
+	// carried is the history of the requests that have an identifier.
+	carried history
 	// released is the time at which the connection was last returned to the pool.
 	released time.Time
 }
@@ -221,10 +233,11 @@
 // Reused reports whether the connection has served a request before.
 func (c *ClientConn) Reused() bool { return c.reused }
 
-// Release returns the connection to the pool. The last response must have been read to its end.
+// Release returns the connection to the pool, or closes it if its history is full. The last response must have been read
+// to its end.
 func (c *ClientConn) Release() {
-	if c.reader.Buffered() > 0 {
-		// The peer has sent bytes that no request asked for.
+	// Buffered bytes are some that no request asked for.
+	if c.reader.Buffered() > 0 || c.carried.isFull() {
 		_ = c.net.Close()
 
 		return
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -225,8 +225,11 @@
 	return nil
 }
 
-// normalBehaviour is the behaviour of a healthy server.
-var normalBehaviour = backend.Behaviour{ServiceTime: 120 * time.Millisecond}
+// copyShare is the share of requests before whose response a server writes an earlier response once more.
+const copyShare = 0.1
+
+// normalBehaviour is the behaviour of a healthy server, apart from the copies, which must not matter.
+var normalBehaviour = backend.Behaviour{ServiceTime: 120 * time.Millisecond, Copies: copyShare}
 
 // replaceServer waits until the current run of the server has ended, and starts the next one.
 func (s *Soak) replaceServer(n *node) error {
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -45,6 +45,9 @@
 	// Fault is injected into every FaultEvery-th request; none if FaultEvery is zero.
 	Fault      Fault
 	FaultEvery int
+	// Copies is the share of requests before whose response the server writes an earlier response of the connection once
+	// more.
+	Copies float64
 }
 
 // Fault is a fault in the handling of a request or in its response.
@@ -139,7 +142,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(copyingListener{Listener: listener, server: s}); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve backend stand-in")
 	}
 
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -88,9 +88,11 @@
 	switch {
 	case expected != "" && expected != s.name:
 		dialect.SetField(w.Header(), s.dialect.Instance, s.name)
+		s.repeatNames(w.Header(), r)
 		http.Error(w, "another server", http.StatusMisdirectedRequest)
 	case behaviour.Draining, fault == Shed:
 		s.setNotice(w.Header())
+		s.repeatNames(w.Header(), r)
 		dialect.SetField(w.Header(), s.dialect.NotRun, s.notRunValue())
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 	case fault == Reset:
@@ -116,11 +118,17 @@
 // markResponse sets the header fields that mark a response as one of the server to the request, and the load.
 func (s *Server) markResponse(header http.Header, r *http.Request) {
 	dialect.SetField(header, s.dialect.Seal, "seal-of-"+s.name)
-	dialect.SetField(header, s.dialect.Attempt, s.dialect.AttemptOf(r.Header))
+	s.repeatNames(header, r)
 	s.setLoad(header)
 	s.setNotice(header)
 }
 
+// repeatNames sets the header fields by which a response names its request.
+func (s *Server) repeatNames(header http.Header, r *http.Request) {
+	dialect.SetField(header, s.dialect.Attempt, s.dialect.AttemptOf(r.Header))
+	dialect.SetField(header, s.dialect.CallToken, s.dialect.CallTokenOf(r.Header))
+}
+
 // record counts the execution of a request by its idempotency key and by its attempt.
 func (s *Server) record(r *http.Request, body string) {
 	s.mutex.Lock()
