core: requests that have left the server are forgotten in time

Cause: origins.endedParents was trimmed only when a request from the own instance arrived.

Change: it is trimmed as well when a request is added, so that it holds those of the last 300 ms.

Evidence: TestEndedParentsExpire, 10,000 attempts without a request from the own instance; it fails without the change as soon as more than 31 are kept.

--- a/internal/core/origins.go
+++ b/internal/core/origins.go
@@ -38,6 +38,8 @@
 
 // addEnded records a request that has left the server.
 func (o *origins) addEnded(now time.Time, r request.Request) {
+	o.dropExpired(now)
+
 	o.endedParents = append(o.endedParents, parent{deadline: r.Deadline, expires: now.Add(lateCallTime)})
 }
 
--- a/internal/core/origins_test.go
+++ b/internal/core/origins_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -121,3 +122,21 @@
 		require.False(t, s.isCall("caller", "other/lookup", time.Second))
 	})
 }
+
+// TestEndedParentsExpire guards against a daemon whose memory grows with each request at its server, because it gets no
+// request from its own instance.
+func TestEndedParentsExpire(t *testing.T) {
+	const (
+		requests = 10_000
+		interval = 10 * time.Millisecond
+	)
+
+	s := newRequestSender(t, false)
+
+	for n := range requests {
+		attempt := s.startParent(request.ID(strconv.Itoa(n)), time.Second)
+		s.now = s.now.Add(interval)
+		s.state.Apply(s.now, AttemptServed{Attempt: attempt, Ran: true})
+		require.LessOrEqual(t, len(s.state.origins.endedParents), int(lateCallTime/interval)+1)
+	}
+}
