core: a server whose limit has ended gets requests again

What callers saw: a server that had stated a limit and states it no longer is passed over for good while others have room (TestLimitEnds: 0 requests in the last second, over 10 expected).

Cause: only a response says that a limit has ended. Until then the daemon beside the server reports the slots that the limit can use, often one, and all other daemons choose servers with more free slots, so that no request goes there and no response comes.

Change: after a second without a response, the server is reported with all of its slots. Its daemon still admits no more requests than the limit allows, so that the first response confirms the limit or ends it.

Evidence: TestLimitIsRechecked fails without the change (one slot for ever).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,8 +105,11 @@
 
 	// notices are what the replies of other daemons last said of their servers, if it restricts requests.
 	notices map[instance.ID]backend.Notice
-	// limitFreeAt is when the limit of the local backend server allows a request again; zero if it does.
-	limitFreeAt time.Time
+	// limitTimer is when the load has to be reported again because of the limit of the local backend server; zero if it
+	// need not.
+	limitTimer time.Time
+	// limitRecheckAt is when the local backend server is reported with all of its slots despite its limit.
+	limitRecheckAt time.Time
 	// runTime is the moving average of the time that requests run at the local backend server.
 	runTime time.Duration
 
@@ -285,7 +288,7 @@
 func (s *State) Next() time.Time {
 	return times.Next(
 		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(), s.rereadAt, s.nextKeysTick(),
-		s.limitFreeAt,
+		s.limitTimer,
 	)
 }
 
--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -7,6 +7,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
 const (
@@ -15,6 +16,9 @@
 	// minLimitWait is the wait for the limit of a server from which the server is reported as full. A shorter one is
 	// over before most attempts arrive.
 	minLimitWait = 20 * time.Millisecond
+	// limitRecheckTime is the time without a response after which the server is reported with all of its slots. Only a
+	// response says that a limit has ended, and a server with few usable slots gets no request while others have more.
+	limitRecheckTime = time.Second
 )
 
 // recordRunTime adds the time that a request ran at the local backend server.
@@ -37,8 +41,10 @@
 		return report
 	}
 
-	usable := int(min(math.Ceil(limit.PerSecond*s.runTime.Seconds()), float64(report.Slots)))
-	report.Slots = max(1, usable)
+	if now.Before(s.limitRecheckAt) {
+		usable := int(min(math.Ceil(limit.PerSecond*s.runTime.Seconds()), float64(report.Slots)))
+		report.Slots = max(1, usable)
+	}
 
 	if s.admission.LimitWait(now) >= minLimitWait {
 		report.Running = max(report.Running, report.Slots)
@@ -47,15 +53,23 @@
 	return report
 }
 
-// updateLimitFree sets when the load has to be reported again because the limit of the server allows a request.
-func (s *State) updateLimitFree(now time.Time) {
-	s.limitFreeAt = time.Time{}
+// updateLimitTimer sets when the load has to be reported again because of the limit of the server: when the limit allows
+// a request, or when the server is to be asked whether it still holds.
+func (s *State) updateLimitTimer(now time.Time) {
+	s.limitTimer = time.Time{}
+
+	if s.health.Limit().Set && now.Before(s.limitRecheckAt) {
+		s.limitTimer = s.limitRecheckAt
+	}
 
 	if wait := s.admission.LimitWait(now); wait >= minLimitWait {
-		s.limitFreeAt = now.Add(wait)
+		s.limitTimer = times.Next(s.limitTimer, now.Add(wait))
 	}
 }
 
+// postponeLimitRecheck records a response of the server, which states the limit or ends it.
+func (s *State) postponeLimitRecheck(now time.Time) { s.limitRecheckAt = now.Add(limitRecheckTime) }
+
 // ServerLimit returns the number of requests that the local backend server allows, and whether a response has stated it
 // to this run of the daemon.
 func (s *State) ServerLimit() (limit backend.Limit, known bool) {
--- a/internal/core/limit_test.go
+++ b/internal/core/limit_test.go
@@ -135,3 +135,29 @@
 	s.Apply(now, Tick{})
 	require.Zero(t, s.publishedReport.Running)
 }
+
+// TestLimitIsRechecked guards against a server that gets no more requests after its limit has ended, because it is
+// reported with one slot while other servers have more.
+func TestLimitIsRechecked(t *testing.T) {
+	now := limitTestStart
+	s := newRestarted(now)
+	s.Apply(now, health.LimitStated{Limit: backend.Limit{Set: true, PerSecond: 2}})
+	require.Empty(t, arrive(s, now, "first", backend.Notice{}))
+
+	now = now.Add(100 * time.Millisecond)
+	s.Apply(now, AttemptServed{Attempt: admission.Attempt{Entry: "entry", ID: "first"}, Ran: true})
+	require.Equal(t, 1, s.publishedReport.Slots)
+
+	for end := now.Add(limitRecheckTime); now.Before(end); {
+		now = s.Next()
+		s.Apply(now, Tick{})
+	}
+
+	require.Greater(t, s.slotLimit, 1)
+	require.Equal(t, s.slotLimit, s.publishedReport.Slots)
+	require.Zero(t, s.publishedReport.Running)
+	// The limit itself holds on.
+	require.Empty(t, arrive(s, now, "second", backend.Notice{}))
+	require.Empty(t, arrive(s, now, "third", backend.Notice{}))
+	require.Equal(t, admission.OverLimit, arrive(s, now, "fourth", backend.Notice{}))
+}
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -105,6 +105,7 @@
 	effects := s.applyAdmission(now, admission.Done{Attempt: e.Attempt})
 
 	if e.Ran {
+		s.postponeLimitRecheck(now)
 		s.callRates.addRequest()
 
 		effects = append(effects, s.applyHealth(now, health.Ran{Failed: e.Failed, Unserved: e.Unserved})...)
@@ -209,7 +210,7 @@
 	watched := s.membership.Watched(now) || s.admission.Running() > 0
 	effects := s.setWatched(now, watched)
 
-	s.updateLimitFree(now)
+	s.updateLimitTimer(now)
 
 	report := s.loadReport(now)
 	known := s.publishedVersion == s.version && s.publishedEpoch == s.epoch
