soak: addresses are free although package os starts a process of its own

Cause: before its first start of a process, package os checks whether process descriptors work, and clones the process for that without the lock of package syscall. The clone holds all sockets until it ends, also the one by which an address was found to be free.

Change: the check is made before the first address is chosen, so that all later starts hold the lock.

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -98,6 +98,8 @@
 
 // isFree reports whether no other socket listens at an address, for example at its port on all addresses.
 func (a *addresses) isFree(address netip.AddrPort) bool {
+	startCheckProcess()
+
 	// No process is started while the lock is held. Until it runs its program, a new process would hold the socket.
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
@@ -112,6 +114,10 @@
 	return a.err == nil
 }
 
+// startCheckProcess makes package os start the process by which it checks, once, whether it can refer to processes by
+// descriptors. It does not hold the lock of syscall meanwhile, and the process holds all sockets until it ends.
+func startCheckProcess() { _, _ = os.FindProcess(os.Getpid()) }
+
 // newNode starts the proxies, writes the settings of the daemon and starts the backend server.
 func (s *Soak) newNode(free *addresses, name, service, region, domain string) (*node, error) {
 	n := &node{
