attempt: connections to daemons that have left are closed

Cause: nothing called Client.RemovePeer, so that the pool of a daemon that has left kept up to 16 closed connections with their descriptors.

Change: when the members change, the pools of all other addresses are closed. The number of dials still counts theirs.

Evidence: TestRetainPeers.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -287,3 +287,30 @@
 		t.Fatal("the withdrawn call still runs")
 	}
 }
+
+// TestRetainPeers guards against connections to daemons that have left, which would stay open for ever.
+func TestRetainPeers(t *testing.T) {
+	answer := func(_ context.Context, call attempt.Call, _ attempt.IncomingCall) attempt.Answer {
+		return attempt.Answer{Reply: attempt.Reply{ID: call.Request.ID, Number: call.Number, Verdict: verdict.NotRun}}
+	}
+	kept, left := serve(t, answer), serve(t, answer)
+	client := newClient(t, fleetKey)
+
+	send := func(peer netip.AddrPort) {
+		response, err := client.Do(t.Context(), peer, newCall(manifest.Idempotent), func(bool) bool { return true })
+		require.NoError(t, err)
+
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+	}
+
+	send(kept)
+	send(left)
+	client.RetainPeers(map[netip.AddrPort]bool{kept: true})
+	require.EqualValues(t, 2, client.Dials())
+
+	send(kept)
+	require.EqualValues(t, 2, client.Dials(), "the connection to a member is kept")
+	send(left)
+	require.EqualValues(t, 3, client.Dials(), "the other one is closed")
+}
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -37,6 +37,8 @@
 
 	mutex sync.Mutex
 	pools map[netip.AddrPort]*http1.Pool
+	// earlierDials is the number of connections opened to daemons that RetainPeers has removed.
+	earlierDials int64
 }
 
 // NewClient returns a client that presents the fleet's key.
@@ -54,12 +56,12 @@
 	}
 }
 
-// Dials returns the number of connections opened so far, without those to peers that RemovePeer has removed.
+// Dials returns the number of connections opened so far.
 func (c *Client) Dials() int64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	total := int64(0)
+	total := c.earlierDials
 	for _, pool := range c.pools {
 		total += pool.Dials()
 	}
@@ -67,14 +69,18 @@
 	return total
 }
 
-// RemovePeer closes the unused connections to a daemon and removes its connection pool.
-func (c *Client) RemovePeer(peer netip.AddrPort) {
+// RetainPeers closes the unused connections to all daemons but the given ones.
+func (c *Client) RetainPeers(peers map[netip.AddrPort]bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	if pool := c.pools[peer]; pool != nil {
-		pool.Close()
-		delete(c.pools, peer)
+	for peer, pool := range c.pools {
+		if !peers[peer] {
+			c.earlierDials += pool.Dials()
+
+			pool.Close()
+			delete(c.pools, peer)
+		}
 	}
 }
 
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -180,6 +180,7 @@
 		d.sendBeat(e)
 	case membership.MembersChanged:
 		d.logMembers(e.Members)
+		d.attempts.RetainPeers(peersOf(e.Members))
 	}
 }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -127,3 +128,13 @@
 	d.log.Notable(eventlog.Members).Int("count", len(members)).
 		Strs("joined", joined).Strs("changed", changed).Strs("gone", gone).Send()
 }
+
+// peersOf returns the set of the addresses at which other daemons reach the members.
+func peersOf(members []instance.Member) map[netip.AddrPort]bool {
+	peers := make(map[netip.AddrPort]bool, len(members))
+	for _, member := range members {
+		peers[member.Peer] = true
+	}
+
+	return peers
+}
