suspects: no list of recent reports

Nothing called RecentReports, which alone trimmed the list, so that it grew with each crash of a server. Crashes are announced to the other daemons when they happen.

--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -58,8 +58,6 @@
 	reports map[suspectKey][]Report
 	// reportCount is the number of all reports in the map.
 	reportCount int
-	// recent lists the reports that were added or changed, the oldest first.
-	recent []recentReport
 }
 
 // New returns a state without reports.
@@ -77,7 +75,7 @@
 			s.merge(now, report)
 		}
 	case Completed:
-		return s.handleCompleted(now, e.Request)
+		return s.handleCompleted(e.Request)
 	case Tick:
 		s.expire(now)
 	}
@@ -124,33 +122,6 @@
 	return all
 }
 
-// recentPeriod is the age up to which RecentReports returns a report. It covers several exchanges between daemons, so
-// that a lost one does no harm.
-const recentPeriod = 10 * time.Second
-
-// maxRecentReports bounds the reports that RecentReports returns for one exchange.
-const maxRecentReports = 32
-
-// RecentReports returns the newest reports of the last recentPeriod, for other daemons that may have missed them.
-func (s *State) RecentReports(now time.Time) []Report {
-	s.recent = slices.DeleteFunc(s.recent, func(r recentReport) bool { return now.Sub(r.at) > recentPeriod })
-
-	latest := s.recent[max(0, len(s.recent)-maxRecentReports):]
-	recent := make([]Report, 0, len(latest))
-
-	for _, r := range latest {
-		recent = append(recent, r.report)
-	}
-
-	return recent
-}
-
-// recentReport is a report with the time when it was added or changed.
-type recentReport struct {
-	report Report
-	at     time.Time
-}
-
 func newSuspectKey(r request.Request) suspectKey {
 	return suspectKey{service: r.Service, fingerprint: r.Fingerprint}
 }
@@ -183,7 +154,7 @@
 }
 
 // handleCompleted withdraws the suspicions against a request that has completed alone on a server.
-func (s *State) handleCompleted(now time.Time, r request.Request) []Effect {
+func (s *State) handleCompleted(r request.Request) []Effect {
 	var withdrawn []Report
 
 	if !r.Alone {
@@ -195,7 +166,6 @@
 		if !report.Cleared && !report.Alone {
 			reports[i] = report.WithCleared()
 			withdrawn = append(withdrawn, reports[i])
-			s.recent = append(s.recent, recentReport{report: reports[i], at: now})
 		}
 	}
 
@@ -226,10 +196,6 @@
 		merged.Alone = known.Alone || report.Alone
 		s.reports[key][i] = merged
 
-		if merged != known {
-			s.recent = append(s.recent, recentReport{report: merged, at: now})
-		}
-
 		return merged != known
 	}
 
@@ -238,7 +204,6 @@
 	}
 
 	s.reports[key] = append(s.reports[key], report)
-	s.recent = append(s.recent, recentReport{report: report, at: now})
 	s.reportCount++
 
 	return true
