caller, daemon: HEAD requests, and bodies of the largest size

What callers saw: `curl -I` got 502 and "may have run" for a route whose methods are GET; a body of exactly the largest size could go to the server beside the entry only.

Causes: a response to HEAD states the length of a body that does not follow, and counted as broken off. The byte that commits a call between daemons counted towards the largest body.

Change: a response without a body has the length 0, and the entry states no length for HEAD. The limit between daemons follows that of the manifest, plus the byte.

--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -23,6 +23,8 @@
 	maxIdle = 16
 	// commitByte ends the body of a call. A request runs only after this byte has arrived.
 	commitByte = '\n'
+	// CommitSize is the size in bytes of what follows the caller's body in a call.
+	CommitSize = 1
 	// MaxHead is the largest head (start line and header fields) of a message between daemons, in bytes. It has room
 	// for the header of a caller's request or of a backend server's response and for the fields of this protocol.
 	MaxHead = 256 << 10
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -45,7 +45,8 @@
 	converted.Limit = s.limitOf(response)
 
 	if http1.Bodiless(call.Request.Method, response.StatusCode) {
-		converted.Length = max(0, response.ContentLength)
+		// A stated length is that of the response to another request.
+		converted.Length = 0
 	}
 
 	return converted
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -378,10 +378,15 @@
 
 	response.Header[verdictHeader] = []string{verdict.Answered.String()}
 
+	length := response.Length
+	if x.Request.Method == http.MethodHead {
+		length = http1.UnknownLength
+	}
+
 	// After an error, the connection has ended. If the status was sent already, this is the only way to show the caller
 	// that the response is incomplete.
 	_ = x.Respond(http1.Response{
 		Status: response.Status, Header: response.Header,
-		Body: http1.Body{Reader: response.Body, Length: response.Length},
+		Body: http1.Body{Reader: response.Body, Length: length},
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -236,7 +236,7 @@
 		http1.WithPanicHandler(d.handlePanic))
 	d.peers = http1.NewServer(attempt.NewHandler(initial.Key, d.serveAttempt, d.serveOwned, d.receiveHandover),
 		http1.WithSkippedBody(), http1.WithPanicHandler(d.handlePanic),
-		http1.WithLimits(func() http1.Limits { return peerLimits }))
+		http1.WithLimits(d.peerLimits))
 
 	return d, nil
 }
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log"
@@ -34,10 +35,15 @@
 	auxShutdownTimeout = 500 * time.Millisecond
 )
 
-// peerLimits are the limits of connections of other daemons, which keep unused connections for less than IdleTimeout.
-var peerLimits = http1.Limits{
-	Header: attempt.MaxHead, HeaderTimeout: 10 * time.Second, BodyTimeout: bodyTimeout, IdleTimeout: time.Minute,
-	Pipeline: 1,
+// peerLimits returns the limits of connections of other daemons, which keep unused connections for less than
+// IdleTimeout. A call between daemons has the body of a caller's request and the byte that commits it.
+func (d *Daemon) peerLimits() http1.Limits {
+	largest := cmp.Or(d.callerLimits().Body, http1.DefaultMaxBody)
+
+	return http1.Limits{
+		Header: attempt.MaxHead, Body: largest + attempt.CommitSize, HeaderTimeout: 10 * time.Second,
+		BodyTimeout: bodyTimeout, IdleTimeout: time.Minute, Pipeline: 1,
+	}
 }
 
 // callerLimits returns the limits of connections of callers.
