--- a/internal/http1/queue_test.go
+++ b/internal/http1/queue_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,3 +71,60 @@
 	cancel()
 	require.NoError(t, <-ended)
 }
+
+// TestStopWhileConnecting guards against a connection that is established and then reset without an answer, because its
+// handshake ended while the listener was closed.
+func TestStopWhileConnecting(t *testing.T) {
+	const (
+		stops   = 40
+		callers = 16
+	)
+
+	var lost atomic.Int64
+
+	for range stops {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+
+		s := NewServer(respondingHandler{})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+
+		go func() { ended <- s.Serve(ctx, listener) }()
+
+		var group sync.WaitGroup
+		for range callers {
+			group.Go(func() { connectUntilRefused(listener.Addr().String(), &lost) })
+		}
+
+		time.Sleep(20 * time.Millisecond)
+		s.Stop()
+		group.Wait()
+		cancel()
+		require.NoError(t, <-ended)
+	}
+
+	require.Zero(t, lost.Load())
+}
+
+// connectUntilRefused sends one request on each of many connections until none is accepted. It counts the connections
+// that were accepted and brought no response.
+func connectUntilRefused(address string, lost *atomic.Int64) {
+	for {
+		connection, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return
+		}
+
+		_, _ = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			lost.Add(1)
+		} else {
+			_ = response.Body.Close()
+		}
+
+		_ = connection.Close()
+	}
+}
