--- a/internal/backend/model_test.go
+++ b/internal/backend/model_test.go
@@ -240,8 +240,8 @@
 	"successes": func(_ *rand.Rand, status int) bool { return !isRefusal(status) },
 }
 
-// runCopies plays one seed, and returns the first violation and the number of tries without a response.
-func runCopies(t *testing.T, names dialect.Dialect, naming string, seed uint64) (error, int) {
+// runCopies plays one seed. It returns the number of tries without a response, and the first violation.
+func runCopies(t *testing.T, names dialect.Dialect, naming string, seed uint64) (int, error) {
 	t.Helper()
 
 	copies := &copyingServer{names: names, isNamed: namings[naming], ran: make(map[string]bool)}
@@ -270,7 +270,7 @@
 		failures += caller.failures
 	}
 
-	return violation, failures
+	return failures, violation
 }
 
 // copySeeds is the number of seeds of TestCopies.
@@ -281,12 +281,12 @@
 // a rule on connections, a try that has run counts as not run, or its caller gets another response.
 func TestCopies(t *testing.T) {
 	for seed := range uint64(copySeeds) {
-		violation, failures := runCopies(t, platform.Dialect(), "all", seed)
+		failures, violation := runCopies(t, platform.Dialect(), "all", seed)
 		require.NoError(t, violation, "platform, seed %d", seed)
 		require.Zero(t, failures, "platform, seed %d", seed)
 
 		for naming := range namings {
-			violation, failures := runCopies(t, dialect.Default(), naming, seed)
+			failures, violation := runCopies(t, dialect.Default(), naming, seed)
 			require.NoError(t, violation, "%s, seed %d", naming, seed)
 			// Until the server has omitted a name for the first time, each caller may wait for one in vain.
 			require.LessOrEqual(t, failures, modelCallers, "%s, seed %d", naming, seed)
