routing, backend: a dropped connection does not exclude the only server of a service

Cause: since the client of the server sends a call once, an idempotent request on a connection that the server had dropped without notice could not be repeated at the same server, because it may have run there. A service with one server answered it with 502.

Change: the client reports such a connection (ErrDropped), the reply passes it on, and routing may choose the same server again. The attempt is a repeat like any other: it is counted, and only idempotent requests get it. The unused connections are closed, because the dropped one was the newest of them. It does not count as a failure of the server.

--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -87,6 +87,8 @@
 	Reason string
 	// Unusable is set if the server refuses all attempts until it reports that it accepts them again.
 	Unusable bool
+	// Dropped is set if the server probably dropped the connection before the request; see backend.ErrDropped.
+	Dropped bool
 	// Crash identifies the crash of the backend server that ended the attempt; empty if there was none.
 	Crash string
 	// RetryAfter is the time after which a refused request may be sent again.
@@ -220,6 +222,10 @@
 		values.Set("unusable", "1")
 	}
 
+	if r.Dropped {
+		values.Set("dropped", "1")
+	}
+
 	if r.Report.Failing > 0 {
 		values.Set("failing", formatRatio(r.Report.Failing))
 	}
@@ -264,6 +270,7 @@
 		Status:     int(fields.integer("status")),
 		Reason:     fields.text("reason"),
 		Unusable:   fields.text("unusable") != "",
+		Dropped:    fields.text("dropped") != "",
 		Crash:      fields.text("crash"),
 		Report: load.Report{
 			Server:      instance.ID(fields.text("server")),
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -93,6 +93,7 @@
 			_, err = s.Do(t.Context(), namedOrder("c2", once))
 			require.Error(t, err)
 			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+			require.True(t, errors.Is(err, backend.ErrDropped))
 			require.EqualValues(t, 2, calls.Load())
 			require.EqualValues(t, 1, s.Dials(), "the connection was reused")
 		})
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -26,6 +26,9 @@
 	// must not be sent twice. After a longer pause, the server may have dropped the connection without closing it, and
 	// the request would be lost.
 	maxIdleSendOnce = 500 * time.Millisecond
+	// maxDropDelay is the longest time from the start of a request to the error on a connection that the server had
+	// dropped before the request. If the error comes later, the server has probably begun to run the request.
+	maxDropDelay = 10 * time.Millisecond
 	// maxForeignResponses is the largest number of responses to earlier requests that are skipped for one request.
 	maxForeignResponses = 4
 	// asyncBodySize is the size in bytes from which a body is written concurrently with reading the response, because a
@@ -40,6 +43,9 @@
 	ErrForeignResponse = errors.New("response belongs to another request")
 	// ErrUnsealed is returned for a success without the seal that the server sets on its complete responses.
 	ErrUnsealed = errors.New("response is not sealed by the server")
+	// ErrDropped is returned if a connection that had been unused ended at once and without a byte of a response. The server
+	// has probably dropped it before the request, but may have run the request.
+	ErrDropped = errors.New("connection was dropped")
 	// ErrUnreachable is returned if no connection could be established.
 	ErrUnreachable = errors.New("server is not reachable")
 )
@@ -99,7 +105,7 @@
 func (s *Server) ForeignResponses() int64 { return s.foreignResponses.Load() }
 
 // Do sends a request once and returns the response that answers it. A returned error carries a verdict. The errors
-// include ErrUnreachable, ErrForeignResponse and ErrUnsealed. When ctx ends, the connection is closed, also while the
+// include ErrUnreachable, ErrDropped, ErrForeignResponse and ErrUnsealed. When ctx ends, the connection is closed, also while the
 // body of the response is read; this tells the server that the request is cancelled.
 func (s *Server) Do(ctx context.Context, call Call) (*Response, error) {
 	c, err := s.connect(ctx, call)
@@ -140,16 +146,16 @@
 
 // exchange sends a call on a connection and reads the response. After an error, the connection is closed.
 func (s *Server) exchange(ctx context.Context, c *http1.ClientConn, call Call) (*Response, error) {
-	stop := c.CloseOn(ctx)
+	stop, started := c.CloseOn(ctx), time.Now()
 
 	sent, err := s.send(c, call)
 	if err != nil {
-		return nil, s.fail(c, stop, err)
+		return nil, s.fail(c, stop, started, err)
 	}
 
 	response, err := s.receive(c, call) //nolint:bodyclose // Body of the connection closes it
 	if err != nil {
-		return nil, s.fail(c, stop, err)
+		return nil, s.fail(c, stop, started, err)
 	}
 
 	// A connection cannot be reused if the server still expects the rest of the body on it.
@@ -159,11 +165,18 @@
 	return s.toResponse(response, call, body), nil
 }
 
-// fail closes a connection after an error and returns the error with its verdict: what was sent may have run.
-func (s *Server) fail(c *http1.ClientConn, stop func() bool, err error) error {
-	stop()
+// fail closes a connection after an error of an exchange and returns the error with its verdict: what was sent may have
+// run. If the connection was dropped, those that have been unused for longer probably were, too, and are closed.
+func (s *Server) fail(c *http1.ClientConn, stop func() bool, started time.Time, err error) error {
+	open := stop()
 	c.Close()
 
+	if open && c.Reused() && !c.Received() && time.Since(started) < maxDropDelay {
+		err = errors.Mark(err, ErrDropped)
+
+		s.pool.CloseIdle()
+	}
+
 	return verdict.WithError(verdict.MayHaveRun, errors.Wrap(err, "backend server"))
 }
 
--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -149,7 +149,7 @@
 func readReply(response *attempt.Response, ended *core.AttemptEnded) (*attempt.Response, error) {
 	reply := response.Reply
 	ended.Ended.Verdict = reply.Verdict
-	ended.Ended.Unusable = reply.Unusable
+	ended.Ended.Unusable, ended.Ended.Dropped = reply.Unusable, reply.Dropped
 	ended.Report = reply.Report
 	ended.Notice = reply.Notice
 	ended.Crash = reply.Crash
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -156,14 +156,16 @@
 		d.apply(health.Refused{})
 	case isMalformed(err):
 		reply.Reason = serverMalformed
+	case errors.Is(err, backend.ErrDropped):
+		reply.Reason, reply.Dropped = serverDropped, true
 	default:
 		reply.Crash = d.checkCrash(ctx, id)
 	}
 
 	d.logServeFailed(call, reply, sc, err)
-	// A cancelled attempt says nothing about the server's health, but one that reached its deadline does.
+	// A cancelled attempt and a dropped connection say nothing about the server's health, but the deadline does.
 	timeout := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
-	ran := timeout || !ended && v != verdict.NotRun
+	ran := timeout || !ended && !reply.Dropped && v != verdict.NotRun
 	d.apply(core.AttemptServed{Attempt: id, Ran: ran, Failed: true, Unserved: ran})
 	cancel()
 
--- a/internal/daemon/reply.go
+++ b/internal/daemon/reply.go
@@ -10,6 +10,8 @@
 const (
 	// serverBroke: the server cannot be reached, or the connection to it broke off.
 	serverBroke = "server-broke"
+	// serverDropped: the server probably dropped an unused connection before the request.
+	serverDropped = "server-dropped"
 	// serverMalformed: the server sent data that is not a response to the request.
 	serverMalformed = "server-malformed"
 	// serverRefused: the server responded that it did not run the request.
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -139,7 +139,7 @@
 		}
 
 		if hasNoInput(c.net) {
-			c.reused = true
+			c.reused, c.received = true, false
 
 			return c, nil
 		}
@@ -181,12 +181,23 @@
 	limitUnacked(opened)
 
 	c := &ClientConn{pool: p, net: opened, writer: bufio.NewWriterSize(opened, bufferSize)}
-	c.input = &limitedReader{reader: opened}
+	c.input = &limitedReader{reader: receiveTracker{c}}
 	c.reader = bufio.NewReaderSize(c.input, bufferSize)
 
 	return c, nil
 }
 
+// receiveTracker reads from a connection and records that bytes have arrived.
+type receiveTracker struct{ conn *ClientConn }
+
+// Read implements io.Reader.
+func (r receiveTracker) Read(data []byte) (int, error) {
+	n, err := r.conn.net.Read(data)
+	r.conn.received = r.conn.received || n > 0
+
+	return n, err
+}
+
 func (p *Pool) put(c *ClientConn) {
 	c.released = time.Now()
 	_ = c.net.SetDeadline(time.Time{})
@@ -211,6 +222,8 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	reused bool
+	// received is set once a byte has arrived since the connection was taken from the pool.
+	received bool
 	// carried is the history of the requests that have an identifier.
 	carried history
 	// released is the time at which the connection was last returned to the pool.
@@ -302,3 +315,6 @@
 		}
 	}
 }
+
+// Received reports whether a byte of a response has arrived since the connection was taken from the pool.
+func (c *ClientConn) Received() bool { return c.received }
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -77,6 +77,8 @@
 	cancelled bool
 	// late is set if no response was expected in time when the attempt was sent.
 	late bool
+	// dropped is set if the connection to the server was probably dropped before the request.
+	dropped bool
 	// silent is set once the daemon beside the server has failed to acknowledge the attempt in time.
 	silent bool
 	// charged is set once the attempt was counted as a repeat in the budgets.
@@ -130,14 +132,14 @@
 }
 
 // excludes reports whether the request must not be sent to the server now: it refused the request recently, or an
-// attempt there runs, has run or is in progress.
+// attempt there runs, has run or is in progress. An attempt on a dropped connection does not exclude its server.
 func (f *flight) excludes(now time.Time, srv *server) bool {
 	if at, refused := f.refusedAt[srv]; refused && now.Sub(at) < refusalBackoff {
 		return true
 	}
 
 	return slices.ContainsFunc(f.attempts, func(a *attempt) bool {
-		return a.server == srv && (a.running || !a.ended)
+		return a.server == srv && (a.running && !a.dropped || !a.ended)
 	})
 }
 
@@ -241,7 +243,7 @@
 func (s *State) recordEnd(now time.Time, a *attempt, e Ended) {
 	srv := a.server
 	a.updateWorkDone(now, srv)
-	a.ended = true
+	a.ended, a.dropped = true, e.Dropped
 	srv.attempts = slices.DeleteFunc(srv.attempts, func(other *attempt) bool { return other == a })
 
 	// The last report may count an accepted attempt, so its end may make the change negative.
@@ -320,7 +322,9 @@
 	f := a.flight
 
 	if result.MayRepeat(f.request.Idempotent()) && (result == verdict.NotRun || s.mayRepeat(now, f)) {
-		f.refusedAt[a.server] = now
+		if !a.dropped {
+			f.refusedAt[a.server] = now
+		}
 
 		return s.resend(now, f, Retry)
 	}
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -57,6 +57,8 @@
 		Failure bool
 		// Unusable is set if the server takes no attempt at all until it reports that it is open.
 		Unusable bool
+		// Dropped is set if the server probably dropped the connection before the request; see backend.ErrDropped.
+		Dropped bool
 		// Bytes is the size of the response body.
 		Bytes int64
 	}
--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -179,11 +179,11 @@
 	return []load.Calls{{Service: "route", Rate: rate}}
 }
 
-// parseEnded reads: ended ID [attempt=N] answered|refused|unreachable|broken|aborted [failure] [ran] [bytes=N].
+// parseEnded reads: ended ID [attempt=N] answered|refused|unreachable|broken|aborted [failure] [ran] [dropped] [bytes=N].
 func parseEnded(line script.Line) routing.Ended {
 	e := routing.Ended{
 		ID: request.ID(line.Word(0)), Number: line.Int("attempt", 0), Failure: line.Has("failure"),
-		Bytes: int64(line.Int("bytes", 1000)), Verdict: verdict.NotRun,
+		Bytes: int64(line.Int("bytes", 1000)), Verdict: verdict.NotRun, Dropped: line.Has("dropped"),
 	}
 
 	switch {
