--- a/internal/daemon/endless_test.go
+++ b/internal/daemon/endless_test.go
@@ -77,10 +77,12 @@
 		fault backend.Fault
 		// inBody is set if the body is endless, which the daemon cannot tell from a long one.
 		inBody bool
+		// refused is set if the server states that it did not run the request.
+		refused bool
 	}{
 		"line": {fault: backend.EndlessLine}, "head": {fault: backend.EndlessHeader},
-		"interim": {fault: backend.EndlessInterim},
-		"chunks":  {fault: backend.EndlessChunks, inBody: true}, "body": {fault: backend.EndlessBody, inBody: true},
+		"interim": {fault: backend.EndlessInterim}, "refusal": {fault: backend.EndlessRefusal, refused: true},
+		"chunks": {fault: backend.EndlessChunks, inBody: true}, "body": {fault: backend.EndlessBody, inBody: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f.Instances[0].Server.SetBehaviour(faultyNode(test.fault).Behaviour)
@@ -108,8 +110,13 @@
 				return
 			}
 
+			status := http.StatusBadGateway
+			if test.refused {
+				status = http.StatusServiceUnavailable
+			}
+
 			require.NoError(t, err)
-			require.Equal(t, http.StatusBadGateway, response.StatusCode)
+			require.Equal(t, status, response.StatusCode)
 			require.Less(t, elapsed, maxRefusalTime)
 		})
 	}
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -1,6 +1,7 @@
 package http1_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -188,3 +189,66 @@
 	response, _ := p.read()
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
+
+// TestEndlessRequest guards against a caller that sends a head or a body without end. It gets a response, and its
+// connection ends although it goes on sending.
+func TestEndlessRequest(t *testing.T) {
+	const (
+		maxTime   = 3 * time.Second
+		maxMemory = 8 << 20
+	)
+
+	limits := http1.Limits{Header: 16 << 10, Body: 64 << 10}
+
+	for name, test := range map[string]struct {
+		prefix, repeated string
+		status           int
+	}{
+		"head":   {"GET / HTTP/1.1\r\nHost: h\r\n", "X-Field: value\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"field":  {"GET / HTTP/1.1\r\nHost: h\r\nX: ", "x", http.StatusRequestHeaderFieldsTooLarge},
+		"chunks": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n", http.StatusRequestEntityTooLarge},
+		"length": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999999\r\n\r\n", "abcde", http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, address := serve(t, http1.HandlerFunc(func(_ context.Context, x *http1.Exchange) {
+				if _, err := x.Body(); err != nil {
+					_ = x.Respond(text(http.StatusRequestEntityTooLarge, ""))
+
+					return
+				}
+
+				_ = x.Respond(text(http.StatusOK, ""))
+			}), http1.WithLimits(func() http1.Limits { return limits }))
+
+			caller, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+
+			defer caller.Close()
+
+			responses := make(chan int, 1)
+
+			go func() {
+				response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+				if err != nil {
+					responses <- 0
+
+					return
+				}
+
+				responses <- response.StatusCode
+			}()
+
+			started := time.Now()
+			block := []byte(strings.Repeat(test.repeated, 1+(16<<10)/len(test.repeated)))
+
+			require.Less(t, allocated(func() {
+				_, err := io.WriteString(caller, test.prefix)
+				for err == nil && time.Since(started) < maxTime {
+					_, err = caller.Write(block)
+				}
+			}), uint64(maxMemory))
+			require.Less(t, time.Since(started), maxTime)
+			require.Equal(t, test.status, <-responses)
+		})
+	}
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -82,6 +82,8 @@
 	EndlessInterim
 	EndlessChunks
 	EndlessBody
+	// EndlessRefusal refuses a request with a body without end.
+	EndlessRefusal
 )
 
 // Execution is what the server recorded about an attempt that ran.
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -95,6 +95,8 @@
 		s.repeatNames(w.Header(), r)
 		dialect.SetField(w.Header(), s.dialect.NotRun, s.notRunValue())
 		http.Error(w, "refused", http.StatusServiceUnavailable)
+	case fault == EndlessRefusal:
+		s.refuseEndlessly(w, r)
 	case fault == Reset:
 		panic(http.ErrAbortHandler)
 	case behaviour.Failing:
@@ -107,6 +109,19 @@
 	return true
 }
 
+// refuseEndlessly refuses a request with a body that ends when the peer closes the connection.
+func (s *Server) refuseEndlessly(w http.ResponseWriter, r *http.Request) {
+	s.repeatNames(w.Header(), r)
+	dialect.SetField(w.Header(), s.dialect.NotRun, s.notRunValue())
+	w.WriteHeader(http.StatusServiceUnavailable)
+
+	for {
+		if _, err := io.WriteString(w, "endless "); err != nil {
+			return
+		}
+	}
+}
+
 func (s *Server) notRunValue() string {
 	if s.dialect.NotRunValue != "" {
 		return s.dialect.NotRunValue
