--- a/internal/standin/backend/response.go
+++ b/internal/standin/backend/response.go
@@ -16,7 +16,7 @@
 // respond writes the response to a request that ran, with the given fault.
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, next http.HandlerFunc, fault Fault) {
 	switch fault {
-	case None, Shed, Reset:
+	case None, Shed, Reset, EndlessRefusal:
 		s.markResponse(w.Header(), r)
 		next(w, r)
 
