backend: a response without a name has to be the first, whatever the call

A call without a name that is no probe (a request without an attempt identifier on the users' platform) took any response without a name on its new connection, also one after a response that was skipped. The rule says the first one.

--- a/internal/backend/matching.go
+++ b/internal/backend/matching.go
@@ -55,10 +55,12 @@
 	name, expected := s.nameIn(response), s.nameOf(call)
 
 	switch {
-	case name != "" || expected == "":
+	case name != "":
 		return name == expected
 	case first:
-		return s.mayOmitName(response)
+		return expected == "" || s.mayOmitName(response)
+	case call.AnyConnection:
+		return true
 	default:
 		return s.isFromOther(response, call)
 	}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -105,8 +105,8 @@
 func (s *Server) ForeignResponses() int64 { return s.foreignResponses.Load() }
 
 // Do sends a request once and returns the response that answers it. A returned error carries a verdict. The errors
-// include ErrUnreachable, ErrDropped, ErrForeignResponse and ErrUnsealed. When ctx ends, the connection is closed, also while the
-// body of the response is read; this tells the server that the request is cancelled.
+// include ErrUnreachable, ErrDropped, ErrForeignResponse and ErrUnsealed. When ctx ends, the connection is closed, also
+// while the body of the response is read; this tells the server that the request is cancelled.
 func (s *Server) Do(ctx context.Context, call Call) (*Response, error) {
 	c, err := s.connect(ctx, call)
 	if err != nil {
