daemon: a crash of the server is noticed on a used connection too

A connection that ends at once may have been dropped or its server may have crashed, and the first of these was taken without looking. The crash then made no request suspect.

Change: the daemon looks whether the server accepts connections, as for any other connection that breaks off. Only if it does, the connection counts as dropped.

--- a/internal/daemon/endless_test.go
+++ b/internal/daemon/endless_test.go
@@ -110,13 +110,17 @@
 				return
 			}
 
-			status := http.StatusBadGateway
+			require.NoError(t, err)
+
 			if test.refused {
-				status = http.StatusServiceUnavailable
+				// The request is sent again until the entry gives it up.
+				require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+				require.Less(t, elapsed, deadline)
+
+				return
 			}
 
-			require.NoError(t, err)
-			require.Equal(t, status, response.StatusCode)
+			require.Equal(t, http.StatusBadGateway, response.StatusCode)
 			require.Less(t, elapsed, maxRefusalTime)
 		})
 	}
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -156,10 +156,13 @@
 		d.apply(health.Refused{})
 	case isMalformed(err):
 		reply.Reason = serverMalformed
-	case errors.Is(err, backend.ErrDropped):
-		reply.Reason, reply.Dropped = serverDropped, true
 	default:
-		reply.Crash = d.checkCrash(ctx, id)
+		crash, crashed := d.checkCrash(ctx, id)
+		reply.Crash = crash
+
+		if !crashed && errors.Is(err, backend.ErrDropped) {
+			reply.Reason, reply.Dropped = serverDropped, true
+		}
 	}
 
 	d.logServeFailed(call, reply, sc, err)
@@ -179,12 +182,12 @@
 }
 
 // checkCrash checks whether the server accepts connections. If not, it reports a crash to the reducer, which makes the
-// requests in progress suspect, and returns the identifier of the crash. Otherwise, it returns an empty identifier.
-func (d *Daemon) checkCrash(ctx context.Context, id admission.Attempt) string {
+// requests in progress suspect, and returns the identifier of the crash and true.
+func (d *Daemon) checkCrash(ctx context.Context, id admission.Attempt) (string, bool) {
 	// The check ignores the deadline of ctx: if it passed during the check, that would look like a crash.
 	if d.backend.Reachable(context.WithoutCancel(ctx)) {
 		// The server only closed this connection.
-		return ""
+		return "", false
 	}
 
 	d.mutex.Lock()
@@ -193,5 +196,5 @@
 	d.applyLocked(core.ServerCrashed{})
 	d.applyLocked(health.Refused{})
 
-	return d.state.CrashID(id)
+	return d.state.CrashID(id), true
 }
