backend, standin, soak: one stand-in for raw connections, and less state of the same kind

The accept loop of a server that writes raw bytes stood five times in tests: internal/standin/raw has it once, with the loop that repeats a text until the peer closes, which the stand-in backend server uses as well. What a health response stated is kept as a Health without its load instead of a type with the same fields. The soak starts the check of package os once and releases it, not for each address. Parent is beside the requests that it finds. TestCopies also bounds the connections of a server that refuses half of its requests, and logs them.

--- a/internal/attempt/endless_test.go
+++ b/internal/attempt/endless_test.go
@@ -3,14 +3,13 @@
 import (
 	"io"
 	"net"
-	"net/netip"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
@@ -30,7 +29,13 @@
 		"no reply":   {prefix: "HTTP/1.1 200 OK\r\n\r\n", repeated: "endless"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			peer := serveEndlessReply(t, test.prefix, test.repeated)
+			peer, err := raw.Serve(t.Context(), func(accepted net.Conn) {
+				_, _ = io.WriteString(accepted, test.prefix)
+
+				raw.Repeat(accepted, test.repeated)
+			})
+			require.NoError(t, err)
+
 			client := newClient(t, fleetKey)
 
 			var before, after runtime.MemStats
@@ -38,7 +43,7 @@
 			runtime.ReadMemStats(&before)
 
 			started := time.Now()
-			_, err := client.Do(t.Context(), peer, newCall(manifest.Idempotent), neverWithdraw)
+			_, err = client.Do(t.Context(), peer, newCall(manifest.Idempotent), neverWithdraw)
 
 			require.Error(t, err)
 			require.Less(t, time.Since(started), maxTime)
@@ -47,35 +52,3 @@
 		})
 	}
 }
-
-// serveEndlessReply starts a server that answers each connection with a prefix and a text that it repeats until its peer
-// closes the connection.
-func serveEndlessReply(t *testing.T, prefix, repeated string) netip.AddrPort {
-	t.Helper()
-
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-
-	block := []byte(strings.Repeat(repeated, 1+(16<<10)/len(repeated)))
-
-	go func() {
-		for {
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			go func() {
-				defer accepted.Close()
-
-				_, err := io.WriteString(accepted, prefix)
-				for err == nil {
-					_, err = accepted.Write(block)
-				}
-			}()
-		}
-	}()
-
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	standin "github.com/tarragonmill/tarragonmill/internal/standin/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 	"github.com/tarragonmill/tarragonmill/platform"
 )
@@ -301,27 +302,20 @@
 func serveRaw(t *testing.T, respond func(number int, r *http.Request) string) string {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
+	return serveConnections(t, func(connection net.Conn) { serveConnection(connection, respond) })
+}
 
-	go func() {
-		for {
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
+// serveConnections starts a server that passes each connection to serve.
+func serveConnections(t *testing.T, serve func(connection net.Conn)) string {
+	t.Helper()
 
-			go serveConnection(accepted, respond)
-		}
-	}()
+	address, err := raw.Serve(t.Context(), serve)
+	require.NoError(t, err)
 
-	return listener.Addr().String()
+	return address.String()
 }
 
 func serveConnection(connection net.Conn, respond func(number int, r *http.Request) string) {
-	defer connection.Close()
-
 	reader := bufio.NewReader(connection)
 
 	for number := 1; ; number++ {
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 	"github.com/tarragonmill/tarragonmill/platform"
 )
@@ -29,27 +29,10 @@
 func serveEndless(t *testing.T, prefix, repeated string) string {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-
-	go func() {
-		for {
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			go writeEndlessly(accepted, prefix, repeated)
-		}
-	}()
-
-	return listener.Addr().String()
+	return serveConnections(t, func(connection net.Conn) { writeEndlessly(connection, prefix, repeated) })
 }
 
 func writeEndlessly(connection net.Conn, prefix, repeated string) {
-	defer connection.Close()
-
 	const whole = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n"
 
 	reader := bufio.NewReader(connection)
@@ -70,13 +53,7 @@
 		_, _ = io.WriteString(connection, text)
 	}
 
-	block := []byte(strings.Repeat(repeated, 1+(16<<10)/len(repeated)))
-
-	for {
-		if _, err := connection.Write(block); err != nil {
-			return
-		}
-	}
+	raw.Repeat(connection, repeated)
 }
 
 // requireBounded runs an action and requires that it takes little time and memory.
--- a/internal/backend/model_test.go
+++ b/internal/backend/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,27 +58,14 @@
 func (s *copyingServer) serve(t *testing.T, seed uint64) string {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
+	var connections atomic.Uint64
 
-	go func() {
-		for number := uint64(0); ; number++ {
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			go s.serveConnection(accepted, rand.New(rand.NewPCG(seed, number)))
-		}
-	}()
-
-	return listener.Addr().String()
+	return serveConnections(t, func(connection net.Conn) {
+		s.serveConnection(connection, rand.New(rand.NewPCG(seed, connections.Add(1))))
+	})
 }
 
 func (s *copyingServer) serveConnection(connection net.Conn, random *rand.Rand) {
-	defer connection.Close()
-
 	var written []response
 
 	for reader := bufio.NewReader(connection); ; {
@@ -121,7 +110,7 @@
 	answer := response{status: statuses[random.IntN(len(statuses))], body: serial}
 
 	if isRefusal(answer.status) {
-		answer.fields = fmt.Sprintf("%s: %s\r\n", s.names.NotRun, orOne(s.names.NotRunValue))
+		answer.fields = fmt.Sprintf("%s: %s\r\n", s.names.NotRun, cmp.Or(s.names.NotRunValue, "1"))
 	} else {
 		s.mutex.Lock()
 		s.ran[serial] = true
@@ -141,14 +130,6 @@
 	return answer
 }
 
-func orOne(value string) string {
-	if value == "" {
-		return "1"
-	}
-
-	return value
-}
-
 // modelCaller sends requests one after the other. A request that was refused is sent again under the same name, as the
 // daemon beside the server does for the tries of one attempt.
 type modelCaller struct {
@@ -240,8 +221,16 @@
 	"successes": func(_ *rand.Rand, status int) bool { return !isRefusal(status) },
 }
 
-// runCopies plays one seed. It returns the number of tries without a response, and the first violation.
-func runCopies(t *testing.T, names dialect.Dialect, naming string, seed uint64) (int, error) {
+// played is the result of one seed.
+type played struct {
+	// failures is the number of tries without a response, and dials the number of connections.
+	failures, dials int
+	// violation is the first one; nil if there was none.
+	violation error
+}
+
+// runCopies plays one seed.
+func runCopies(t *testing.T, names dialect.Dialect, naming string, seed uint64) played {
 	t.Helper()
 
 	copies := &copyingServer{names: names, isNamed: namings[naming], ran: make(map[string]bool)}
@@ -257,20 +246,23 @@
 		go func() { ended <- callers[n].run() }()
 	}
 
-	var violation error
+	var result played
 
 	for range callers {
-		if err := <-ended; violation == nil {
-			violation = err
+		if err := <-ended; result.violation == nil {
+			result.violation = err
 		}
 	}
 
-	failures := 0
 	for _, caller := range callers {
-		failures += caller.failures
+		result.failures += caller.failures
 	}
 
-	return failures, violation
+	result.dials = int(server.Dials())
+	t.Logf("%s, seed %d: %d connections, %d of %d tries without a response",
+		naming, seed, result.dials, result.failures, modelCallers*modelTries)
+
+	return result
 }
 
 // copySeeds is the number of seeds of TestCopies.
@@ -281,15 +273,17 @@
 // a rule on connections, a try that has run counts as not run, or its caller gets another response.
 func TestCopies(t *testing.T) {
 	for seed := range uint64(copySeeds) {
-		failures, violation := runCopies(t, platform.Dialect(), "all", seed)
-		require.NoError(t, violation, "platform, seed %d", seed)
-		require.Zero(t, failures, "platform, seed %d", seed)
+		result := runCopies(t, platform.Dialect(), "all", seed)
+		require.NoError(t, result.violation, "platform, seed %d", seed)
+		require.Zero(t, result.failures, "platform, seed %d", seed)
+		// Half of the statuses are refusals. The server must not be dialled for each of them.
+		require.Less(t, result.dials, modelCallers*modelTries/4, "platform, seed %d", seed)
 
 		for naming := range namings {
-			failures, violation := runCopies(t, dialect.Default(), naming, seed)
-			require.NoError(t, violation, "%s, seed %d", naming, seed)
+			result := runCopies(t, dialect.Default(), naming, seed)
+			require.NoError(t, result.violation, "%s, seed %d", naming, seed)
 			// Until the server has omitted a name for the first time, each caller may wait for one in vain.
-			require.LessOrEqual(t, failures, modelCallers, "%s, seed %d", naming, seed)
+			require.LessOrEqual(t, result.failures, modelCallers, "%s, seed %d", naming, seed)
 		}
 	}
 }
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -41,15 +41,11 @@
 	Repeated bool
 }
 
-// healthStatement is what a health response states, except for the load.
-type healthStatement struct {
-	healthy, draining bool
-	instance          ID
-	limit             Statement
-}
+// withoutLoad returns what the server stated beside its load.
+func (h Health) withoutLoad() Health {
+	h.Load, h.HasLoad = dialect.Load{}, false
 
-func (h Health) statement() healthStatement {
-	return healthStatement{healthy: h.Healthy, draining: h.Draining, instance: h.Instance, limit: h.Limit}
+	return h
 }
 
 // maxHealthBody is the largest part of the body of a health response that is read, in bytes.
@@ -59,11 +55,14 @@
 // which has carried other requests may be a copy of an earlier one. If it states something new, or there is none, Probe
 // sends a second probe on a new connection. Errors are those of Do and of reading the body.
 func (s *Server) Probe(ctx context.Context, path string) (Health, error) {
-	call := Call{Request: http1.Request{
-		Method: http.MethodGet, Target: path, Host: s.pool.Address().String(), Header: http.Header{}, OmitZeroLength: true,
-	}}
+	call := Call{
+		Request: http1.Request{
+			Method: http.MethodGet, Target: path, Host: s.pool.Address().String(), Header: http.Header{},
+			OmitZeroLength: true,
+		},
+		AnyConnection: true,
+	}
 
-	call.AnyConnection = true
 	health, reused, err := s.probe(ctx, call)
 
 	repeated := reused && ctx.Err() == nil && (err != nil || !s.hasStated(health))
@@ -73,8 +72,8 @@
 	}
 
 	if !reused && err == nil {
-		statement := health.statement()
-		s.stated.Store(&statement)
+		stated := health.withoutLoad()
+		s.stated.Store(&stated)
 	}
 
 	health.Repeated = repeated
@@ -86,7 +85,7 @@
 func (s *Server) hasStated(health Health) bool {
 	stated := s.stated.Load()
 
-	return stated != nil && *stated == health.statement()
+	return stated != nil && *stated == health.withoutLoad()
 }
 
 // probe sends one probe. It reports whether its connection has carried other requests.
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -71,8 +71,9 @@
 	foreignResponses atomic.Int64
 	// omitsNames is set once the server has omitted the call token in a response; see mayReuse.
 	omitsNames atomic.Bool
-	// stated is what the server has last stated in a health response that certainly answered its probe; nil if nothing.
-	stated atomic.Pointer[healthStatement]
+	// stated is what the server has last stated, beside its load, in a health response that certainly answered its probe;
+	// nil if nothing.
+	stated atomic.Pointer[Health]
 }
 
 // NewServer returns a Server without open connections. It keeps up to the given number of unused connections.
--- a/internal/daemon/local_call.go
+++ b/internal/daemon/local_call.go
@@ -5,21 +5,8 @@
 	"net/http"
 
 	"github.com/tarragonmill/tarragonmill/internal/attempt"
-	"github.com/tarragonmill/tarragonmill/internal/request"
 )
 
-// Parent implements caller.ParentFinder.
-func (d *Daemon) Parent(call string) (request.Request, bool) {
-	if call == "" {
-		return request.Request{}, false
-	}
-
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-
-	return d.state.ParentRequest(call)
-}
-
 // localCall implements attempt.IncomingCall for a call that this daemon makes to itself.
 type localCall struct {
 	progress attempt.ProgressFunc
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -38,6 +38,18 @@
 	response *attempt.Response
 }
 
+// Parent implements caller.ParentFinder.
+func (d *Daemon) Parent(call string) (request.Request, bool) {
+	if call == "" {
+		return request.Request{}, false
+	}
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.state.ParentRequest(call)
+}
+
 // overdueAfter is how long after its deadline a request without a result is abandoned, even if the reducer still waits
 // for something.
 const overdueAfter = 500 * time.Millisecond
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/http1"
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 )
 
 // serveEndless starts a server that reads the head of a request from each connection, and then sends a prefix and a
@@ -22,33 +23,15 @@
 func serveEndless(t *testing.T, prefix, repeated string) netip.AddrPort {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-
-	block := []byte(strings.Repeat(repeated, 1+(16<<10)/len(repeated)))
-
-	go func() {
-		for {
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			go func() {
-				defer func() { _ = accepted.Close() }()
+	address, err := raw.Serve(t.Context(), func(accepted net.Conn) {
+		_, _ = accepted.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(accepted, prefix)
 
-				_, _ = accepted.Read(make([]byte, 4<<10))
-				_, err := io.WriteString(accepted, prefix)
-
-				for err == nil {
-					_, err = accepted.Write(block)
-				}
-			}()
-		}
-	}()
+		raw.Repeat(accepted, repeated)
+	})
+	require.NoError(t, err)
 
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return address
 }
 
 // allocated returns the number of bytes that are allocated while run runs.
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -116,7 +116,11 @@
 
 // startCheckProcess makes package os start the process by which it checks, once, whether it can refer to processes by
 // descriptors. It does not hold the lock of syscall meanwhile, and the process holds all sockets until it ends.
-func startCheckProcess() { _, _ = os.FindProcess(os.Getpid()) }
+var startCheckProcess = sync.OnceFunc(func() {
+	if self, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = self.Release()
+	}
+})
 
 // newNode starts the proxies, writes the settings of the daemon and starts the backend server.
 func (s *Soak) newNode(free *addresses, name, service, region, domain string) (*node, error) {
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
@@ -90,13 +91,15 @@
 		dialect.SetField(w.Header(), s.dialect.Instance, s.name)
 		s.repeatNames(w.Header(), r)
 		http.Error(w, "another server", http.StatusMisdirectedRequest)
-	case behaviour.Draining, fault == Shed:
+	case behaviour.Draining, fault == Shed, fault == EndlessRefusal:
 		s.setNotice(w.Header())
 		s.repeatNames(w.Header(), r)
 		dialect.SetField(w.Header(), s.dialect.NotRun, s.notRunValue())
 		http.Error(w, "refused", http.StatusServiceUnavailable)
-	case fault == EndlessRefusal:
-		s.refuseEndlessly(w, r)
+
+		if fault == EndlessRefusal {
+			raw.Repeat(w, "endless")
+		}
 	case fault == Reset:
 		panic(http.ErrAbortHandler)
 	case behaviour.Failing:
@@ -109,19 +112,6 @@
 	return true
 }
 
-// refuseEndlessly refuses a request with a body that ends when the peer closes the connection.
-func (s *Server) refuseEndlessly(w http.ResponseWriter, r *http.Request) {
-	s.repeatNames(w.Header(), r)
-	dialect.SetField(w.Header(), s.dialect.NotRun, s.notRunValue())
-	w.WriteHeader(http.StatusServiceUnavailable)
-
-	for {
-		if _, err := io.WriteString(w, "endless "); err != nil {
-			return
-		}
-	}
-}
-
 func (s *Server) notRunValue() string {
 	if s.dialect.NotRunValue != "" {
 		return s.dialect.NotRunValue
--- a/internal/standin/backend/response.go
+++ b/internal/standin/backend/response.go
@@ -8,6 +8,8 @@
 	"net/http/httptest"
 	"strconv"
 	"time"
+
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 )
 
 // duplicateDelay is the time between a response and its duplicate.
@@ -110,11 +112,7 @@
 		_, _ = buffer.WriteString("\r\n")
 	}
 
-	for {
-		if _, err := buffer.WriteString(repeated); err != nil {
-			return
-		}
-	}
+	raw.Repeat(buffer, repeated)
 }
 
 // writeRaw writes a response with the given Content-Length; without the field if length is empty.
