--- a/internal/attempt/endless_test.go
+++ b/internal/attempt/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"runtime"
 	"testing"
 	"time"
 
@@ -37,18 +36,13 @@
 			require.NoError(t, err)
 
 			client := newClient(t, fleetKey)
-
-			var before, after runtime.MemStats
-
-			runtime.ReadMemStats(&before)
-
 			started := time.Now()
-			_, err = client.Do(t.Context(), peer, newCall(manifest.Idempotent), neverWithdraw)
 
+			require.Less(t, raw.Allocated(func() {
+				_, err = client.Do(t.Context(), peer, newCall(manifest.Idempotent), neverWithdraw)
+			}), uint64(maxMemory))
 			require.Error(t, err)
 			require.Less(t, time.Since(started), maxTime)
-			runtime.ReadMemStats(&after)
-			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxMemory))
 		})
 	}
 }
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"testing"
 	"time"
 
@@ -60,16 +59,10 @@
 func requireBounded(t *testing.T, run func()) {
 	t.Helper()
 
-	var before, after runtime.MemStats
-
-	runtime.ReadMemStats(&before)
-
 	started := time.Now()
 
-	run()
+	require.Less(t, raw.Allocated(run), uint64(maxEndlessMemory))
 	require.Less(t, time.Since(started), maxEndlessTime)
-	runtime.ReadMemStats(&after)
-	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxEndlessMemory))
 }
 
 // TestEndlessCopies guards against a server that writes responses to other requests without end, or one whose body does not
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -34,17 +33,6 @@
 	return address
 }
 
-// allocated returns the number of bytes that are allocated while run runs.
-func allocated(run func()) uint64 {
-	var before, after runtime.MemStats
-
-	runtime.ReadMemStats(&before)
-	run()
-	runtime.ReadMemStats(&after)
-
-	return after.TotalAlloc - before.TotalAlloc
-}
-
 // Guards against a server that sends endless bytes where a head or the framing of a body is expected, and thereby fills
 // the memory or delays the request until its deadline.
 func TestEndlessAnswer(t *testing.T) {
@@ -79,7 +67,7 @@
 			defer cancel()
 
 			started := time.Now()
-			memory := allocated(func() { require.Error(t, readResponse(ctx, t, pool)) })
+			memory := raw.Allocated(func() { require.Error(t, readResponse(ctx, t, pool)) })
 
 			require.NoError(t, ctx.Err())
 			require.Less(t, time.Since(started), maxTime)
@@ -154,7 +142,7 @@
 	}))
 
 	for _, length := range []string{"9000000000000000000", "4000000000"} {
-		memory := allocated(func() {
+		memory := raw.Allocated(func() {
 			p := dial(t, address)
 			p.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + length + "\r\n\r\nbody")
 			require.NoError(t, p.Conn.(*net.TCPConn).CloseWrite())
@@ -224,7 +212,7 @@
 			started := time.Now()
 			block := []byte(strings.Repeat(test.repeated, 1+(16<<10)/len(test.repeated)))
 
-			require.Less(t, allocated(func() {
+			require.Less(t, raw.Allocated(func() {
 				_, err := io.WriteString(caller, test.prefix)
 				for err == nil && time.Since(started) < maxTime {
 					_, err = caller.Write(block)
--- a/internal/standin/raw/raw.go
+++ b/internal/standin/raw/raw.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -64,3 +65,14 @@
 		}
 	}
 }
+
+// Allocated returns the number of bytes that the process allocates while run runs.
+func Allocated(run func()) uint64 {
+	var before, after runtime.MemStats
+
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+
+	return after.TotalAlloc - before.TotalAlloc
+}
