manifest, caller, routing: tenants with API keys, and regions that a request may not leave

Cause: callers of several customers share a fleet, and nothing told them apart. An API key reached the server as any other header field, an unknown one was accepted, and a route could not be bound to a region.

Change: manifests have tenants with digests of their keys, a priority, a rate limit and regions; rules may allow callers without a key and restrict regions; services state how many requests a cold server tolerates. A request without a key from the instance itself is accepted only if the reducer finds that it is a call of the server. Routing considers only servers in allowed regions and refuses at once if there are none. An idempotency key whose owner is in another region is refused.

--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -120,6 +120,11 @@
 	setText(values, "key", r.Key)
 	setNumber(values, "depth", r.Depth)
 	setNumber(values, "rank", r.Priority)
+	setText(values, "tenant", r.Tenant)
+
+	if r.Regions.Restricted {
+		values.Set("regions", r.Regions.Names)
+	}
 
 	if r.Idempotent() {
 		values.Set("kind", r.Kind.String())
@@ -174,6 +179,10 @@
 			Priority:    int(fields.integer("rank")),
 			Origin:      fields.text("origin"),
 			Alone:       fields.text("alone") != "",
+			Tenant:      fields.text("tenant"),
+			Regions: request.Regions{
+				Restricted: fields.values.Has("regions"), Names: fields.text("regions"),
+			},
 		},
 		Notice: fields.notice(),
 	}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -39,6 +39,10 @@
 type Matcher interface {
 	// Match returns an error if no rule applies to the request.
 	Match(host, method string, location *url.URL) (manifest.Match, error)
+	// Keyed reports whether callers have to present an API key.
+	Keyed() bool
+	// Tenant returns the tenant to which an API key belongs, and false if there is none.
+	Tenant(key string) (*manifest.Tenant, bool)
 }
 
 // ParentFinder finds the request for which the local backend server makes a nested call.
@@ -55,6 +59,9 @@
 	// FromInstance is set if the request came from the address of the instance itself, where a call of the backend server
 	// cannot be distinguished from a request of another caller.
 	FromInstance bool
+	// CallOnly is set if the request is only accepted as a call of the backend server, because it presents no API key and
+	// its rule requires one of other callers.
+	CallOnly bool
 	// StatedDeadline is the deadline that the sender stated, or that of Request if it stated none.
 	StatedDeadline time.Time
 	Method         string
@@ -237,6 +244,11 @@
 		return Submission{}, h.refuseUnmatched(), false
 	}
 
+	tenant, err := h.authenticate(x, matcher, match.Rule)
+	if err != nil {
+		return Submission{}, h.refuseUnauthenticated(), false
+	}
+
 	if r.ContentLength > match.Rule.Body {
 		return Submission{}, notRunRefusal(BodyTooLarge), false
 	}
@@ -246,7 +258,7 @@
 		return Submission{}, notRunRefusal(bodyReason(err)), false
 	}
 
-	req, ok := h.newRequest(x, id, match, body)
+	req, ok := h.newRequest(x, id, match, tenant, body)
 	if !ok {
 		return Submission{}, notRunRefusal(TooDeep), false
 	}
@@ -265,6 +277,7 @@
 	}
 
 	submission.FromInstance, submission.StatedDeadline = h.isFromInstance(x), h.statedDeadline(r.Header, req)
+	submission.CallOnly = matcher.Keyed() && tenant == nil && !match.Rule.Anonymous && !req.Nested()
 
 	return submission, Refusal{}, true
 }
@@ -309,7 +322,7 @@
 // nested call also gets the depth and the deadline of the request for which it is made. The second result is false if
 // the call exceeds maxDepth.
 func (h *Handler) newRequest(
-	x *http1.Exchange, id request.ID, match manifest.Match, body []byte,
+	x *http1.Exchange, id request.ID, match manifest.Match, tenant *manifest.Tenant, body []byte,
 ) (request.Request, bool) {
 	r, now := x.Request, h.now()
 	req := request.Request{
@@ -324,6 +337,11 @@
 		Priority:    match.Rule.Priority,
 		Origin:      h.originService,
 		Size:        int64(len(body)),
+		Regions:     request.NewRegions(match.Rule.Regions),
+	}
+
+	if tenant != nil {
+		req = req.WithTenant(*tenant)
 	}
 
 	if left, stated := h.dialect.ParseTimeout(r.Header); stated && left < match.Rule.Deadline {
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -35,7 +35,9 @@
 	NoManifest  Reason = "no-manifest"
 	NoRule      Reason = "no-rule"
 	// ManifestBehind means that no rule matches, but another daemon has a newer manifest.
-	ManifestBehind    Reason = "manifest-behind"
+	ManifestBehind Reason = "manifest-behind"
+	// Unauthenticated means that the API key of the request is missing or unknown.
+	Unauthenticated   Reason = "unauthenticated"
 	BodyTooLarge      Reason = "body-too-large"
 	BodyBroken        Reason = "body-broken"
 	TooDeep           Reason = "too-deep"
@@ -56,6 +58,7 @@
 var statuses = map[Reason]int{
 	Unsupported:       http.StatusNotImplemented,
 	NoRule:            http.StatusNotFound,
+	Unauthenticated:   http.StatusUnauthorized,
 	BodyTooLarge:      http.StatusRequestEntityTooLarge,
 	BodyBroken:        http.StatusBadRequest,
 	TooDeep:           http.StatusLoopDetected,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,13 @@
 // CrashesServers is the reason for refusing a request that has crashed backend servers.
 const CrashesServers = "crashes-servers"
 
+// OwnerOutsideRegions is the reason for refusing a request whose idempotency key is owned in a region that may not store
+// the response.
+const OwnerOutsideRegions = "owner-outside-regions"
+
+// Unauthenticated is the reason for refusing a request without an API key that is not a call of the backend server.
+const Unauthenticated = "unauthenticated"
+
 // Options configure New.
 type Options struct {
 	Self instance.Member
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -104,6 +104,13 @@
 	owner, incarnation, known := s.keyReducer.table.Owner(r.Service, r.Key)
 	self := s.membership.Self().Member
 
+	if known && !r.Regions.Allows(s.regionOf(owner)) {
+		// The owner stores the response, which it may not do in its region.
+		delete(s.requests, r.ID)
+
+		return []Effect{Refuse{ID: r.ID, Verdict: verdict.MayHaveRun, Delivery: verdict.NotRun, Reason: OwnerOutsideRegions}}
+	}
+
 	if !known || owner == self.ID && incarnation == self.Incarnation {
 		return s.applyKeys(now, keys.Arrived{Request: r})
 	}
@@ -121,6 +128,13 @@
 	}}
 }
 
+// regionOf returns the region of a member, or an empty string if it is unknown.
+func (s *State) regionOf(id instance.ID) string {
+	member, _ := s.membership.Member(id)
+
+	return member.Place.Region
+}
+
 // applyKeys passes an event to the key table and handles the effects: it routes the requests that were admitted.
 func (s *State) applyKeys(now time.Time, event keys.Event) []Effect {
 	var all []Effect
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -32,6 +32,8 @@
 		Parts []manifest.Part
 		// Local is set if the request was sent from the instance itself, by the backend server or by a caller there.
 		Local bool
+		// CallOnly is set if the request is only accepted as a call of the backend server, because it presents no API key.
+		CallOnly bool
 		// Stated is the deadline that the sender of a local request gave.
 		Stated time.Time
 	}
--- a/internal/core/origins.go
+++ b/internal/core/origins.go
@@ -57,15 +57,20 @@
 }
 
 // isCall decides whether a request from the instance itself is a call of the backend server, by the deadline that its
-// sender stated. If the request is certain to come from a caller, isCall records that callers use its route.
-func (s *State) isCall(now time.Time, r request.Request, deadline time.Time) bool {
+// sender stated. A call presents no API key, and only calls do so where callers need one. If the request is certain to come
+// from a caller, isCall records that callers use its route.
+func (s *State) isCall(now time.Time, e RequestArrived) bool {
+	if e.Request.Tenant != "" {
+		return false
+	}
+
 	s.origins.dropExpired(now)
 
-	if s.mayHaveParent(deadline) || now.Before(s.origins.earlierRunEnds) {
-		return !s.origins.callerRoutes[r.Route]
+	if s.mayHaveParent(e.Stated) || now.Before(s.origins.earlierRunEnds) {
+		return e.CallOnly || !s.origins.callerRoutes[e.Request.Route]
 	}
 
-	s.origins.callerRoutes[r.Route] = true
+	s.origins.callerRoutes[e.Request.Route] = true
 
 	return false
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -18,10 +18,16 @@
 		r.Service = s.choosePart(r.Route, e.Parts)
 	}
 
-	if e.Local && s.isCall(now, r, e.Stated) {
+	if e.Local && s.isCall(now, e) {
 		r.Depth = 1
 	}
 
+	if e.CallOnly && !r.Nested() {
+		return []Effect{Refuse{
+			ID: r.ID, Verdict: verdict.NotRun, Delivery: verdict.NotRun, Reason: Unauthenticated,
+		}}
+	}
+
 	if r.Nested() {
 		s.callRates.addCall(r.Service)
 	} else {
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -96,6 +96,11 @@
 
 	names.SetTimeout(header, call.Request.Deadline.Sub(d.now()))
 	dialect.SetField(header, names.Origin, call.Request.Origin)
+
+	if call.Request.Tenant != "" {
+		dialect.SetField(header, names.Tenant, call.Request.Tenant)
+	}
+
 	dialect.SetField(header, names.CallToken, core.CallToken(id))
 
 	if server != "" {
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -148,7 +148,7 @@
 	} else {
 		d.applyLocked(core.RequestArrived{
 			Request: r.submission.Request, Parts: r.submission.Parts, Local: r.submission.FromInstance,
-			Stated: r.submission.StatedDeadline,
+			CallOnly: r.submission.CallOnly, Stated: r.submission.StatedDeadline,
 		})
 	}
 
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -40,6 +40,12 @@
 	// Limit is the number of requests per second that a backend server takes from all instances together. It holds until
 	// a response of the server lacks the field.
 	Limit string
+	// Credential carries the API key of a caller. It is never passed on.
+	Credential string
+	// Tenant is the tenant to whom the caller of a request belongs. The daemon sets it.
+	Tenant string
+	// Cold is the time in milliseconds for which a backend server stays cold, in its responses to health requests.
+	Cold string
 	// NotRunValue is the required value of NotRun; empty if any value is accepted.
 	NotRunValue string
 	// FractionalRetryAfter is set if Retry-After may have decimals.
@@ -76,6 +82,9 @@
 		NotRunValue: "not-run",
 		State:       "Tarragonmill-State",
 		Limit:       "Tarragonmill-Limit",
+		Credential:  "Tarragonmill-Key",
+		Tenant:      "Tarragonmill-Tenant",
+		Cold:        "Tarragonmill-Cold",
 
 		DrainingValue: "draining",
 	}
@@ -165,7 +174,7 @@
 // DaemonFields returns the names of the fields that the daemon sets itself in requests, so that a caller's values are
 // not passed on. Names may be empty.
 func (d Dialect) DaemonFields() []string {
-	return []string{d.Timeout, d.ExpectedInstance, d.Origin, d.CallToken}
+	return []string{d.Timeout, d.ExpectedInstance, d.Origin, d.CallToken, d.Credential, d.Tenant}
 }
 
 // value returns the value of a field, or an empty string if the name is empty.
@@ -177,6 +186,9 @@
 	return header.Get(name)
 }
 
+// CredentialOf returns the API key in a request; empty if there is none.
+func (d Dialect) CredentialOf(header http.Header) string { return d.value(header, d.Credential) }
+
 // AttemptOf returns the attempt identifier in a request or response; empty if there is none.
 func (d Dialect) AttemptOf(header http.Header) string { return d.value(header, d.Attempt) }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -58,6 +58,10 @@
 	Alone bool
 	// Size is the size of the request body in bytes.
 	Size int64
+	// Tenant is the tenant of the caller; empty if there is none, as for nested calls.
+	Tenant string
+	// Regions are the regions whose servers may run the request.
+	Regions Regions
 }
 
 // Nested reports whether the request is a call that another request makes while it runs.
@@ -78,6 +82,20 @@
 	return r
 }
 
+// WithTenant returns a copy for a tenant: with its name, its priority if it has one, and both restrictions of regions. The
+// fingerprint differs between tenants, so that an idempotency key of one never brings the response of another.
+func (r Request) WithTenant(tenant manifest.Tenant) Request {
+	r.Tenant = tenant.Name
+	r.Regions = r.Regions.Intersect(NewRegions(tenant.Regions))
+	r.Fingerprint ^= Fingerprint(xxhash.Sum64String(tenant.Name))
+
+	if tenant.Ranked {
+		r.Priority = tenant.Priority
+	}
+
+	return r
+}
+
 // WithAlone returns a copy with Alone set.
 func (r Request) WithAlone() Request {
 	r.Alone = true
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -82,6 +82,9 @@
 	return f.estimate.bytes + float64(f.request.Size) + headerBytes
 }
 
+// allows reports whether the restrictions of the request allow the region of a server.
+func (f *flight) allows(srv *server) bool { return f.request.Regions.Allows(srv.member.Place.Region) }
+
 // linkAllows reports whether an attempt at a server stays within the region or the budget for other regions allows it.
 func (svc *service) linkAllows(now time.Time, srv *server) bool {
 	return srv.distance != otherRegion || svc.spillBudget.hasBalance(now)
@@ -163,7 +166,7 @@
 
 	for _, remote := range []bool{false, true} {
 		for _, srv := range f.service.servers {
-			if remote == (srv.distance == otherRegion) && srv.isOpen(now) &&
+			if remote == (srv.distance == otherRegion) && f.allows(srv) && srv.isOpen(now) &&
 				!f.excludes(now, srv) && f.service.linkAllows(now, srv) {
 				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv)})
 			}
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // send starts an attempt at a server of about the lowest cost. If none can respond by the deadline, the request pauses
 // or is given up. It is also given up if it has used up its attempts or the service its repeats.
@@ -118,7 +121,7 @@
 }
 
 // pauseOrGiveUp schedules the next choice of a server for a request that no server takes, or gives the request up. It
-// gives up at once if the service has no servers, the request is late, or no server can respond by the deadline.
+// gives up at once if the service has no servers in an allowed region, the request is late, or no server can respond by the deadline.
 func (s *State) pauseOrGiveUp(now time.Time, f *flight, chosen choice) []Effect {
 	if f.liveAttempts() > 0 {
 		return nil
@@ -129,7 +132,7 @@
 	switch {
 	case f.fallback >= 0 && f.pauses > 1:
 		return s.giveUp(now, f, AttemptsExhausted)
-	case len(f.service.servers) == 0:
+	case !slices.ContainsFunc(f.service.servers, f.allows):
 		return s.giveUp(now, f, NoServers)
 	case chosen.server != nil, chosen.late, f.pauses > f.pauseLimit():
 		return s.giveUp(now, f, Overloaded)
--- a/pkg/manifest/codec.go
+++ b/pkg/manifest/codec.go
@@ -33,6 +33,7 @@
 	serviceKind = "service"
 	ruleKind    = "rule"
 	routeKind   = "route"
+	tenantKind  = "tenant"
 
 	limitsSection = "limits"
 )
@@ -40,9 +41,10 @@
 func serviceSection(service string) string    { return serviceKind + " " + service }
 func ruleSection(service, rule string) string { return ruleKind + " " + service + " " + rule }
 func routeSection(route string) string        { return routeKind + " " + route }
+func tenantSection(tenant string) string      { return tenantKind + " " + tenant }
 
-// Parse parses and validates a manifest in the INI form. Services and routes are sorted by name; the rules of a service
-// keep their order. If the manifest is larger than MaxSize or invalid, Parse returns an empty manifest and an error.
+// Parse parses and validates a manifest in the INI form. Services, routes and tenants are sorted by name; the rules of a
+// service keep their order. If the manifest is larger than MaxSize or invalid, Parse returns an empty manifest and an error.
 // Errors give name as the file name. Those about the content are joined *ini.Error values, each with line, section and
 // key.
 func Parse(name string, data []byte) (Manifest, error) {
@@ -83,6 +85,12 @@
 
 	slices.SortFunc(m.Routes, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
 
+	for _, section := range document.SectionsOf(tenantKind, "TENANT") {
+		m.Tenants = append(m.Tenants, decodeTenant(section))
+	}
+
+	slices.SortFunc(m.Tenants, func(a, b Tenant) int { return strings.Compare(a.Name, b.Name) })
+
 	// Values that could not be parsed are zero here, and checking them would add misleading errors.
 	if !document.Faulty() {
 		_, problems := m.check()
@@ -162,6 +170,10 @@
 		},
 		Health:      ini.Optional(s, "health", "", ini.Text),
 		Connections: ini.Optional(s, "connections", 0, ini.Integer),
+		Cold: Cold{
+			Time: ini.Optional(s, "warmup", 0, ini.Duration),
+			Rate: ini.Optional(s, "cold", 0, ini.Number),
+		},
 	}
 
 	return service
@@ -186,6 +198,9 @@
 		Priority: ini.Optional(s, "priority", 0, ini.Integer),
 		Body:     ini.Required(s, "body", ini.Size),
 		Answer:   ini.Optional(s, "answer", 0, ini.Size),
+
+		Anonymous: ini.Optional(s, "anonymous", false, strconv.ParseBool),
+		Regions:   ini.Optional(s, "regions", nil, ini.List(ini.Name)),
 	}
 }
 
@@ -230,6 +245,10 @@
 		formatRoute(&out, route)
 	}
 
+	for _, tenant := range m.Tenants {
+		formatTenant(&out, tenant)
+	}
+
 	return out.Bytes()
 }
 
@@ -267,6 +286,18 @@
 	if rule.Answer > 0 {
 		writeKey(out, "answer", ini.FormatSize(rule.Answer))
 	}
+
+	if rule.Anonymous {
+		writeKey(out, "anonymous", strconv.FormatBool(true))
+	}
+
+	formatRegions(out, rule.Regions)
+}
+
+func formatRegions(out *bytes.Buffer, regions []string) {
+	if len(regions) > 0 {
+		writeKey(out, "regions", strings.Join(regions, ", "))
+	}
 }
 
 func formatService(out *bytes.Buffer, s Service) {
@@ -293,6 +324,11 @@
 		writeKey(out, "connections", strconv.Itoa(s.Connections))
 	}
 
+	if s.Cold != (Cold{}) {
+		writeKey(out, "warmup", s.Cold.Time.String())
+		writeKey(out, "cold", formatNumber(s.Cold.Rate))
+	}
+
 	for _, rule := range s.Rules {
 		fmt.Fprintf(out, "\n[%s]\n", ruleSection(s.Name, rule.Name))
 
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -1,4 +1,4 @@
-// Package manifest defines the configuration that operators write: services, the rules for their requests, and
+// Package manifest defines the configuration that operators write: services, the rules for their requests, tenants, and
 // limits on the traffic for load measurement, retries and hedging.
 //
 // The operators' build pipeline generates a manifest and publishes it through the log service. The types have no
@@ -31,6 +31,8 @@
 type Manifest struct {
 	Services []Service
 	Routes   []Route
+	// Tenants are empty if callers need no key.
+	Tenants []Tenant
 	// Limits apply to the requests and connections of all callers.
 	Limits Limits
 	// Keys is zero if idempotency keys are disabled.
@@ -53,6 +55,16 @@
 	// Connections is the maximum number of connections to one backend server; if it is zero, the settings of the
 	// daemon beside the server apply. Daemons do not enforce it; the limit in their settings always applies.
 	Connections int
+	Cold        Cold
+}
+
+// Cold limits the requests of a server that has just started and is still slow, for example because its caches are empty.
+// The zero value means no limit.
+type Cold struct {
+	// Time is how long a server stays cold after its start. Servers also state how long they stay cold.
+	Time time.Duration
+	// Rate is the number of requests per second that a cold server tolerates.
+	Rate float64
 }
 
 // Rule classifies requests of a service by method and path.
@@ -77,6 +89,10 @@
 	Body int64
 	// Answer is the maximum size of a response body in bytes; zero means no limit. Daemons do not enforce it.
 	Answer int64
+	// Anonymous is set if callers need no key although the manifest has tenants.
+	Anonymous bool
+	// Regions are the regions whose servers may run the requests; empty means all.
+	Regions []string
 }
 
 // Budget limits the traffic of a service for measuring the load of its servers, and its traffic between regions.
--- a/pkg/manifest/match.go
+++ b/pkg/manifest/match.go
@@ -23,6 +23,9 @@
 	// hosts and routes are indexed by canonical host.
 	hosts  map[string]*compiledService
 	routes map[string]routesByPrefix
+	// tenants are indexed by the digests of their API keys. keyed is set if the manifest has tenants.
+	tenants map[KeyDigest]*Tenant
+	keyed   bool
 }
 
 // compiledService holds the rules of a service as patterns of a mux.
@@ -83,6 +86,16 @@
 	return Match{Service: service.name, Rule: matched.rule}, nil
 }
 
+// Keyed reports whether callers have to present an API key: the manifest has tenants.
+func (m *Matcher) Keyed() bool { return m.keyed }
+
+// Tenant returns the tenant to which an API key belongs, and false if there is none. The tenant must not be modified.
+func (m *Matcher) Tenant(key string) (*Tenant, bool) {
+	tenant, found := m.tenants[DigestKey(key)]
+
+	return tenant, found
+}
+
 // canonicalHost returns the host in lower case, without port, without the trailing dot of a DNS name and without the
 // brackets of an IPv6 address.
 func canonicalHost(host string) string {
--- a/pkg/manifest/validate.go
+++ b/pkg/manifest/validate.go
@@ -13,7 +13,7 @@
 
 // Bounds of values in a manifest, all inclusive.
 const (
-	// MaxDeadline bounds Rule.Deadline, Rule.Target and Limits.HeaderTimeout.
+	// MaxDeadline bounds Rule.Deadline, Rule.Target, Cold.Time and Limits.HeaderTimeout.
 	MaxDeadline = 10 * time.Minute
 	// MaxBody bounds request bodies, in bytes. The daemon that receives a request holds its body in memory.
 	MaxBody = 64 << 20
@@ -142,7 +142,10 @@
 		c.checkRules(service, entry.mux)
 	}
 
-	return Matcher{hosts: hosts, routes: c.compileRoutes(m)}, c.problems
+	matcher := Matcher{hosts: hosts, routes: c.compileRoutes(m), tenants: c.checkTenants(m.Tenants)}
+	matcher.keyed = len(m.Tenants) > 0
+
+	return matcher, c.problems
 }
 
 func (c *checker) checkKeys(keys Keys) {
@@ -202,6 +205,8 @@
 	checkRange(c, "retries", s.Retry.Share, 0, 1)
 	checkRange(c, "attempts", s.Retry.Attempts, 1, MaxAttempts)
 	checkRange(c, "connections", s.Connections, 0, MaxConnections)
+	checkRange(c, "warmup", s.Cold.Time, 0, MaxDeadline)
+	checkRange(c, "cold", s.Cold.Rate, 0, MaxRate)
 	checkRange(c, "hedges", s.Hedge.Share, 0, 1)
 
 	if s.Hedge.Share > 0 || s.Hedge.Quantile != 0 {
@@ -247,6 +252,7 @@
 	checkRange(c, "priority", rule.Priority, 0, MaxPriority)
 	checkRange(c, "body", rule.Body, 0, MaxBody)
 	checkRange(c, "answer", rule.Answer, 0, MaxAnswer)
+	c.checkRegions(rule.Regions)
 
 	if rule.Kind > Idempotent {
 		c.addProblem("kind", "kind %d is unknown", rule.Kind)
