routing: a request stays in its failure domain while it is answered in time there

An attempt at a server in another region waited 30 ms there, less than the round trip that the next attempt needs.

Change: candidates are ordered by distance. A server of the own domain is chosen if it is expected to respond by the target and not later than twice the best server of the region; the next best server of the region still limits the slowness that an attempt accepts. Nested calls go to the cheapest server as before. An attempt waits at a server for at least two round trips.

--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -24,6 +24,9 @@
 	// second of response time if they leave the failure domain or the region, because that traffic is billed.
 	domainBytesPerCostSecond = 160_000
 	regionBytesPerCostSecond = 40_000
+	// maxDomainFactor is the factor by which a response from the own failure domain may be expected later than one from
+	// elsewhere. Above it, the caller gains more than the traffic costs.
+	maxDomainFactor = 2
 	// headerBytes stands for the headers of a request and its response together.
 	headerBytes = 700
 )
@@ -111,39 +114,63 @@
 	cost   cost
 }
 
-// chooseServer returns a server for a request, or a choice without a server. It considers other regions only if
-// this daemon's region has no candidate or if its cheapest one is not expected to respond in time: the link between
-// regions is narrow and billed, and the load of remote servers is hardly known. If the cheapest server of all regions
-// is not expected to respond in time either, the request is late. It then goes only to a server with spare slots,
+// chooseServer returns a server for a request, or a choice without a server. A request stays in this daemon's region while a
+// server there is expected to respond in time: traffic that leaves it is billed, the links between regions are narrow, and
+// the load of remote servers is hardly known. It stays in the failure domain if its caller gains little elsewhere. If the cheapest server of all
+// regions is not expected to respond in time either, the request is late. It then goes only to a server with spare slots,
 // because at another one it would make other requests late, too, and leaves the region only if that has no candidate.
-// A nested call goes to any server, because its parent waits for it.
+//
+// A nested call is never late, because its parent waits for it, and would stay near at any price. It goes to the cheapest
+// server.
 func (s *State) chooseServer(now time.Time, f *flight) choice {
 	candidates := s.candidates(now, f)
-	preferred := candidates
+	inDomain, inRegion := within(candidates, sameDomain), within(candidates, sameRegion)
 
-	if firstRemote := slices.IndexFunc(candidates, func(c candidate) bool {
-		return c.server.distance == otherRegion
-	}); firstRemote > 0 {
-		preferred = candidates[:firstRemote]
+	if len(inRegion) == 0 {
+		inRegion = candidates
 	}
 
 	switch {
 	case len(candidates) == 0:
 		return choice{}
-	case f.respondsInTime(now, cheapest(preferred).cost):
-		return s.pickCheapest(preferred)
+	case f.staysInDomain(now, inDomain, inRegion):
+		return s.pickCheapest(inDomain, inRegion)
+	case f.respondsInTime(now, cheapest(inRegion).cost):
+		return s.pickCheapest(inRegion, inRegion)
 	case f.request.Nested(), f.respondsInTime(now, cheapest(candidates).cost):
-		return s.pickCheapest(candidates)
+		return s.pickCheapest(candidates, candidates)
 	}
 
-	chosen := s.pickCheapest(slices.DeleteFunc(preferred, func(c candidate) bool {
-		return !c.server.hasRoomForLate(now)
-	}))
+	withRoom := slices.DeleteFunc(inRegion, func(c candidate) bool { return !c.server.hasRoomForLate(now) })
+	chosen := s.pickCheapest(withRoom, withRoom)
 	chosen.late = true
 
 	return chosen
 }
 
+// staysInDomain reports whether a request goes to a server in the failure domain although another one in the region may
+// respond earlier. A nested call would always do so, as any response by the deadline is in time.
+func (f *flight) staysInDomain(now time.Time, inDomain, inRegion []candidate) bool {
+	if len(inDomain) == 0 || f.request.Nested() {
+		return false
+	}
+
+	near, best := cheapest(inDomain).cost, cheapest(inRegion).cost
+
+	return f.respondsInTime(now, near) && near.responseTime <= maxDomainFactor*best.responseTime
+}
+
+// within returns the candidates up to a distance. The candidates are in the order of their distance.
+func within(candidates []candidate, limit distance) []candidate {
+	for i, c := range candidates {
+		if c.server.distance > limit {
+			return candidates[:i]
+		}
+	}
+
+	return candidates
+}
+
 // respondsInTime reports whether a response at this cost is expected before responseDue.
 func (f *flight) respondsInTime(now time.Time, c cost) bool {
 	return !now.Add(toDuration(c.responseTime)).After(f.responseDue())
@@ -159,14 +186,14 @@
 	return f.request.Deadline
 }
 
-// candidates lists the servers to which a request may be sent, those of other regions last. The list is valid until
-// the next call, which reuses its memory.
+// candidates lists the servers to which a request may be sent: those in the failure domain of this daemon first, those of
+// other regions last. The list is valid until the next call, which reuses its memory.
 func (s *State) candidates(now time.Time, f *flight) []candidate {
 	all := s.candidateBuffer[:0]
 
-	for _, remote := range []bool{false, true} {
+	for _, limit := range []distance{sameDomain, sameRegion, otherRegion} {
 		for _, srv := range f.service.servers {
-			if remote == (srv.distance == otherRegion) && f.allows(srv) && srv.isOpen(now) &&
+			if max(srv.distance, sameDomain) == limit && f.allows(srv) && srv.isOpen(now) &&
 				!f.excludes(now, srv) && f.service.linkAllows(now, srv) {
 				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv)})
 			}
@@ -184,14 +211,14 @@
 }
 
 // pickCheapest draws one of the candidates whose cost is within costTolerance of the lowest one, all with equal
-// probability.
-func (s *State) pickCheapest(candidates []candidate) choice {
+// probability. The next best server is one of the alternatives.
+func (s *State) pickCheapest(candidates, alternatives []candidate) choice {
 	if len(candidates) == 0 {
 		return choice{}
 	}
 
 	var (
-		chosen   = choice{candidates: len(candidates)}
+		chosen   = choice{candidates: len(alternatives)}
 		limit    = cheapest(candidates).cost.total * costTolerance
 		eligible int
 	)
@@ -207,7 +234,7 @@
 		}
 	}
 
-	for _, c := range candidates {
+	for _, c := range alternatives {
 		if c.server != chosen.server && (!chosen.hasNext || c.cost.total < chosen.nextCost) {
 			chosen.nextCost, chosen.hasNext = c.cost.total, true
 		}
--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -158,6 +159,10 @@
 		Size: int64(line.Int("size", 0)),
 	}
 
+	if regions := line.Text("regions", ""); regions != "" {
+		r.Regions = request.NewRegions(strings.Split(regions, ","))
+	}
+
 	if line.Has("nested") {
 		r.Depth = 1
 	}
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -56,7 +56,9 @@
 
 	due := a.flight.responseDue()
 
-	wait := min(max(waitRoundTime/time.Duration(max(1, chosen.candidates)), minWait), maxWait)
+	// At a distant server, a longer wait is better than the time that another attempt would spend on the way.
+	shortest := max(minWait, distantWaitRounds*chosen.server.distance.roundTrip())
+	wait := min(max(waitRoundTime/time.Duration(max(1, chosen.candidates)), shortest), maxWait)
 
 	return max(0, min(wait, due.Sub(now)-toDuration(chosen.cost.runTime)))
 }
