membership: servers of other failure domains are watched only where the own one has few

Cause: most of the bytes between failure domains were beats: each daemon watched 12 servers of a service, also outside its domain.

Change: if the own domain has six servers of a service or more, only these are watched.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -31,6 +31,8 @@
 	// servers to choose from.
 	maxWatched           = 24
 	maxWatchedPerService = 12
+	// enoughInDomain is the number of servers of a service in the own failure domain from which no others are watched.
+	enoughInDomain = 6
 	// idleBeatInterval is the time between beats to a watcher while nothing changes.
 	idleBeatInterval = 600 * time.Millisecond
 	// changeBeatInterval is the minimum time between beats that report a change to a watcher, and
@@ -433,6 +435,9 @@
 	return instance.Member{}, false
 }
 
+// SendsRequests reports whether this daemon has sent a request to any service.
+func (s *State) SendsRequests() bool { return len(s.usedServices) > 0 }
+
 // Self returns the daemon's own entry.
 func (s *State) Self() Entry { return s.self }
 
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -45,6 +45,7 @@
 	m.Counter = uint64(line.Int("counter", 0))
 	m.Service = line.Text("service", "stock")
 	m.Place.Region = line.Text("region", "west")
+	m.Place.Domain = line.Text("domain", m.Place.Domain)
 
 	if line.Text("status", "") == "left" {
 		m.Status = instance.Left
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -8,8 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// chooseWatched selects the members to watch: for each service to which this daemon sends requests, servers in its
-// region, nearest first.
+// chooseWatched selects the members to watch: for each service to which this daemon sends requests, servers near by.
 func (s *State) chooseWatched(now time.Time) {
 	chosen := make(map[*peer]bool, maxWatched)
 
@@ -44,8 +43,10 @@
 	return chosen
 }
 
-// candidatesByService returns the candidates of each used service in order of preference. Among servers at the same
-// distance the order differs between daemons, so that all servers have about the same number of watchers.
+// candidatesByService returns the candidates of each used service in order of preference: those in the own failure domain
+// and, if these are fewer than enoughInDomain, others in the region. Beats between failure domains are billed, and a server
+// there is only chosen if the own failure domain has no room. Among servers at the same distance the order differs between
+// daemons, so that all servers have about the same number of watchers.
 func (s *State) candidatesByService() [][]*peer {
 	byService := make(map[string][]*peer, len(s.usedServices))
 
@@ -69,12 +70,22 @@
 			return cmp.Or(cmp.Compare(s.distance(a), s.distance(b)), cmp.Compare(s.weight(a), s.weight(b)))
 		})
 
-		lists = append(lists, byService[name])
+		lists = append(lists, s.limitRemote(byService[name]))
 	}
 
 	return lists
 }
 
+// limitRemote returns the candidates without those in other failure domains that are not needed to reach enoughInDomain.
+func (s *State) limitRemote(candidates []*peer) []*peer {
+	inDomain := slices.IndexFunc(candidates, func(p *peer) bool { return s.distance(p) > 0 })
+	if inDomain < 0 {
+		return candidates
+	}
+
+	return candidates[:min(len(candidates), max(inDomain, enoughInDomain))]
+}
+
 // distance is 0 for a peer in the same failure domain, 1 for any other peer in the region.
 func (s *State) distance(p *peer) int {
 	if p.member.Place == s.self.Member.Place {
