--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -91,9 +91,6 @@
 // RankAmongHeard returns the number of members with a lower ID than this daemon whose beats arrive regularly.
 func (s *State) RankAmongHeard(now time.Time) int { return s.membership.RankAmongHeard(now) }
 
-// SendsRequests reports whether this daemon has sent a request to any service.
-func (s *State) SendsRequests() bool { return s.membership.SendsRequests() }
-
 // Member returns a member by its ID.
 func (s *State) Member(id instance.ID) (instance.Member, bool) { return s.membership.Member(id) }
 
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -21,9 +21,6 @@
 	// silent, because the store bills calls; the others hear of the version from them.
 	shortWait = 1200 * time.Millisecond
 	longWait  = 30 * time.Second
-	// idleWait replaces shortWait until the daemon gets its first request. It hears nobody until then, so that without this
-	// wait all daemons of a fleet that starts would call the store often.
-	idleWait = 5 * time.Second
 	// frequentReaders is the number of daemons that use shortWait, among those that hear each other.
 	frequentReaders = 1
 	// updatePause is the mean pause after a new configuration. Without it, each daemon of the fleet would make one call
@@ -273,8 +270,6 @@
 	switch {
 	case d.state.RankAmongHeard(d.now()) >= frequentReaders:
 		return longWait
-	case !d.state.SendsRequests():
-		return idleWait
 	case paused:
 		return resumeWait
 	default:
