core: a daemon without requests hears the daemons of its service

Longer reads of idle daemons were tried and reverted: TestSilentStoreConnectionsOfIdleDaemons shows that a version then comes too late over silent connections.

Change: each daemon watches servers of its own service from the start.

Result: the tests of silent connections and stale lists in internal/daemon pass (32 s).

--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -44,6 +44,7 @@
 			all = append(all, s.handleMembersReady(now, e)...)
 			all = append(all, s.updateKeyMembers(now)...)
 			all = append(all, s.applyMeasurementBudget(now)...)
+			all = append(all, s.watchOwnService(now)...)
 			all = append(all, e)
 		default:
 			all = append(all, effect)
@@ -53,6 +54,12 @@
 	return all
 }
 
+// watchOwnService makes the daemon watch servers of its own service before it sends any request. Through their beats it
+// hears of new configurations, and only the daemon with the lowest ID among those that hear each other asks the store often.
+func (s *State) watchOwnService(now time.Time) []Effect {
+	return s.handleMembershipEffects(now, s.membership.Apply(now, membership.Used{Service: s.options.Self.Service}))
+}
+
 // handleMembersReady restores what an earlier run of this daemon has stored, and the findings of its service.
 func (s *State) handleMembersReady(now time.Time, e membership.Ready) []Effect {
 	var effects []Effect
