daemon: fewer calls to the store before a daemon is known to others

Cause: until its entry is in the store, 4 s after the start of a fleet, a daemon hears nobody and reads the configuration every 1.2 s.

Change: these reads wait for 5 s.

--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -98,6 +98,9 @@
 // RankAmongHeard returns the number of members with a lower ID than this daemon whose beats arrive regularly.
 func (s *State) RankAmongHeard(now time.Time) int { return s.membership.RankAmongHeard(now) }
 
+// Stored reports whether this run of the daemon has written its entry to the store.
+func (s *State) Stored() bool { return s.membership.Stored() }
+
 // Member returns a member by its ID.
 func (s *State) Member(id instance.ID) (instance.Member, bool) { return s.membership.Member(id) }
 
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -21,6 +21,9 @@
 	// silent, because the store bills calls; the others hear of the version from them.
 	shortWait = 1200 * time.Millisecond
 	longWait  = 30 * time.Second
+	// unknownWait replaces shortWait until the daemon's entry is in the store. Until then, the other daemons of a fleet that
+	// starts do not know it, so that it hears nobody, and all daemons would call the store often.
+	unknownWait = 5 * time.Second
 	// frequentReaders is the number of daemons that use shortWait, among those that hear each other.
 	frequentReaders = 1
 	// updatePause is the mean pause after a new configuration. Without it, each daemon of the fleet would make one call
@@ -270,6 +273,8 @@
 	switch {
 	case d.state.RankAmongHeard(d.now()) >= frequentReaders:
 		return longWait
+	case !d.state.Stored():
+		return unknownWait
 	case paused:
 		return resumeWait
 	default:
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -435,9 +435,6 @@
 	return instance.Member{}, false
 }
 
-// SendsRequests reports whether this daemon has sent a request to any service.
-func (s *State) SendsRequests() bool { return len(s.usedServices) > 0 }
-
 // Self returns the daemon's own entry.
 func (s *State) Self() Entry { return s.self }
 
