routing: a service that no other one calls uses the whole budget of direct repeats

Cause: a quarter of each repeat budget is kept for calls that repeated requests of other services make.

Change: the quarter is kept only for services that are known to be called.

--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -20,6 +20,16 @@
 	inducedShare = 0.25
 )
 
+// directShare returns the share of the repeat budget for repeats of the service's own requests. It includes the share for
+// induced repeats if no other service is known to call this one.
+func (svc *service) directShare(now time.Time, limits Repeats) float64 {
+	if calls, _ := svc.inducedBudget.totals(now, limits); calls > 0 {
+		return directShare
+	}
+
+	return directShare + inducedShare
+}
+
 // callRateWeight is the weight of one report in the moving average of the calls that a request of a service makes.
 const callRateWeight = 0.05
 
@@ -159,7 +169,7 @@
 // repeatsLeft returns the number of repeats that the budgets of a service and of the services that it calls still
 // allow.
 func (s *State) repeatsLeft(now time.Time, svc *service) float64 {
-	remaining := svc.repeatBudget.remaining(now, s.repeats, s.slackShare(now), directShare)
+	remaining := svc.repeatBudget.remaining(now, s.repeats, s.slackShare(now), svc.directShare(now, s.repeats))
 
 	for _, calls := range svc.callRates {
 		induced := s.service(calls.Service).inducedBudget.remaining(now, s.repeats, s.slackShare(now), inducedShare)
