dialect, backend: cold time in answers to health requests

The remaining cold time of a server was read from announcements only, which may be late, and a missing value there looked like zero. Answers to health requests now state it as well, and announcements say whether they state it. The time that runs down does not cause a second probe; whether there is any does. TestColdHealth: 7 probes for 5 calls with 2 changes.

--- a/internal/backend/announcement.go
+++ b/internal/backend/announcement.go
@@ -29,4 +29,6 @@
 	Draining bool
 	// ColdFor is the remaining time for which the server is slow after its start.
 	ColdFor time.Duration
+	// ColdStated is set if the announcement states ColdFor, also if that is zero.
+	ColdStated bool
 }
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -37,13 +38,18 @@
 	HasLoad bool
 	// Limit is what the answer says of the number of requests that the server allows.
 	Limit Statement
+	// ColdFor is the remaining time for which the server is cold, if HasCold is set.
+	ColdFor time.Duration
+	HasCold bool
 	// Repeated is set if the probe was sent twice.
 	Repeated bool
 }
 
-// withoutLoad returns what the server stated beside its load.
-func (h Health) withoutLoad() Health {
+// statement returns what does not change from one answer to the next while the server stays in the same state. Of the
+// cold time, which runs down, it is whether there is any.
+func (h Health) statement() Health {
 	h.Load, h.HasLoad = dialect.Load{}, false
+	h.ColdFor = min(h.ColdFor, 1)
 
 	return h
 }
@@ -72,7 +78,7 @@
 	}
 
 	if !reused && err == nil {
-		stated := health.withoutLoad()
+		stated := health.statement()
 		s.stated.Store(&stated)
 	}
 
@@ -85,7 +91,7 @@
 func (s *Server) hasStated(health Health) bool {
 	stated := s.stated.Load()
 
-	return stated != nil && *stated == health.withoutLoad()
+	return stated != nil && *stated == health.statement()
 }
 
 // probe sends one probe. It reports whether its connection has carried other requests.
@@ -109,5 +115,6 @@
 	return Health{
 		Healthy: response.Status == http.StatusOK, Draining: response.Draining, Instance: response.Instance,
 		Load: response.Load, HasLoad: response.HasLoad, Limit: response.Limit,
+		ColdFor: response.ColdFor, HasCold: response.HasCold,
 	}, reused, errors.Wrap(err, "read health response")
 }
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
@@ -19,6 +20,8 @@
 	// copies is the number of probes on connections with earlier responses that get a copy of the first one.
 	copies int
 	probes int
+	// cold is the cold time that the next response states, in milliseconds; nothing for none.
+	cold string
 }
 
 func (h *healthServer) respond(number int, r *http.Request) string {
@@ -41,11 +44,34 @@
 		return ready
 	case h.draining:
 		return "HTTP/1.1 503 Service Unavailable\r\nInstance-Id: i-1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+	case h.cold != "":
+		return strings.Replace(ready, "Content", "Cold-Ms: "+h.cold+"\r\nContent", 1)
 	default:
 		return ready
 	}
 }
 
+// TestColdHealth guards against a cold time that is not read, and against a second probe after each one because the time
+// that is left runs down.
+func TestColdHealth(t *testing.T) {
+	h := &healthServer{}
+	s := newServer(t, serveRaw(t, h.respond), platform.Dialect())
+
+	for i, text := range []string{"", "2500", "2400.5", "2300", "0"} {
+		h.mutex.Lock()
+		h.cold = text
+		h.mutex.Unlock()
+
+		health, err := s.Probe(t.Context(), "/health")
+		require.NoError(t, err)
+		require.Equal(t, text != "", health.HasCold)
+		require.InDelta(t, []float64{0, 2500, 2400.5, 2300, 0}[i], health.ColdFor.Seconds()*1000, 0.001)
+	}
+
+	// Only the first time and the zero are new.
+	require.Equal(t, 7, h.probes)
+}
+
 // TestCopiedHealth guards against a copy of an earlier health response on a kept connection whose statement is told as
 // new: here that the server, which leaves, is ready.
 func TestCopiedHealth(t *testing.T) {
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -25,6 +25,9 @@
 	HasLoad bool
 	// Limit is what the response says of the number of requests that the server allows.
 	Limit Statement
+	// ColdFor is the remaining time for which the server is cold, if HasCold is set.
+	ColdFor time.Duration
+	HasCold bool
 	// NotRun is set if the server states that it did not run the request.
 	NotRun bool
 	// Draining is set if the server states that it is about to leave the fleet.
@@ -43,6 +46,7 @@
 	}
 	converted.Load, converted.HasLoad = s.dialect.ParseLoad(response.Header)
 	converted.Limit = s.limitOf(response)
+	converted.ColdFor, converted.HasCold = s.dialect.ParseCold(response.Header)
 
 	if http1.Bodiless(call.Request.Method, response.StatusCode) {
 		// A stated length is that of the response to another request.
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -139,6 +139,25 @@
 	return load, true
 }
 
+// maxCold bounds the Cold field. A longer time counts as this one.
+const maxCold = 10 * time.Minute
+
+// ParseCold parses the Cold field of a response. It returns false if the field is missing, malformed or negative.
+func (d Dialect) ParseCold(header http.Header) (time.Duration, bool) {
+	text := d.value(header, d.Cold)
+	if text == "" {
+		return 0, false
+	}
+
+	number, err := strconv.ParseFloat(text, 64)
+	// The comparison also excludes NaN.
+	if err != nil || !(number >= 0 && number <= math.MaxFloat64) {
+		return 0, false
+	}
+
+	return time.Duration(min(number, float64(maxCold/time.Millisecond)) * float64(time.Millisecond)), true
+}
+
 // ParseTimeout parses the Timeout field of a request. It returns false if the field is missing, malformed, negative or
 // above 24 hours.
 func (d Dialect) ParseTimeout(header http.Header) (time.Duration, bool) {
--- a/internal/dialect/dialect_test.go
+++ b/internal/dialect/dialect_test.go
@@ -15,7 +15,7 @@
 // TestNumbersOutOfRange guards against header fields of a faulty server or caller whose numbers overflow, or that are no
 // numbers at all and pass every comparison.
 func TestNumbersOutOfRange(t *testing.T) {
-	d := dialect.Dialect{Load: "Load", Timeout: "Timeout", Limit: "Limit"}
+	d := dialect.Dialect{Load: "Load", Timeout: "Timeout", Limit: "Limit", Cold: "Cold"}
 
 	load, ok := d.ParseLoad(header("Load", "1, 2,6,150"))
 	require.True(t, ok)
@@ -48,4 +48,17 @@
 		_, _, err := d.ParseLimit(header("Limit", text))
 		require.Error(t, err, text)
 	}
+
+	for text, expected := range map[string]time.Duration{
+		"1500.5": 1500500 * time.Microsecond, "0": 0, "1e30": 10 * time.Minute,
+	} {
+		cold, ok := d.ParseCold(header("Cold", text))
+		require.True(t, ok, text)
+		require.Equal(t, expected, cold, text)
+	}
+
+	for _, text := range []string{"NaN", "Inf", "-1", "1e400", "warm"} {
+		_, ok := d.ParseCold(header("Cold", text))
+		require.False(t, ok, text)
+	}
 }
--- a/internal/simulation/server.go
+++ b/internal/simulation/server.go
@@ -113,6 +113,7 @@
 	return backend.Announcement{
 		ID: s.id, Born: s.startTime, Sequence: s.announcementCount, Service: s.service.Name, Slots: s.service.Slots,
 		Draining: s.draining, ColdFor: max(0, s.coldUntil.Sub(s.fleet.clock.now)),
+		ColdStated: true,
 	}
 }
 
