health, admission, core: limit the requests of cold servers

A server that has just started was only chosen less often, and got as many requests as its slots allow. A service can now state the rate that a cold server tolerates, and the daemon beside the server starts no more in any second, by a log of the starts of the last second that is kept at all times.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,14 +29,20 @@
 	runningAlone bool
 	// limiter is nil while the server states no limit.
 	limiter *limiter
+	// starts holds the starts of the last second. While the server is cold, until coldUntil, at most coldRate attempts
+	// start in any second; zero for no limit.
+	starts    startLog
+	coldRate  float64
+	coldUntil time.Time
 	// tokenAt is when the limit allows a waiting attempt to start; zero if it already does or none waits.
 	tokenAt time.Time
 	counts  Counts
 }
 
 type runningAttempt struct {
-	aborted bool
-	alone   bool
+	aborted   bool
+	alone     bool
+	startedAt time.Time
 }
 
 // New returns a State that refuses all attempts with ServerUnknown until the first ServerChanged.
@@ -49,6 +55,8 @@
 func (s *State) Apply(now time.Time, event Event) []Effect {
 	var effects []Effect
 
+	s.starts.advance(now)
+
 	switch e := event.(type) {
 	case Arrived:
 		effects = s.handleArrived(now, e)
@@ -59,6 +67,7 @@
 	case ServerChanged:
 		s.closedReason, s.slowness = e.Closed, e.Slowness
 		s.slots, s.queueLimit = max(1, e.Slots), max(0, e.Queue)
+		s.coldRate, s.coldUntil = e.ColdRate, e.ColdUntil
 		s.setLimit(now, e)
 
 		if s.closedReason != "" {
@@ -74,11 +83,11 @@
 	return effects
 }
 
-// updateTokenAt sets when the next token for a waiting attempt is there.
+// updateTokenAt sets when the limits allow the next waiting attempt to start.
 func (s *State) updateTokenAt(now time.Time) {
 	s.tokenAt = time.Time{}
 
-	if wait := s.limiter.wait(now, 0); wait > 0 && (len(s.queue) > 0 || s.waitingAlone != nil) {
+	if wait := s.startWait(now, 0); wait > 0 && (len(s.queue) > 0 || s.waitingAlone != nil) {
 		s.tokenAt = now.Add(wait)
 	}
 }
@@ -95,8 +104,8 @@
 	}
 }
 
-// LimitWait returns the time until the limit of the server allows a new request after those that wait; zero if it does.
-func (s *State) LimitWait(now time.Time) time.Duration { return s.limiter.wait(now, len(s.queue)) }
+// LimitWait returns the time until the limits of the server allow a new request after those that wait; zero if they do.
+func (s *State) LimitWait(now time.Time) time.Duration { return s.startWait(now, len(s.queue)) }
 
 // Running returns the number of attempts that run at the server, those that are being aborted included.
 func (s *State) Running() int { return len(s.running) }
@@ -163,7 +172,7 @@
 // displaceLast refuses the last attempt of a full queue to make room for one that goes before it. Nested calls are not
 // displaced.
 func (s *State) displaceLast(now time.Time) []Effect {
-	if len(s.queue) < max(1, s.queueLimit) || len(s.running) < s.slots && s.limiter.allows(now) {
+	if len(s.queue) < max(1, s.queueLimit) || len(s.running) < s.slots && s.mayStart(now) {
 		return nil
 	}
 
@@ -180,16 +189,16 @@
 // canStart reports whether all waiting attempts can start or, if one waits to run alone, whether that one can.
 func (s *State) canStart(now time.Time) bool {
 	if s.waitingAlone != nil {
-		return len(s.running) == 0 && s.limiter.allows(now)
+		return len(s.running) == 0 && s.mayStart(now)
 	}
 
-	return !s.runningAlone && len(s.running)+len(s.queue) <= s.slots && s.limiter.wait(now, len(s.queue)-1) == 0
+	return !s.runningAlone && len(s.running)+len(s.queue) <= s.slots && s.startWait(now, len(s.queue)-1) == 0
 }
 
 // refusalReason reports whether an arriving attempt is refused at once, and why.
 func (s *State) refusalReason(now time.Time, w *waitingAttempt) (Reason, bool) {
 	e := w.Arrived
-	limitWait := s.limiter.wait(now, s.queue.countBefore(w))
+	limitWait := s.startWait(now, s.queue.countBefore(w))
 	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+len(s.queue) >= s.slots || limitWait > 0
 
 	switch {
@@ -221,6 +230,10 @@
 
 	delete(s.running, e.Attempt)
 
+	if e.Misdirected {
+		s.starts.remove(r.startedAt)
+	}
+
 	if r.alone {
 		s.runningAlone = false
 	}
@@ -282,87 +295,3 @@
 
 	return DeadlinePassed
 }
-
-// startWaiting starts waiting attempts while there are free slots and the limit allows it.
-func (s *State) startWaiting(now time.Time) []Effect {
-	if s.closedReason != "" || s.runningAlone || !s.limiter.allows(now) {
-		return nil
-	}
-
-	if s.waitingAlone != nil {
-		// Other attempts wait until this one has run. Otherwise the server might never be idle.
-		if len(s.running) > 0 {
-			return nil
-		}
-
-		w := s.waitingAlone
-		s.waitingAlone = nil
-		s.runningAlone = true
-
-		return []Effect{s.start(now, w)}
-	}
-
-	var effects []Effect
-
-	for len(s.running) < s.slots && s.limiter.allows(now) {
-		next := s.queue.takeNext(s.slowness)
-		if next == nil {
-			break
-		}
-
-		effects = append(effects, s.start(now, next))
-	}
-
-	return effects
-}
-
-func (s *State) start(now time.Time, w *waitingAttempt) Effect {
-	s.limiter.take(now)
-	s.running[w.Attempt] = &runningAttempt{alone: w.Alone}
-	s.counts.Started++
-
-	return Start{Attempt: w.Attempt}
-}
-
-func (s *State) refuse(now time.Time, w *waitingAttempt, reason Reason) Effect {
-	s.counts.Refused++
-
-	return Refuse{Attempt: w.Attempt, Reason: reason, Waited: now.Sub(w.arrivedAt)}
-}
-
-// refuseAll refuses all waiting attempts of a server that has closed.
-func (s *State) refuseAll(now time.Time) []Effect {
-	var effects []Effect
-
-	for _, w := range s.queue {
-		effects = append(effects, s.refuse(now, w, s.closedReason))
-	}
-
-	s.queue = nil
-
-	if s.waitingAlone != nil {
-		effects = append(effects, s.refuse(now, s.waitingAlone, s.closedReason))
-		s.waitingAlone = nil
-	}
-
-	return effects
-}
-
-// Counts are totals since the start of the daemon.
-type Counts struct{ Started, Refused, Aborted uint64 }
-
-// Dump is the admission part of a state dump. Slowness is relative to the usual speed; 1 is usual.
-type Dump struct {
-	Running, Waiting, Slots int
-	Closed                  Reason
-	Slowness                float64
-	Counts                  Counts
-}
-
-// Dump returns a snapshot of the state.
-func (s *State) Dump() Dump {
-	return Dump{
-		Running: len(s.running), Waiting: s.Waiting().Total(), Slots: s.slots, Closed: s.closedReason,
-		Slowness: s.slowness, Counts: s.counts,
-	}
-}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -59,9 +59,6 @@
 	return time.Duration(math.Ceil(missing / l.perSecond * float64(time.Second)))
 }
 
-// allows reports whether a request may start.
-func (l *limiter) allows(now time.Time) bool { return l.wait(now, 0) == 0 }
-
 // take takes the token of a request that starts.
 func (l *limiter) take(now time.Time) {
 	if l == nil {
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -39,7 +39,12 @@
 	}
 	// Done reports that a started attempt has ended: the backend server's whole response was read, or the connection
 	// ended.
-	Done struct{ Attempt Attempt }
+	Done struct {
+		Attempt Attempt
+		// Misdirected is set if another server than the expected one has refused the attempt by status 421. It does not
+		// count as a start then.
+		Misdirected bool
+	}
 	// Cancelled reports that the entry daemon has cancelled an attempt.
 	Cancelled struct{ Attempt Attempt }
 	// ServerChanged reports the state of the backend server.
@@ -55,6 +60,10 @@
 		// Limited is set if the server takes only PerSecond requests per second.
 		Limited   bool
 		PerSecond float64
+		// ColdRate is the number of requests per second that the server tolerates while it is cold, which it is until
+		// ColdUntil; zero for no limit. At least one request starts per second.
+		ColdRate  float64
+		ColdUntil time.Time
 	}
 	// Tick handles attempts whose wait has expired; see State.Next.
 	Tick struct{}
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -55,12 +55,19 @@
 			Slowest: line.Float("slowest", 0),
 		}))
 	case "done":
-		return describe(r.state.Apply(now, admission.Done{Attempt: newAttempt(line.Word(0))}))
+		return describe(r.state.Apply(now, admission.Done{
+			Attempt: newAttempt(line.Word(0)), Misdirected: line.Has("misdirected"),
+		}))
 	case "cancel":
 		return describe(r.state.Apply(now, admission.Cancelled{Attempt: newAttempt(line.Word(0))}))
 	case "server":
 		return r.changeServer(now, line.Text("closed", ""),
 			line.Int("slots", 2), line.Int("queue", 3), line.Float("slowness", 1))
+	case "cold":
+		return describe(r.state.Apply(now, admission.ServerChanged{
+			Slots: 100, Queue: 3, Slowness: 1, ColdRate: line.Float("rate", 0),
+			ColdUntil: now.Add(line.Duration("for", time.Minute)),
+		}))
 	case "limit":
 		return r.limitServer(now, line.Float("rate", 0), line.Float("slowness", 1))
 	default:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -137,6 +137,8 @@
 	publishedReport  load.Report
 	publishedVersion uint64
 	publishedEpoch   store.Epoch
+	// publishedCold is set if the last report was that of a cold server whose requests are limited.
+	publishedCold bool
 	// reportedServer is the backend server that the last ServerReplaced named.
 	reportedServer   backend.ID
 	nextSuspectsTick time.Time
@@ -311,6 +313,7 @@
 		Services: e.Manifest.Services,
 	}))...)
 	effects = append(effects, s.applyKeyPolicy(now, e.Manifest.Keys)...)
+	effects = append(effects, s.applyColdPolicy(now)...)
 
 	return append(effects, ManifestChanged{Version: e.Version, Manifest: e.Manifest})
 }
@@ -369,36 +372,3 @@
 
 	return []Effect{RereadManifest{Version: s.newestVersion}}
 }
-
-// drain tells other daemons to send no more work, and makes the key table hand over its entries.
-func (s *State) drain(now time.Time) []Effect {
-	s.draining = true
-	effects := s.drainKeys(now)
-
-	return append(effects, s.handleMembershipEffects(now, s.membership.Apply(now, membership.SelfChanged{
-		Entry: s.ownEntry(),
-	}))...)
-}
-
-// close refuses all attempts that wait for the backend server and ends the requests of callers.
-func (s *State) close(now time.Time) []Effect {
-	s.closing = true
-
-	return append(s.updateAdmission(now), s.handleRoutingEffects(now, s.routing.Apply(now, routing.Closing{}))...)
-}
-
-// ownEntry returns the daemon's entry for the store.
-func (s *State) ownEntry() membership.Entry {
-	entry := s.membership.Self()
-	server, born, left := s.health.LastServer()
-	entry.Server, entry.Born, entry.Left = string(server), born, left
-	entry.Limit = s.storedLimit
-	entry.Member.Slots = s.health.Slots()
-	entry.Member.Status = instance.Alive
-
-	if s.draining {
-		entry.Member.Status = instance.Draining
-	}
-
-	return entry
-}
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -30,7 +30,8 @@
 
 		health.Started{}, health.Announced{}, health.Withdrawn{}, health.Observed{}, health.LimitStated{},
 		health.Leaving{}, health.Noticed{}, health.Ran{},
-		health.Refused{}, health.Misdirected{}, health.Probed{}, health.Busy{}, health.PaceChanged{}, health.Tick{},
+		health.Refused{}, health.Misdirected{}, health.Probed{}, health.Busy{}, health.PaceChanged{},
+		health.ColdPolicyChanged{}, health.Tick{},
 
 		keys.Arrived{}, keys.Finished{}, keys.Cancelled{}, keys.EpochChanged{}, keys.RecordsRead{}, keys.BaseOffered{},
 		keys.MembersChanged{}, keys.PolicyChanged{}, keys.DrainStarted{}, keys.HandoverReceived{},
@@ -57,7 +58,7 @@
 
 		admission.Start{}, admission.Queued{}, admission.Refuse{}, admission.Abort{},
 
-		health.Probe{}, health.Changed{},
+		health.Probe{}, health.Changed{}, health.ColdChanged{},
 
 		keys.Admit{}, keys.Replay{}, keys.Wait{}, keys.Refuse{}, keys.AppendGrants{}, keys.SendHandover{},
 
--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -32,18 +32,22 @@
 	s.runTime += time.Duration(runTimeWeight * float64(elapsed-s.runTime))
 }
 
-// limitReport returns a load report that takes the limit of the server into account, so that the other daemons choose
-// servers by what they may take: no more slots than requests run at once within the limit, all of them busy while the
-// limit allows no request.
+// limitReport returns a load report that takes the limits of the server into account, so that the other daemons choose
+// servers by what they may take: no more slots than requests run at once within the limits, all of them busy while they
+// allow no request. A server that only may be cold is reported as usual: a probe tells within milliseconds.
 func (s *State) limitReport(now time.Time, report load.Report) load.Report {
 	limit := s.health.Limit()
-	if !limit.Set {
+	if !limit.Set && !s.isCold(now) {
 		return report
 	}
 
-	if now.Before(s.limitRecheckAt) {
-		usable := int(min(math.Ceil(limit.PerSecond*s.runTime.Seconds()), float64(report.Slots)))
-		report.Slots = max(1, usable)
+	if limit.Set && now.Before(s.limitRecheckAt) {
+		report.Slots = s.usableSlots(limit.PerSecond, report.Slots)
+	}
+
+	if s.isCold(now) {
+		perSecond, _ := s.health.ColdLimit()
+		report.Slots = s.usableSlots(perSecond, report.Slots)
 	}
 
 	if s.admission.LimitWait(now) >= minLimitWait {
@@ -53,8 +57,13 @@
 	return report
 }
 
-// updateLimitTimer sets when the load has to be reported again because of the limit of the server: when the limit allows
-// a request, or when the server is to be asked whether it still holds.
+// usableSlots returns the number of slots that a number of requests per second can use.
+func (s *State) usableSlots(perSecond float64, slots int) int {
+	return max(1, int(min(math.Ceil(perSecond*s.runTime.Seconds()), float64(slots))))
+}
+
+// updateLimitTimer sets when the load has to be reported again because of the limits of the server: when they allow a
+// request, when the server is to be asked whether its limit still holds, or when it is no longer cold.
 func (s *State) updateLimitTimer(now time.Time) {
 	s.limitTimer = time.Time{}
 
@@ -65,6 +74,10 @@
 	if wait := s.admission.LimitWait(now); wait >= minLimitWait {
 		s.limitTimer = times.Next(s.limitTimer, now.Add(wait))
 	}
+
+	if s.isCold(now) {
+		s.limitTimer = times.Next(s.limitTimer, now.Add(s.health.ColdFor(now)))
+	}
 }
 
 // postponeLimitRecheck records a response of the server, which states the limit or ends it.
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -78,6 +78,8 @@
 		Ran, Failed bool
 		// Unserved is set if the server did not respond, or only refused the attempt.
 		Unserved bool
+		// Misdirected is set if another server than the expected one has refused the attempt by status 421.
+		Misdirected bool
 	}
 	// ServerCrashed reports that the local backend server has crashed.
 	ServerCrashed struct{}
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -31,6 +31,8 @@
 		effects = s.applyHealth(now, health.Noticed{Notice: e.Notice})
 	}
 
+	effects = append(effects, s.endIdleTime(now)...)
+
 	s.localAttempts[e.Attempt] = &localAttempt{request: e.Request}
 	s.attemptOrder = append(s.attemptOrder, e.Attempt)
 
@@ -102,7 +104,7 @@
 		}
 	}
 
-	effects := s.applyAdmission(now, admission.Done{Attempt: e.Attempt})
+	effects := s.applyAdmission(now, admission.Done{Attempt: e.Attempt, Misdirected: e.Misdirected})
 
 	if e.Ran {
 		s.postponeLimitRecheck(now)
@@ -153,10 +155,11 @@
 	}
 
 	limit := s.health.Limit()
+	coldRate, coldUntil := s.health.ColdLimit()
 
 	return s.applyAdmission(now, admission.ServerChanged{
 		Closed: refusalReason, Slots: s.slotLimit, Queue: s.queueLimit(), Slowness: s.health.Slowness(),
-		Limited: limit.Set, PerSecond: limit.PerSecond,
+		Limited: limit.Set, PerSecond: limit.PerSecond, ColdRate: coldRate, ColdUntil: coldUntil,
 	})
 }
 
@@ -213,12 +216,14 @@
 	s.updateLimitTimer(now)
 
 	report := s.loadReport(now)
-	known := s.publishedVersion == s.version && s.publishedEpoch == s.epoch
+	known := s.publishedVersion == s.version && s.publishedEpoch == s.epoch &&
+		s.isCold(now) == s.publishedCold
 	if known && !changedSignificantly(s.publishedReport, report) {
 		return effects
 	}
 
 	s.publishedReport, s.publishedVersion, s.publishedEpoch = report, s.version, s.epoch
+	s.publishedCold = s.isCold(now)
 
 	ownReport := report
 	// A draining daemon tells others to send no more work, but still uses its own server.
@@ -232,11 +237,12 @@
 
 // setWatched tells health whether the load is needed, by another daemon or for the attempts that run here.
 func (s *State) setWatched(now time.Time, watched bool) []Effect {
-	if watched == s.health.Watched() {
+	running := s.hasRequests()
+	if watched == s.health.Watched() && running == s.health.Running() {
 		return nil
 	}
 
-	return s.applyHealth(now, health.Busy{Watched: watched})
+	return s.applyHealth(now, health.Busy{Watched: watched, Running: running})
 }
 
 // loadReport returns the present load of the local server.
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -134,11 +134,12 @@
 
 	d.logServerRefused(call, response, sc)
 
-	if response.Status == http.StatusMisdirectedRequest {
+	otherServer := response.Status == http.StatusMisdirectedRequest
+	if otherServer {
 		d.apply(health.Misdirected{ID: response.Instance})
 	}
 
-	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: true, Unserved: true})
+	d.apply(core.AttemptServed{Attempt: id, Ran: true, Failed: true, Unserved: true, Misdirected: otherServer})
 
 	return d.refuseAttempt(call, verdict.NotRun, serverRefused)
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -97,6 +97,9 @@
 		d.performMembership(e)
 	case health.Probe:
 		d.probe()
+	case health.ColdChanged:
+		d.log.Notable(eventlog.ServerCold).Str("server", string(d.state.Server())).Bool("cold", e.ColdFor > 0).
+			Float64("left_ms", milliseconds(e.ColdFor)).Send()
 	case suspects.Announce:
 		d.logSuspects(e)
 	case keys.Effect:
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -219,11 +219,17 @@
 		open = 1
 	}
 
+	cold := 0.0
+	if state.Health.ColdFor > 0 {
+		cold = 1
+	}
+
 	m.scope.Gauge("server_open").Update(open)
 	m.scope.Gauge("server_running").Update(float64(state.Admission.Running))
 	m.scope.Gauge("server_waiting").Update(float64(state.Admission.Waiting))
 	m.scope.Gauge("server_slots").Update(float64(state.Admission.Slots))
 	m.scope.Gauge("server_limit").Update(state.Health.Limit.PerSecond)
+	m.scope.Gauge("server_cold").Update(cold)
 	m.scope.Gauge("server_slowness").Update(state.Health.Slowness)
 	m.scope.Gauge("server_failing").Update(state.Health.Failing)
 	m.exportTotal("probes_total", "", "", int64(state.Health.Counts.Probes))
--- a/internal/daemon/server_state.go
+++ b/internal/daemon/server_state.go
@@ -38,6 +38,7 @@
 		d.apply(health.Probed{
 			Answered: err == nil, Healthy: answer.Healthy, Draining: answer.Draining, ID: answer.Instance,
 			Load: answer.Load, Loaded: answer.HasLoad, Repeated: answer.Repeated,
+			ColdFor: answer.ColdFor, ColdStated: answer.HasCold,
 		})
 		d.observeProbe(answer)
 	}, func() { d.apply(health.Probed{}) })
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -66,6 +66,8 @@
 	ServerState Event = "server-state"
 	// ServerLimit reports that the backend server beside the daemon states another limit on requests, or none.
 	ServerLimit Event = "server-limit"
+	// ServerCold reports that the backend server beside the daemon has become cold or warm.
+	ServerCold Event = "server-cold"
 	// BadAnnouncement reports an announcement of a backend server that the daemon rejected.
 	BadAnnouncement Event = "bad-announcement"
 	// ServerWithdrew reports that the backend server announced that it leaves for good.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -86,8 +86,7 @@
 	lostProbes     int
 	slowness       float64
 	loadObservedAt time.Time
-	// coldUntil is when the server is no longer slow after its start.
-	coldUntil time.Time
+	cold           coldness
 	// failureShare is the moving average of failures as of failureShareAt.
 	failureShare   float64
 	breaker        breaker
@@ -143,6 +142,9 @@
 		s.handleProbed(now, e)
 	case Busy:
 		s.watched = e.Watched
+		s.cold.handleBusy(now, e.Running)
+	case ColdPolicyChanged:
+		s.cold.policy = e.Cold
 	case PaceChanged:
 		s.minProbeGap = e.Interval
 
@@ -161,6 +163,8 @@
 		effects = append(effects, Changed{})
 	}
 
+	effects = append(effects, s.coldChange(now)...)
+
 	if at := s.nextProbe(); !at.IsZero() && !now.Before(at) {
 		s.probeStarted, s.lastProbe = now, now
 		s.counts.Probes++
@@ -242,12 +246,9 @@
 	return s.failureShare * math.Exp(-float64(now.Sub(s.failureShareAt))/float64(failureMemory))
 }
 
-// ColdFor returns for how much longer the server is slow after its start.
-func (s *State) ColdFor(now time.Time) time.Duration { return max(0, s.coldUntil.Sub(now)) }
-
 // Next returns when Tick is due; the zero time if no Tick is needed.
 func (s *State) Next() time.Time {
-	return times.Next(s.nextProbe(), s.breaker.next())
+	return times.Next(s.nextProbe(), s.breaker.next(), s.nextColdChange())
 }
 
 // nextProbe returns when a probe is due; the zero time if none is.
@@ -264,9 +265,11 @@
 	case !s.identified || s.down:
 		return times.Later(allowed, s.lastProbe.Add(downProbeInterval))
 	case s.fixed && s.probeInterval > 0, s.watched && s.probeInterval > 0 && !s.draining:
-		return times.Later(allowed, times.Later(s.loadObservedAt, s.lastProbe).Add(s.probeInterval))
+		atAge := times.Later(allowed, times.Later(s.loadObservedAt, s.lastProbe).Add(s.probeInterval))
+
+		return times.Next(atAge, s.nextColdProbe(allowed))
 	default:
-		return time.Time{}
+		return s.nextColdProbe(allowed)
 	}
 }
 
@@ -297,15 +300,20 @@
 		return
 	}
 
+	// The start of a server that was identified by a probe is not known.
+	replaced := a.ID != s.id || !a.Born.Equal(s.startTime) && !s.startTime.IsZero()
+	known := s.id != "" || s.previous != ""
+
 	if a.ID != s.id || !a.Born.Equal(s.startTime) {
 		s.resetObservations()
 	}
 
+	s.cold.handleAnnounced(now, a, replaced, known)
+
 	s.identified, s.previous = true, ""
 	s.id, s.startTime, s.sequence = a.ID, a.Born, a.Sequence
 	s.slots, s.draining = a.Slots, a.Draining
 	s.down = false
-	s.coldUntil = now.Add(a.ColdFor)
 }
 
 // isStale reports whether an announcement comes from an earlier run of the server or from one that has withdrawn, or
@@ -331,45 +339,6 @@
 	s.leaving, s.limit, s.limitKnown = false, backend.Limit{}, false
 }
 
-// handleWithdrawn stops using a server that leaves for good. It ignores the withdrawal of an earlier run of the
-// server.
-func (s *State) handleWithdrawn(now time.Time, e Withdrawn) {
-	if s.identified && e.ID == s.id && !e.Born.IsZero() && e.Born.Before(s.startTime) {
-		return
-	}
-
-	s.withdrawn, s.withdrawnStart = e.ID, times.Later(e.Born, s.knownStartTime(e.ID))
-
-	if s.withdrawnStartAssumed = s.withdrawnStart.IsZero(); s.withdrawnStartAssumed {
-		// The start of the server is unknown. It is on the same instance, so a later run of it starts after now by
-		// its clock, too.
-		s.withdrawnStart = now
-	}
-
-	if e.ID == s.id || !s.identified {
-		s.identified, s.previous = false, ""
-	}
-}
-
-// knownStartTime returns the start of a server by its ID; the zero time if unknown.
-func (s *State) knownStartTime(id backend.ID) time.Time {
-	switch id {
-	case s.id:
-		return s.startTime
-	case s.previous:
-		return s.previousStart
-	default:
-		return time.Time{}
-	}
-}
-
-// handleMisdirected handles an answer from another server than the known one, which is therefore gone.
-func (s *State) handleMisdirected(id backend.ID) {
-	if id != "" && id != s.id {
-		s.identified = false
-	}
-}
-
 // recordLoad stores the load that the server has reported. A server that reports it is not down.
 func (s *State) recordLoad(now time.Time, l dialect.Load) {
 	if l.Slowness > 0 {
@@ -434,6 +403,10 @@
 		s.identified, s.id, s.startTime, s.sequence = true, e.ID, time.Time{}, 0
 		s.slots, s.previous = e.Load.Slots, ""
 	}
+
+	if s.identified && (e.ID == "" || e.ID == s.id) {
+		s.cold.handleProbed(now, e)
+	}
 }
 
 // Watched reports whether the load is needed; see Busy.
--- a/internal/health/messages.go
+++ b/internal/health/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/backend"
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 // Event is an input of State.Apply: something that the daemon has learned of the backend server.
@@ -66,9 +67,15 @@
 		Loaded bool
 		// Repeated is set if the probe was sent twice.
 		Repeated bool
+		// ColdStated is set if the answer stated ColdFor, the remaining time for which the server is cold.
+		ColdStated bool
+		ColdFor    time.Duration
 	}
-	// Busy sets whether the load is needed, by another daemon or for requests that run at the server.
-	Busy struct{ Watched bool }
+	// Busy sets whether the load is needed, by another daemon or for requests that run at the server. Running is set if
+	// the server has requests; it matters only if the service limits the requests of cold servers.
+	Busy struct{ Watched, Running bool }
+	// ColdPolicyChanged sets for how long servers of the service are cold, and what they tolerate meanwhile.
+	ColdPolicyChanged struct{ Cold manifest.Cold }
 	// PaceChanged sets the least time between two probes; zero for no limit, negative for no probes.
 	PaceChanged struct{ Interval time.Duration }
 	// Tick handles timers that have expired, of probes and of the breaker; see State.Next.
@@ -80,22 +87,27 @@
 	Probe struct{}
 	// Changed reports that the result of Server, RefusalReason or Slots has changed.
 	Changed struct{}
+	// ColdChanged reports that the server has become cold, for the stated time, or warm, if that is zero. It is reported
+	// only if the service limits the requests of cold servers.
+	ColdChanged struct{ ColdFor time.Duration }
 )
 
-func (Started) isEvent()     {}
-func (Announced) isEvent()   {}
-func (Withdrawn) isEvent()   {}
-func (Observed) isEvent()    {}
-func (LimitStated) isEvent() {}
-func (Leaving) isEvent()     {}
-func (Noticed) isEvent()     {}
-func (Ran) isEvent()         {}
-func (Refused) isEvent()     {}
-func (Misdirected) isEvent() {}
-func (Probed) isEvent()      {}
-func (Busy) isEvent()        {}
-func (PaceChanged) isEvent() {}
-func (Tick) isEvent()        {}
+func (Started) isEvent()           {}
+func (Announced) isEvent()         {}
+func (Withdrawn) isEvent()         {}
+func (Observed) isEvent()          {}
+func (LimitStated) isEvent()       {}
+func (Leaving) isEvent()           {}
+func (Noticed) isEvent()           {}
+func (Ran) isEvent()               {}
+func (Refused) isEvent()           {}
+func (Misdirected) isEvent()       {}
+func (Probed) isEvent()            {}
+func (Busy) isEvent()              {}
+func (ColdPolicyChanged) isEvent() {}
+func (PaceChanged) isEvent()       {}
+func (Tick) isEvent()              {}
 
-func (Probe) isEffect()   {}
-func (Changed) isEffect() {}
+func (Probe) isEffect()       {}
+func (Changed) isEffect()     {}
+func (ColdChanged) isEffect() {}
--- a/internal/health/script_test.go
+++ b/internal/health/script_test.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/script"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 var update = flag.Bool("update", false, "rewrite the effects in testdata")
@@ -43,6 +44,8 @@
 		switch effect.(type) {
 		case health.Probe:
 			lines = append(lines, "probe")
+		case health.ColdChanged:
+			lines = append(lines, fmt.Sprintf("cold for %s", r.state.ColdFor(now)))
 		case health.Changed:
 			status := string(r.state.RefusalReason())
 			if status == "" {
@@ -76,6 +79,7 @@
 			ID: backend.ID(line.Word(0)), Born: startTime(line.Int("born", 0)),
 			Sequence: int64(line.Int("sequence", 1)),
 			Slots:    line.Int("slots", 6), Draining: line.Has("draining"), ColdFor: line.Duration("cold", 0),
+			ColdStated: line.Text("cold", "") != "",
 		}}
 	case "withdraw":
 		return health.Withdrawn{ID: backend.ID(line.Word(0)), Born: startTime(line.Int("born", 0))}
@@ -93,11 +97,16 @@
 		return health.PaceChanged{Interval: line.Duration("interval", 0)}
 	case "watched":
 		return health.Busy{Watched: true}
+	case "running":
+		return health.Busy{Running: !line.Has("ended")}
+	case "policy":
+		return health.ColdPolicyChanged{Cold: manifest.Cold{Time: 3 * time.Second, Rate: 12}}
 	case "probed":
 		return health.Probed{
 			Answered: !line.Has("lost"), Healthy: !line.Has("ill") && !line.Has("lost"),
 			ID: backend.ID(line.Text("id", "")), Loaded: line.Text("slots", "") != "",
-			Load: dialect.Load{Slots: line.Int("slots", 0), Slowness: line.Float("slowness", 1)},
+			Load:    dialect.Load{Slots: line.Int("slots", 0), Slowness: line.Float("slowness", 1)},
+			ColdFor: line.Duration("cold", 0), ColdStated: line.Text("cold", "") != "",
 		}
 	default:
 		line.FailUnknownCommand()
