--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// TestColdHealth guards against a cold time that is not read, and against a second probe after each one because the time
-// that is left runs down.
+// TestColdHealth guards against a cold time that is not read, and against a second probe after each one because the
+// time that is left runs down.
 func TestColdHealth(t *testing.T) {
 	h := &healthServer{}
 	s := newServer(t, serveRaw(t, h.respond), platform.Dialect())
--- a/internal/core/cold.go
+++ b/internal/core/cold.go
@@ -30,13 +30,14 @@
 // isCold reports whether the local server is known to be cold and its requests are limited for that.
 func (s *State) isCold(now time.Time) bool { return s.limitsCold() && s.health.ColdFor(now) > 0 }
 
-// hasRequests reports whether requests run at the local server or wait for it, as far as that matters for a cold server.
+// hasRequests reports whether requests run at the local server or wait for it, as far as that matters for a cold
+// server.
 func (s *State) hasRequests() bool {
 	return s.limitsCold() && (s.admission.Running() > 0 || s.admission.Waiting().Total() > 0)
 }
 
-// endIdleTime tells health of the first attempt after an idle time before admission may start it, because the server may
-// have become cold meanwhile.
+// endIdleTime tells health of the first attempt after an idle time before admission may start it, because the server
+// may have become cold meanwhile.
 func (s *State) endIdleTime(now time.Time) []Effect {
 	if !s.limitsCold() || s.health.Running() {
 		return nil
--- a/internal/core/cold_test.go
+++ b/internal/core/cold_test.go
@@ -140,9 +140,8 @@
 	return largest
 }
 
-// TestColdReturn guards against a full burst at the servers of a domain that became cold while the domain was evacuated,
-// and against a limit that does not end with the cold time. Load: 60 requests at
-// once, then 200 per second.
+// TestColdReturn guards against a full burst at the servers of a domain that became cold while the domain was
+// evacuated, and against a limit that does not end with the cold time. Load: 60 requests at once, then 200 per second.
 func TestColdReturn(t *testing.T) {
 	l := newColdLoad(t, limitTestStart)
 	l.run(2*time.Second, 200)
@@ -187,8 +186,9 @@
 	require.LessOrEqual(t, most(l.probes, limitTestStart, l.now), 12)
 }
 
-// TestColdRestart guards against starts beyond the bound in a second across a restart of the daemon, which does not know
-// what its earlier run has started. Load: 200 requests per second at a cold server, restarts at any phase of a second.
+// TestColdRestart guards against starts beyond the bound in a second across a restart of the daemon, which does not
+// know what its earlier run has started. Load: 200 requests per second at a cold server, restarts at any phase of a
+// second.
 func TestColdRestart(t *testing.T) {
 	l := newColdLoad(t, limitTestStart)
 	l.coldUntil = l.now.Add(time.Minute)
@@ -205,8 +205,8 @@
 	require.Greater(t, len(l.starts), 12, "some requests start in each run")
 }
 
-// TestColdAndLimited guards against attempts that wait for two limits and never start. Load: 40 requests per second at a
-// cold server that states a limit as well.
+// TestColdAndLimited guards against attempts that wait for two limits and never start. Load: 40 requests per second at
+// a cold server that states a limit as well.
 func TestColdAndLimited(t *testing.T) {
 	for _, perSecond := range []float64{0, 1, coldRate, 100} {
 		l := newColdLoad(t, limitTestStart)
--- a/internal/health/cold.go
+++ b/internal/health/cold.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// coldProbeInterval is the time between two probes of a server that may become cold, while it has requests. It leaves
-	// 10 ms for the answer, so that the server is known to be cold after 100 ms.
+	// coldProbeInterval is the time between two probes of a server that may become cold, while it has requests. It
+	// leaves 10 ms for the answer, so that the server is known to be cold after 100 ms.
 	coldProbeInterval = 90 * time.Millisecond
-	// coldAnswerTime is how long a server that was idle counts as cold without an answer to a probe. It exceeds the time
-	// limit of a probe.
+	// coldAnswerTime is how long a server that was idle counts as cold without an answer to a probe. It exceeds the
+	// time limit of a probe.
 	coldAnswerTime = 500 * time.Millisecond
-	// probeStatementTime is how long an announcement, which may be late, does not shorten the cold time that an answer to a
-	// probe has stated.
+	// probeStatementTime is how long an announcement, which may be late, does not shorten the cold time that an answer
+	// to a probe has stated.
 	probeStatementTime = time.Second
 )
 
@@ -26,8 +26,8 @@
 	policy manifest.Cold
 	// until is when the server is warm again, by its last statement.
 	until time.Time
-	// assumedFrom is the start of a run of the server that states no cold time. It counts as cold for the time in policy.
-	// It is zero if the run has stated one.
+	// assumedFrom is the start of a run of the server that states no cold time. It counts as cold for the time in
+	// policy. It is zero if the run has stated one.
 	assumedFrom time.Time
 	// answeredAt is when the server last answered a probe.
 	answeredAt time.Time
@@ -51,8 +51,8 @@
 // setUntil records a statement of the server.
 func (c *coldness) setUntil(until time.Time) { c.until, c.assumedFrom = until, time.Time{} }
 
-// handleAnnounced takes over what an announcement states. replaced is set if it is of another run of the server than the
-// one known before, and known if there was one.
+// handleAnnounced takes over what an announcement states. replaced is set if it is of another run of the server than
+// the one known before, and known if there was one.
 func (c *coldness) handleAnnounced(now time.Time, a backend.Announcement, replaced, known bool) {
 	until := now.Add(a.ColdFor)
 
@@ -72,8 +72,8 @@
 	}
 }
 
-// handleProbed takes over what an answer to a probe states. An answer without a statement changes nothing, but shows that
-// the server was asked.
+// handleProbed takes over what an answer to a probe states. An answer without a statement changes nothing, but shows
+// that the server was asked.
 func (c *coldness) handleProbed(now time.Time, e Probed) {
 	c.answeredAt, c.unknownUntil = now, time.Time{}
 
@@ -82,7 +82,8 @@
 	}
 }
 
-// handleBusy records whether the server has requests. A server that gets one after a pause may have become cold meanwhile.
+// handleBusy records whether the server has requests. A server that gets one after a pause may have become cold
+// meanwhile.
 func (c *coldness) handleBusy(now time.Time, running bool) {
 	if running && !c.running && c.policy.Rate > 0 && now.Sub(c.answeredAt) > coldProbeInterval {
 		c.unknownUntil = now.Add(coldAnswerTime)
