admission: tenants get the slots of a full server in turn

Waiting attempts started by rank, priority and arrival, so a tenant that sent most had most of the slots. Within a rank and priority, two of three starts now go to the tenant with the fewest running attempts and then the one started longest ago, the third to the tenant that is served least. A full queue displaces the last attempt of the tenant with most, and one of 16 starts goes to the rank that has waited longest.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -40,6 +40,7 @@
 }
 
 type runningAttempt struct {
+	tenant    string
 	aborted   bool
 	alone     bool
 	startedAt time.Time
@@ -87,7 +88,7 @@
 func (s *State) updateTokenAt(now time.Time) {
 	s.tokenAt = time.Time{}
 
-	if wait := s.startWait(now, 0); wait > 0 && (len(s.queue) > 0 || s.waitingAlone != nil) {
+	if wait := s.startWait(now, 0); wait > 0 && (s.queue.size() > 0 || s.waitingAlone != nil) {
 		s.tokenAt = now.Add(wait)
 	}
 }
@@ -105,7 +106,7 @@
 }
 
 // LimitWait returns the time until the limits of the server allow a new request after those that wait; zero if they do.
-func (s *State) LimitWait(now time.Time) time.Duration { return s.startWait(now, len(s.queue)) }
+func (s *State) LimitWait(now time.Time) time.Duration { return s.startWait(now, s.queue.size()) }
 
 // Running returns the number of attempts that run at the server, those that are being aborted included.
 func (s *State) Running() int { return len(s.running) }
@@ -114,7 +115,7 @@
 func (s *State) Waiting() load.Waiting {
 	var counts load.Waiting
 
-	for _, w := range s.queue {
+	for _, w := range s.queue.attempts {
 		counts[w.Rank]++
 	}
 
@@ -129,7 +130,7 @@
 func (s *State) Next() time.Time {
 	next := s.tokenAt
 
-	for _, w := range s.queue {
+	for _, w := range s.queue.attempts {
 		next = times.Next(next, w.expiresAt())
 	}
 
@@ -147,6 +148,8 @@
 		return nil
 	}
 
+	s.queue.tenants.arrive(e.Tenant)
+
 	w := &waitingAttempt{Arrived: e, arrivedAt: now}
 
 	if reason, refused := s.refusalReason(now, w); refused {
@@ -158,7 +161,7 @@
 	if e.Alone {
 		s.waitingAlone = w
 	} else {
-		effects = s.displaceLast(now)
+		effects = s.displace(now, w)
 		s.queue.insert(w)
 	}
 
@@ -169,21 +172,21 @@
 	return append(effects, Queued{Attempt: e.Attempt})
 }
 
-// displaceLast refuses the last attempt of a full queue to make room for one that goes before it. Nested calls are not
-// displaced.
-func (s *State) displaceLast(now time.Time) []Effect {
-	if len(s.queue) < max(1, s.queueLimit) || len(s.running) < s.slots && s.mayStart(now) {
+// displace refuses an attempt of a full queue to make room for w, which refusalReason lets in.
+func (s *State) displace(now time.Time, w *waitingAttempt) []Effect {
+	if s.queue.size() < max(1, s.queueLimit) || len(s.running) < s.slots && s.mayStart(now) {
 		return nil
 	}
 
-	last := s.queue[len(s.queue)-1]
-	if last.Rank == request.NestedRank {
+	victim := s.queue.victim(w)
+	if victim == nil {
 		return nil
 	}
 
-	s.queue.remove(last.Attempt)
+	s.queue.remove(victim.Attempt)
+	s.counts.Displaced++
 
-	return []Effect{s.refuse(now, last, QueueFull)}
+	return []Effect{s.refuse(now, victim, QueueFull)}
 }
 
 // canStart reports whether all waiting attempts can start or, if one waits to run alone, whether that one can.
@@ -192,14 +195,14 @@
 		return len(s.running) == 0 && s.mayStart(now)
 	}
 
-	return !s.runningAlone && len(s.running)+len(s.queue) <= s.slots && s.startWait(now, len(s.queue)-1) == 0
+	return !s.runningAlone && len(s.running)+s.queue.size() <= s.slots && s.startWait(now, s.queue.size()-1) == 0
 }
 
 // refusalReason reports whether an arriving attempt is refused at once, and why.
 func (s *State) refusalReason(now time.Time, w *waitingAttempt) (Reason, bool) {
 	e := w.Arrived
 	limitWait := s.startWait(now, s.queue.countBefore(w))
-	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+len(s.queue) >= s.slots || limitWait > 0
+	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+s.queue.size() >= s.slots || limitWait > 0
 
 	switch {
 	case s.closedReason != "":
@@ -217,7 +220,7 @@
 	case e.Wait <= 0:
 		return Busy, true
 	default:
-		return QueueFull, len(s.queue) >= s.queueLimit && e.Rank != request.NestedRank && !s.queue.lastGoesAfter(w)
+		return QueueFull, s.queue.size() >= s.queueLimit && e.Rank != request.NestedRank && s.queue.victim(w) == nil
 	}
 }
 
@@ -229,6 +232,7 @@
 	}
 
 	delete(s.running, e.Attempt)
+	s.queue.tenants.end(r.tenant)
 
 	if e.Misdirected {
 		s.starts.remove(r.startedAt)
@@ -265,21 +269,10 @@
 func (s *State) refuseExpired(now time.Time) []Effect {
 	var effects []Effect
 
-	kept := s.queue[:0]
-
-	for _, w := range s.queue {
-		if now.Before(w.expiresAt()) {
-			kept = append(kept, w)
-
-			continue
-		}
-
+	for _, w := range s.queue.removeExpired(now) {
 		effects = append(effects, s.refuse(now, w, expiryReason(now, w)))
 	}
 
-	clear(s.queue[len(kept):])
-	s.queue = kept
-
 	if w := s.waitingAlone; w != nil && !now.Before(w.expiresAt()) {
 		s.waitingAlone = nil
 		effects = append(effects, s.refuse(now, w, expiryReason(now, w)))
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -29,6 +29,9 @@
 		Rank request.Rank
 		// Priority orders attempts of the same rank; 0 is the highest.
 		Priority int
+		// Tenant is the tenant whose attempts get slots in turn with those of others of the same rank and priority. It is
+		// empty in a fleet without tenants.
+		Tenant string
 		// Alone is set if the attempt has to run while no other one does.
 		Alone bool
 		// Wait is the longest time that the attempt may wait for a slot; zero if it may not wait.
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -52,7 +52,7 @@
 			Deadline: now.Add(line.Duration("deadline", time.Second)),
 			Wait:     line.Duration("wait", 100*time.Millisecond),
 			Rank:     parseRank(line), Alone: line.Has("alone"), Priority: line.Int("priority", 0),
-			Slowest: line.Float("slowest", 0),
+			Slowest: line.Float("slowest", 0), Tenant: line.Text("tenant", ""),
 		}))
 	case "done":
 		return describe(r.state.Apply(now, admission.Done{
--- a/internal/admission/start.go
+++ b/internal/admission/start.go
@@ -38,7 +38,8 @@
 func (s *State) start(now time.Time, w *waitingAttempt) Effect {
 	s.limiter.take(now)
 	s.starts.add()
-	s.running[w.Attempt] = &runningAttempt{alone: w.Alone, startedAt: now}
+	s.queue.started(w)
+	s.running[w.Attempt] = &runningAttempt{tenant: w.Tenant, alone: w.Alone, startedAt: now}
 	s.counts.Started++
 
 	return Start{Attempt: w.Attempt}
@@ -54,12 +55,10 @@
 func (s *State) refuseAll(now time.Time) []Effect {
 	var effects []Effect
 
-	for _, w := range s.queue {
+	for _, w := range s.queue.removeAll() {
 		effects = append(effects, s.refuse(now, w, s.closedReason))
 	}
 
-	s.queue = nil
-
 	if s.waitingAlone != nil {
 		effects = append(effects, s.refuse(now, s.waitingAlone, s.closedReason))
 		s.waitingAlone = nil
--- a/internal/core/limit_test.go
+++ b/internal/core/limit_test.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 var (
@@ -161,3 +162,17 @@
 	require.Empty(t, arrive(s, now, "third", backend.Notice{}))
 	require.Equal(t, admission.OverLimit, arrive(s, now, "fourth", backend.Notice{}))
 }
+
+// TestTenantOf guards against requests of several tenants that count as one, and against an order by tenants in a fleet
+// without them.
+func TestTenantOf(t *testing.T) {
+	s := newRestarted(limitTestStart)
+	require.Empty(t, s.tenantOf(request.Request{Tenant: "a", Origin: "stockdesk"}))
+
+	s.Apply(limitTestStart, ManifestRead{Version: 7, Manifest: manifest.Manifest{Tenants: []manifest.Tenant{{Name: "a"}}}})
+	require.Equal(t, "a", s.tenantOf(request.Request{Tenant: "a", Origin: "stockdesk"}))
+	require.Equal(t, "service/stockdesk", s.tenantOf(request.Request{Depth: 1, Origin: "stockdesk"}))
+
+	require.Empty(t, arrive(s, limitTestStart, "first", backend.Notice{}))
+	require.Equal(t, []admission.TenantLoad{{Name: "service/", Running: 1}}, s.Dump(limitTestStart).Admission.Tenants)
+}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -135,6 +135,7 @@
 		Health: s.health.Dump(now), Suspects: s.suspects.Dump(now), Membership: s.membership.Dump(now),
 		Told: s.publishedReport,
 	}
+	d.Admission.Tenants = s.admission.Tenants()
 
 	if s.keyReducer != nil {
 		table := s.keyReducer.table.Dump()
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -41,12 +41,29 @@
 		Deadline: e.Request.Deadline,
 		Rank:     e.Request.Rank(),
 		Priority: e.Request.Priority,
+		Tenant:   s.tenantOf(e.Request),
 		Alone:    e.Request.Alone,
 		Wait:     e.Wait,
 		Slowest:  e.Slowest,
 	})...)
 }
 
+// originPrefix begins the names under which requests without a tenant compete. Names of tenants have no slash.
+const originPrefix = "service/"
+
+// tenantOf returns the name under which a request competes for slots: that of its tenant, or the service from which it
+// comes. Without tenants in the manifest it is empty for all requests.
+func (s *State) tenantOf(r request.Request) string {
+	switch {
+	case len(s.manifest.Tenants) == 0:
+		return ""
+	case r.Tenant != "":
+		return r.Tenant
+	default:
+		return originPrefix + r.Origin
+	}
+}
+
 // applyAdmission passes an event to admission and keeps localAttempts up to date.
 func (s *State) applyAdmission(now time.Time, event admission.Event) []Effect {
 	if done, ok := event.(admission.Done); ok {
