--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/tarragonmill/tarragonmill/internal/admin"
+	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
@@ -232,9 +233,28 @@
 	m.scope.Gauge("server_cold").Update(cold)
 	m.scope.Gauge("server_slowness").Update(state.Health.Slowness)
 	m.scope.Gauge("server_failing").Update(state.Health.Failing)
+	m.exportTenants(state.Admission)
 	m.exportTotal("probes_total", "", "", int64(state.Health.Counts.Probes))
 }
 
+// exportTenants exports how the attempts that wait for the server are distributed over tenants.
+func (m *metrics) exportTenants(state admission.Dump) {
+	waiting, most := 0, 0
+
+	for _, tenant := range state.Tenants {
+		most = max(most, tenant.Waiting)
+
+		if tenant.Waiting > 0 {
+			waiting++
+		}
+	}
+
+	m.scope.Gauge("server_waiting_tenants").Update(float64(waiting))
+	m.scope.Gauge("server_waiting_most").Update(float64(most))
+	m.exportTotal("displaced_total", "", "", int64(state.Counts.Displaced))
+	m.exportTotal("lower_rank_turns_total", "", "", int64(state.Counts.Turns))
+}
+
 func (m *metrics) exportMembers(state core.Dump) {
 	counts := make(map[instance.Status]int)
 	for _, p := range state.Membership.Peers {
