health, admission: count only starts since the server was warm after an idle time

A warm server counted as cold after each pause of 90 ms until it had answered a probe, by all starts of the last second: one that gets 20 requests per second in groups of 4 was limited after each pause. Only the starts since it last said that it was warm count now, and attempts wait for the answer to the probe instead of being refused. TestWarmPauses fails without either; the bounds of the other loads hold.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -34,6 +34,10 @@
 	starts    startLog
 	coldRate  float64
 	coldUntil time.Time
+	// coldFrom is the time from which starts count for the rate; zero if all do. coldUnknown is set if the server only
+	// may be cold.
+	coldFrom    time.Time
+	coldUnknown bool
 	// tokenAt is when the limit allows a waiting attempt to start; zero if it already does or none waits.
 	tokenAt time.Time
 	counts  Counts
@@ -69,6 +73,7 @@
 		s.closedReason, s.slowness = e.Closed, e.Slowness
 		s.slots, s.queueLimit = max(1, e.Slots), max(0, e.Queue)
 		s.coldRate, s.coldUntil = e.ColdRate, e.ColdUntil
+		s.coldFrom, s.coldUnknown = e.ColdFrom, e.ColdUnknown
 		s.setLimit(now, e)
 
 		if s.closedReason != "" {
@@ -201,8 +206,8 @@
 // refusalReason reports whether an arriving attempt is refused at once, and why.
 func (s *State) refusalReason(now time.Time, w *waitingAttempt) (Reason, bool) {
 	e := w.Arrived
-	limitWait := s.startWait(now, s.queue.countBefore(w))
-	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+s.queue.size() >= s.slots || limitWait > 0
+	before := s.queue.countBefore(w)
+	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+s.queue.size() >= s.slots || s.startWait(now, before) > 0
 
 	switch {
 	case s.closedReason != "":
@@ -211,7 +216,7 @@
 		return DeadlinePassed, true
 	case e.Slowest > 0 && s.slowness > e.Slowest:
 		return TooSlow, true
-	case limitWait > e.Wait:
+	case s.refusalWait(now, before) > e.Wait:
 		return OverLimit, true
 	case e.Alone:
 		return Busy, s.waitingAlone != nil || s.runningAlone
--- a/internal/admission/cold.go
+++ b/internal/admission/cold.go
@@ -12,8 +12,9 @@
 	startInterval = 10 * time.Millisecond
 	// startIntervals is the number of intervals that a window touches.
 	startIntervals = int64(startWindow/startInterval) + 1
-	// earlierRunShare is the share of the starts of a cold server that an earlier run of the daemon leaves for the first
-	// second of this one. With the starts of that run, a second across the restart has at most 1.5 times the rate.
+	// earlierRunShare is the share of the starts of a cold server that an earlier run of the daemon leaves for the
+	// first second of this one. With the starts of that run, a second across the restart has at most 1.5 times the
+	// rate.
 	earlierRunShare = 0.5
 )
 
@@ -56,32 +57,43 @@
 	}
 }
 
-func (l *startLog) total() int {
+// oldest returns the number of the oldest interval that counts: in the window, and not before a time.
+func (l *startLog) oldest(from time.Time) int64 {
+	return max(0, l.newest-startIntervals+1, l.intervalOf(from))
+}
+
+// total returns the number of starts in the window since a time.
+func (l *startLog) total(from time.Time) int {
 	total := 0
-	for _, count := range l.counts {
-		total += count
+	for number := l.oldest(from); number <= l.newest; number++ {
+		total += l.counts[number%startIntervals]
 	}
 
 	return total
 }
 
 // wait returns the time until an attempt may start after a number of others, if at most limit start in any second.
-func (l *startLog) wait(now time.Time, others, limit int) time.Duration {
+// Starts before from do not count.
+func (l *startLog) wait(now, from time.Time, others, limit int) time.Duration {
 	// Each limit of the others takes a whole window of its own.
-	windows, started := others/limit, l.total()
+	windows, started := others/limit, l.total(from)
 	excess := started + others%limit + 1 - limit
 
 	wait := time.Duration(windows) * (startWindow + startInterval)
 	if excess > 0 {
-		wait += l.expiry(excess).Sub(now)
+		wait += l.expiry(from, excess).Sub(now)
+	}
+
+	if from.After(l.since) {
+		return max(0, wait)
 	}
 
 	return max(0, wait, l.earlierRunWait(now, started+others+1, limit))
 }
 
-// expiry returns when the oldest starts, of a number, have left the window.
-func (l *startLog) expiry(number int) time.Time {
-	oldest := max(0, l.newest-startIntervals+1)
+// expiry returns when the oldest starts since a time, of a number, have left the window.
+func (l *startLog) expiry(from time.Time, number int) time.Time {
+	oldest := l.oldest(from)
 	for number -= l.counts[oldest%startIntervals]; number > 0 && oldest < l.newest; {
 		oldest++
 		number -= l.counts[oldest%startIntervals]
@@ -112,7 +124,7 @@
 
 	limit := max(1, int(s.coldRate))
 
-	return min(s.starts.wait(now, others, limit), s.coldUntil.Sub(now))
+	return min(s.starts.wait(now, s.coldFrom, others, limit), s.coldUntil.Sub(now))
 }
 
 // startWait returns the time until an attempt may start after a number of others, by the limit that the server states
@@ -121,5 +133,15 @@
 	return max(s.limiter.wait(now, others), s.coldWait(now, others))
 }
 
+// refusalWait returns the time until an attempt may start after a number of others, as far as it is certain: a server
+// that only may be cold is expected to say so within milliseconds.
+func (s *State) refusalWait(now time.Time, others int) time.Duration {
+	if s.coldUnknown {
+		return s.limiter.wait(now, others)
+	}
+
+	return s.startWait(now, others)
+}
+
 // mayStart reports whether an attempt may start as far as limits are concerned.
 func (s *State) mayStart(now time.Time) bool { return s.startWait(now, 0) == 0 }
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -67,6 +67,10 @@
 		// ColdUntil; zero for no limit. At least one request starts per second.
 		ColdRate  float64
 		ColdUntil time.Time
+		// ColdUnknown is set if the server only may be cold. No attempt is refused for that, because it is known soon.
+		// ColdFrom is when it was warm for certain: starts before do not count. It is zero if all count.
+		ColdUnknown bool
+		ColdFrom    time.Time
 	}
 	// Tick handles attempts whose wait has expired; see State.Next.
 	Tick struct{}
--- a/internal/core/cold_test.go
+++ b/internal/core/cold_test.go
@@ -218,3 +218,30 @@
 		require.InDelta(t, expected, len(l.starts), 0.2*expected+coldRate, "limit %v", perSecond)
 	}
 }
+
+// TestWarmPauses guards against a warm server that is limited as a cold one after each pause, by the starts before the
+// pause, or that refuses requests until it has answered a probe. Load: 4 requests at once, every 200 ms; then 20 at
+// once, every 400 ms.
+func TestWarmPauses(t *testing.T) {
+	l := newColdLoad(t, limitTestStart)
+	l.run(1500*time.Millisecond, 0)
+
+	for i := range 20 {
+		for range 4 {
+			l.arrive()
+		}
+
+		require.Len(t, l.starts, 4*(i+1), "all start at once")
+		l.run(200*time.Millisecond, 0)
+	}
+
+	for i := range 20 {
+		for range 20 {
+			l.arrive()
+		}
+
+		l.run(10*time.Millisecond, 0)
+		require.Len(t, l.starts, 80+20*(i+1), "all start when the probe is answered")
+		l.run(390*time.Millisecond, 0)
+	}
+}
--- a/internal/core/limit.go
+++ b/internal/core/limit.go
@@ -46,8 +46,7 @@
 	}
 
 	if s.isCold(now) {
-		perSecond, _ := s.health.ColdLimit()
-		report.Slots = s.usableSlots(perSecond, report.Slots)
+		report.Slots = s.usableSlots(s.health.ColdPolicy().Rate, report.Slots)
 	}
 
 	if s.admission.LimitWait(now) >= minLimitWait {
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -172,11 +172,12 @@
 	}
 
 	limit := s.health.Limit()
-	coldRate, coldUntil := s.health.ColdLimit()
+	cold := s.health.ColdLimit(now)
 
 	return s.applyAdmission(now, admission.ServerChanged{
 		Closed: refusalReason, Slots: s.slotLimit, Queue: s.queueLimit(), Slowness: s.health.Slowness(),
-		Limited: limit.Set, PerSecond: limit.PerSecond, ColdRate: coldRate, ColdUntil: coldUntil,
+		Limited: limit.Set, PerSecond: limit.PerSecond,
+		ColdRate: cold.PerSecond, ColdUntil: cold.Until, ColdUnknown: cold.Unknown, ColdFrom: cold.From,
 	})
 }
 
--- a/internal/health/cold.go
+++ b/internal/health/cold.go
@@ -125,10 +125,30 @@
 // ColdFor returns for how much longer the server is slow after its start.
 func (s *State) ColdFor(now time.Time) time.Duration { return max(0, s.cold.end().Sub(now)) }
 
-// ColdLimit returns the number of requests per second that the server tolerates until a time, because it is cold or may
-// have become so while it was idle. The number is zero if the service states none.
-func (s *State) ColdLimit() (perSecond float64, until time.Time) {
-	return s.cold.policy.Rate, times.Later(s.cold.end(), s.cold.unknownUntil)
+// ColdLimit limits the requests of a server that is cold, or may have become so while it was idle.
+type ColdLimit struct {
+	// PerSecond is the number of requests per second that the server tolerates; zero if the service states none.
+	PerSecond float64
+	Until     time.Time
+	// Unknown is set if the server has not said that it is cold. From is when it last said that it was not; zero if it
+	// has not.
+	Unknown bool
+	From    time.Time
+}
+
+// ColdLimit returns the limit at the present time.
+func (s *State) ColdLimit(now time.Time) ColdLimit {
+	limit := ColdLimit{PerSecond: s.cold.policy.Rate, Until: s.cold.end()}
+
+	if !now.Before(limit.Until) && now.Before(s.cold.unknownUntil) {
+		if !limit.Until.After(s.cold.answeredAt) {
+			limit.From = s.cold.answeredAt
+		}
+
+		limit.Until, limit.Unknown = s.cold.unknownUntil, true
+	}
+
+	return limit
 }
 
 // ColdPolicy returns the policy of the last ColdPolicyChanged.
