--- a/internal/core/cold_test.go
+++ b/internal/core/cold_test.go
@@ -30,34 +30,27 @@
 
 // coldLoad runs a state beside a server that may be cold, under a steady load.
 type coldLoad struct {
-	t          *testing.T
-	s          *State
-	now        time.Time
-	coldUntil  time.Time
-	probedAt   time.Time
-	running    map[admission.Attempt]time.Time
-	order      []admission.Attempt
-	starts     []time.Time
-	probes     []time.Time
-	numbered   int
-	arriveNext time.Time
+	s                                    *State
+	now, coldUntil, probedAt, arriveNext time.Time
+	running                              []admission.Attempt
+	starts, probes                       []time.Time
+	numbered                             int
 }
 
-func newColdLoad(t *testing.T, now time.Time) *coldLoad {
-	l := &coldLoad{t: t, now: now, running: make(map[admission.Attempt]time.Time)}
+func newColdLoad() *coldLoad {
+	l := &coldLoad{now: limitTestStart}
 	l.restart()
 
 	return l
 }
 
-// restart replaces the daemon by a new run, which knows its server by an announcement that is not the newest.
+// restart replaces the daemon by a new run, which knows its server by an announcement.
 func (l *coldLoad) restart() {
 	l.s = New(Options{
 		Self: instance.Member{ID: "self", Service: "stockdesk"}, Announced: true, QueuePerSlot: 2,
 		ProbeInterval: 100 * time.Millisecond,
 	})
-	clear(l.running)
-	l.order, l.probedAt = nil, time.Time{}
+	l.running, l.probedAt = nil, time.Time{}
 	l.apply(Started{})
 	l.apply(membership.EntriesRead{})
 	l.apply(ManifestRead{Version: 7, Manifest: manifest.Manifest{Services: []manifest.Service{{
@@ -74,12 +67,9 @@
 	for _, effect := range l.s.Apply(l.now, event) {
 		switch e := effect.(type) {
 		case admission.Start:
-			l.running[e.Attempt] = l.now.Add(coldWork)
-			l.order = append(l.order, e.Attempt)
-			l.starts = append(l.starts, l.now)
+			l.running, l.starts = append(l.running, e.Attempt), append(l.starts, l.now)
 		case health.Probe:
-			l.probedAt = l.now
-			l.probes = append(l.probes, l.now)
+			l.probedAt, l.probes = l.now, append(l.probes, l.now)
 		}
 	}
 }
@@ -94,10 +84,10 @@
 			})
 		}
 
-		for len(l.order) > 0 && !l.now.Before(l.running[l.order[0]]) {
+		for len(l.running) > 0 && l.now.Sub(l.starts[len(l.starts)-len(l.running)]) >= coldWork {
 			l.apply(health.Observed{Load: dialect.Load{Slots: coldSlots, Slowness: 1}})
-			l.apply(AttemptServed{Attempt: l.order[0], Ran: true})
-			l.order = l.order[1:]
+			l.apply(AttemptServed{Attempt: l.running[0], Ran: true})
+			l.running = l.running[1:]
 		}
 
 		if next := l.s.Next(); !next.IsZero() && !l.now.Before(next) {
@@ -143,7 +133,7 @@
 // TestColdReturn guards against a full burst at the servers of a domain that became cold while the domain was
 // evacuated, and against a limit that does not end with the cold time. Load: 60 requests at once, then 200 per second.
 func TestColdReturn(t *testing.T) {
-	l := newColdLoad(t, limitTestStart)
+	l := newColdLoad()
 	l.run(2*time.Second, 200)
 	l.run(10*time.Second, 0)
 
@@ -170,7 +160,7 @@
 // TestColdAgain guards against a server that becomes cold under full load and goes on to get it, because responses that
 // report the load make probes unnecessary. Load: 200 requests per second; the server becomes cold every 4.37 s.
 func TestColdAgain(t *testing.T) {
-	l := newColdLoad(t, limitTestStart)
+	l := newColdLoad()
 
 	for range 5 {
 		l.run(1370*time.Millisecond, 200)
@@ -190,7 +180,7 @@
 // know what its earlier run has started. Load: 200 requests per second at a cold server, restarts at any phase of a
 // second.
 func TestColdRestart(t *testing.T) {
-	l := newColdLoad(t, limitTestStart)
+	l := newColdLoad()
 	l.coldUntil = l.now.Add(time.Minute)
 	l.run(200*time.Millisecond, 0)
 
@@ -209,7 +199,7 @@
 // a cold server that states a limit as well.
 func TestColdAndLimited(t *testing.T) {
 	for _, perSecond := range []float64{0, 1, coldRate, 100} {
-		l := newColdLoad(t, limitTestStart)
+		l := newColdLoad()
 		l.coldUntil = l.now.Add(20 * time.Second)
 		l.s.Apply(l.now, health.LimitStated{Limit: backend.Limit{Set: true, PerSecond: perSecond}})
 		l.run(20*time.Second, 40)
@@ -223,7 +213,7 @@
 // pause, or that refuses requests until it has answered a probe. Load: 4 requests at once, every 200 ms; then 20 at
 // once, every 400 ms.
 func TestWarmPauses(t *testing.T) {
-	l := newColdLoad(t, limitTestStart)
+	l := newColdLoad()
 	l.run(1500*time.Millisecond, 0)
 
 	for i := range 20 {
