--- a/internal/simulation/daemon.go
+++ b/internal/simulation/daemon.go
@@ -243,7 +243,7 @@
 	p.daemon.fleet.clock.scheduleAfter(probeResponseTime, func() {
 		probed := health.Probed{
 			Answered: true, Healthy: !server.draining, Draining: server.draining, ID: server.id, Load: server.load(),
-			Loaded: true,
+			Loaded: true, ColdStated: true, ColdFor: max(0, server.coldUntil.Sub(p.daemon.fleet.clock.now)),
 		}
 		if !server.up {
 			probed = health.Probed{}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -36,6 +36,8 @@
 	// Limit is the number of requests per second that the server states in its responses; zero for none. It does not
 	// enforce it.
 	Limit float64
+	// Cold is the time for which the server says in its health responses that it stays cold; zero if it says nothing.
+	Cold time.Duration
 	// Unhealthy makes the health path answer with status 503. Requests are handled as usual.
 	Unhealthy bool
 	// TruncateAfter aborts downloads after this number of bytes; zero for never.
@@ -257,6 +259,10 @@
 
 	s.setNotice(w.Header())
 
+	if behaviour.Cold > 0 {
+		dialect.SetField(w.Header(), s.dialect.Cold, strconv.FormatInt(behaviour.Cold.Milliseconds(), 10))
+	}
+
 	// On the users' platform, whose servers seal their responses, the status says that the server leaves, too.
 	leaving := behaviour.Draining || behaviour.Leaving
 	if behaviour.Unhealthy || leaving && s.dialect.Seal != "" {
