--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,14 +29,25 @@
 	runningAlone bool
 	// limiter is nil while the server states no limit.
 	limiter *limiter
+	// starts holds the starts of the last second. While the server is cold, until coldUntil, at most coldRate attempts
+	// start in any second; zero for no limit.
+	starts    startLog
+	coldRate  float64
+	coldUntil time.Time
+	// coldFrom is the time from which starts count for the rate; zero if all do. coldUnknown is set if the server only
+	// may be cold.
+	coldFrom    time.Time
+	coldUnknown bool
 	// tokenAt is when the limit allows a waiting attempt to start; zero if it already does or none waits.
 	tokenAt time.Time
 	counts  Counts
 }
 
 type runningAttempt struct {
-	aborted bool
-	alone   bool
+	tenant    string
+	aborted   bool
+	alone     bool
+	startedAt time.Time
 }
 
 // New returns a State that refuses all attempts with ServerUnknown until the first ServerChanged.
@@ -49,6 +60,8 @@
 func (s *State) Apply(now time.Time, event Event) []Effect {
 	var effects []Effect
 
+	s.starts.advance(now)
+
 	switch e := event.(type) {
 	case Arrived:
 		effects = s.handleArrived(now, e)
@@ -59,6 +72,8 @@
 	case ServerChanged:
 		s.closedReason, s.slowness = e.Closed, e.Slowness
 		s.slots, s.queueLimit = max(1, e.Slots), max(0, e.Queue)
+		s.coldRate, s.coldUntil = e.ColdRate, e.ColdUntil
+		s.coldFrom, s.coldUnknown = e.ColdFrom, e.ColdUnknown
 		s.setLimit(now, e)
 
 		if s.closedReason != "" {
@@ -74,11 +89,11 @@
 	return effects
 }
 
-// updateTokenAt sets when the next token for a waiting attempt is there.
+// updateTokenAt sets when the limits allow the next waiting attempt to start.
 func (s *State) updateTokenAt(now time.Time) {
 	s.tokenAt = time.Time{}
 
-	if wait := s.limiter.wait(now, 0); wait > 0 && (len(s.queue) > 0 || s.waitingAlone != nil) {
+	if wait := s.startWait(now, 0); wait > 0 && (s.queue.size() > 0 || s.waitingAlone != nil) {
 		s.tokenAt = now.Add(wait)
 	}
 }
@@ -95,8 +110,8 @@
 	}
 }
 
-// LimitWait returns the time until the limit of the server allows a new request after those that wait; zero if it does.
-func (s *State) LimitWait(now time.Time) time.Duration { return s.limiter.wait(now, len(s.queue)) }
+// LimitWait returns the time until the limits of the server allow a new request after those that wait; zero if they do.
+func (s *State) LimitWait(now time.Time) time.Duration { return s.startWait(now, s.queue.size()) }
 
 // Running returns the number of attempts that run at the server, those that are being aborted included.
 func (s *State) Running() int { return len(s.running) }
@@ -105,7 +120,7 @@
 func (s *State) Waiting() load.Waiting {
 	var counts load.Waiting
 
-	for _, w := range s.queue {
+	for _, w := range s.queue.attempts {
 		counts[w.Rank]++
 	}
 
@@ -120,7 +135,7 @@
 func (s *State) Next() time.Time {
 	next := s.tokenAt
 
-	for _, w := range s.queue {
+	for _, w := range s.queue.attempts {
 		next = times.Next(next, w.expiresAt())
 	}
 
@@ -138,6 +153,8 @@
 		return nil
 	}
 
+	s.queue.tenants.arrive(e.Tenant)
+
 	w := &waitingAttempt{Arrived: e, arrivedAt: now}
 
 	if reason, refused := s.refusalReason(now, w); refused {
@@ -149,7 +166,7 @@
 	if e.Alone {
 		s.waitingAlone = w
 	} else {
-		effects = s.displaceLast(now)
+		effects = s.displace(now, w)
 		s.queue.insert(w)
 	}
 
@@ -160,37 +177,37 @@
 	return append(effects, Queued{Attempt: e.Attempt})
 }
 
-// displaceLast refuses the last attempt of a full queue to make room for one that goes before it. Nested calls are not
-// displaced.
-func (s *State) displaceLast(now time.Time) []Effect {
-	if len(s.queue) < max(1, s.queueLimit) || len(s.running) < s.slots && s.limiter.allows(now) {
+// displace refuses an attempt of a full queue to make room for w, which refusalReason lets in.
+func (s *State) displace(now time.Time, w *waitingAttempt) []Effect {
+	if s.queue.size() < max(1, s.queueLimit) || len(s.running) < s.slots && s.mayStart(now) {
 		return nil
 	}
 
-	last := s.queue[len(s.queue)-1]
-	if last.Rank == request.NestedRank {
+	victim := s.queue.victim(w)
+	if victim == nil {
 		return nil
 	}
 
-	s.queue.remove(last.Attempt)
+	s.queue.remove(victim.Attempt)
+	s.counts.Displaced++
 
-	return []Effect{s.refuse(now, last, QueueFull)}
+	return []Effect{s.refuse(now, victim, QueueFull)}
 }
 
 // canStart reports whether all waiting attempts can start or, if one waits to run alone, whether that one can.
 func (s *State) canStart(now time.Time) bool {
 	if s.waitingAlone != nil {
-		return len(s.running) == 0 && s.limiter.allows(now)
+		return len(s.running) == 0 && s.mayStart(now)
 	}
 
-	return !s.runningAlone && len(s.running)+len(s.queue) <= s.slots && s.limiter.wait(now, len(s.queue)-1) == 0
+	return !s.runningAlone && len(s.running)+s.queue.size() <= s.slots && s.startWait(now, s.queue.size()-1) == 0
 }
 
 // refusalReason reports whether an arriving attempt is refused at once, and why.
 func (s *State) refusalReason(now time.Time, w *waitingAttempt) (Reason, bool) {
 	e := w.Arrived
-	limitWait := s.limiter.wait(now, s.queue.countBefore(w))
-	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+len(s.queue) >= s.slots || limitWait > 0
+	before := s.queue.countBefore(w)
+	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+s.queue.size() >= s.slots || s.startWait(now, before) > 0
 
 	switch {
 	case s.closedReason != "":
@@ -199,7 +216,7 @@
 		return DeadlinePassed, true
 	case e.Slowest > 0 && s.slowness > e.Slowest:
 		return TooSlow, true
-	case limitWait > e.Wait:
+	case s.refusalWait(now, before) > e.Wait:
 		return OverLimit, true
 	case e.Alone:
 		return Busy, s.waitingAlone != nil || s.runningAlone
@@ -208,7 +225,7 @@
 	case e.Wait <= 0:
 		return Busy, true
 	default:
-		return QueueFull, len(s.queue) >= s.queueLimit && e.Rank != request.NestedRank && !s.queue.lastGoesAfter(w)
+		return QueueFull, s.queue.size() >= s.queueLimit && e.Rank != request.NestedRank && s.queue.victim(w) == nil
 	}
 }
 
@@ -220,6 +237,11 @@
 	}
 
 	delete(s.running, e.Attempt)
+	s.queue.tenants.end(r.tenant)
+
+	if e.Misdirected {
+		s.starts.remove(r.startedAt)
+	}
 
 	if r.alone {
 		s.runningAlone = false
@@ -252,21 +274,10 @@
 func (s *State) refuseExpired(now time.Time) []Effect {
 	var effects []Effect
 
-	kept := s.queue[:0]
-
-	for _, w := range s.queue {
-		if now.Before(w.expiresAt()) {
-			kept = append(kept, w)
-
-			continue
-		}
-
+	for _, w := range s.queue.removeExpired(now) {
 		effects = append(effects, s.refuse(now, w, expiryReason(now, w)))
 	}
 
-	clear(s.queue[len(kept):])
-	s.queue = kept
-
 	if w := s.waitingAlone; w != nil && !now.Before(w.expiresAt()) {
 		s.waitingAlone = nil
 		effects = append(effects, s.refuse(now, w, expiryReason(now, w)))
@@ -282,87 +293,3 @@
 
 	return DeadlinePassed
 }
-
-// startWaiting starts waiting attempts while there are free slots and the limit allows it.
-func (s *State) startWaiting(now time.Time) []Effect {
-	if s.closedReason != "" || s.runningAlone || !s.limiter.allows(now) {
-		return nil
-	}
-
-	if s.waitingAlone != nil {
-		// Other attempts wait until this one has run. Otherwise the server might never be idle.
-		if len(s.running) > 0 {
-			return nil
-		}
-
-		w := s.waitingAlone
-		s.waitingAlone = nil
-		s.runningAlone = true
-
-		return []Effect{s.start(now, w)}
-	}
-
-	var effects []Effect
-
-	for len(s.running) < s.slots && s.limiter.allows(now) {
-		next := s.queue.takeNext(s.slowness)
-		if next == nil {
-			break
-		}
-
-		effects = append(effects, s.start(now, next))
-	}
-
-	return effects
-}
-
-func (s *State) start(now time.Time, w *waitingAttempt) Effect {
-	s.limiter.take(now)
-	s.running[w.Attempt] = &runningAttempt{alone: w.Alone}
-	s.counts.Started++
-
-	return Start{Attempt: w.Attempt}
-}
-
-func (s *State) refuse(now time.Time, w *waitingAttempt, reason Reason) Effect {
-	s.counts.Refused++
-
-	return Refuse{Attempt: w.Attempt, Reason: reason, Waited: now.Sub(w.arrivedAt)}
-}
-
-// refuseAll refuses all waiting attempts of a server that has closed.
-func (s *State) refuseAll(now time.Time) []Effect {
-	var effects []Effect
-
-	for _, w := range s.queue {
-		effects = append(effects, s.refuse(now, w, s.closedReason))
-	}
-
-	s.queue = nil
-
-	if s.waitingAlone != nil {
-		effects = append(effects, s.refuse(now, s.waitingAlone, s.closedReason))
-		s.waitingAlone = nil
-	}
-
-	return effects
-}
-
-// Counts are totals since the start of the daemon.
-type Counts struct{ Started, Refused, Aborted uint64 }
-
-// Dump is the admission part of a state dump. Slowness is relative to the usual speed; 1 is usual.
-type Dump struct {
-	Running, Waiting, Slots int
-	Closed                  Reason
-	Slowness                float64
-	Counts                  Counts
-}
-
-// Dump returns a snapshot of the state.
-func (s *State) Dump() Dump {
-	return Dump{
-		Running: len(s.running), Waiting: s.Waiting().Total(), Slots: s.slots, Closed: s.closedReason,
-		Slowness: s.slowness, Counts: s.counts,
-	}
-}
--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -29,6 +29,9 @@
 		Rank request.Rank
 		// Priority orders attempts of the same rank; 0 is the highest.
 		Priority int
+		// Tenant is the tenant whose attempts get slots in turn with those of others of the same rank and priority. It is
+		// empty in a fleet without tenants.
+		Tenant string
 		// Alone is set if the attempt has to run while no other one does.
 		Alone bool
 		// Wait is the longest time that the attempt may wait for a slot; zero if it may not wait.
@@ -39,7 +42,12 @@
 	}
 	// Done reports that a started attempt has ended: the backend server's whole response was read, or the connection
 	// ended.
-	Done struct{ Attempt Attempt }
+	Done struct {
+		Attempt Attempt
+		// Misdirected is set if another server than the expected one has refused the attempt by status 421. It does not
+		// count as a start then.
+		Misdirected bool
+	}
 	// Cancelled reports that the entry daemon has cancelled an attempt.
 	Cancelled struct{ Attempt Attempt }
 	// ServerChanged reports the state of the backend server.
@@ -55,6 +63,14 @@
 		// Limited is set if the server takes only PerSecond requests per second.
 		Limited   bool
 		PerSecond float64
+		// ColdRate is the number of requests per second that the server tolerates while it is cold, which it is until
+		// ColdUntil; zero for no limit. At least one request starts per second.
+		ColdRate  float64
+		ColdUntil time.Time
+		// ColdUnknown is set if the server only may be cold. No attempt is refused for that, because it is known soon.
+		// ColdFrom is when it was warm for certain: starts before do not count. It is zero if all count.
+		ColdUnknown bool
+		ColdFrom    time.Time
 	}
 	// Tick handles attempts whose wait has expired; see State.Next.
 	Tick struct{}
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -52,15 +52,22 @@
 			Deadline: now.Add(line.Duration("deadline", time.Second)),
 			Wait:     line.Duration("wait", 100*time.Millisecond),
 			Rank:     parseRank(line), Alone: line.Has("alone"), Priority: line.Int("priority", 0),
-			Slowest: line.Float("slowest", 0),
+			Slowest: line.Float("slowest", 0), Tenant: line.Text("tenant", ""),
 		}))
 	case "done":
-		return describe(r.state.Apply(now, admission.Done{Attempt: newAttempt(line.Word(0))}))
+		return describe(r.state.Apply(now, admission.Done{
+			Attempt: newAttempt(line.Word(0)), Misdirected: line.Has("misdirected"),
+		}))
 	case "cancel":
 		return describe(r.state.Apply(now, admission.Cancelled{Attempt: newAttempt(line.Word(0))}))
 	case "server":
 		return r.changeServer(now, line.Text("closed", ""),
 			line.Int("slots", 2), line.Int("queue", 3), line.Float("slowness", 1))
+	case "cold":
+		return describe(r.state.Apply(now, admission.ServerChanged{
+			Slots: 100, Queue: 3, Slowness: 1, ColdRate: line.Float("rate", 0),
+			ColdUntil: now.Add(line.Duration("for", time.Minute)),
+		}))
 	case "limit":
 		return r.limitServer(now, line.Float("rate", 0), line.Float("slowness", 1))
 	default:
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -31,6 +31,8 @@
 		effects = s.applyHealth(now, health.Noticed{Notice: e.Notice})
 	}
 
+	effects = append(effects, s.endIdleTime(now)...)
+
 	s.localAttempts[e.Attempt] = &localAttempt{request: e.Request}
 	s.attemptOrder = append(s.attemptOrder, e.Attempt)
 
@@ -39,12 +41,29 @@
 		Deadline: e.Request.Deadline,
 		Rank:     e.Request.Rank(),
 		Priority: e.Request.Priority,
+		Tenant:   s.tenantOf(e.Request),
 		Alone:    e.Request.Alone,
 		Wait:     e.Wait,
 		Slowest:  e.Slowest,
 	})...)
 }
 
+// originPrefix begins the names under which requests without a tenant compete. Names of tenants have no slash.
+const originPrefix = "service/"
+
+// tenantOf returns the name under which a request competes for slots: that of its tenant, or the service from which it
+// comes. Without tenants in the manifest it is empty for all requests.
+func (s *State) tenantOf(r request.Request) string {
+	switch {
+	case len(s.manifest.Tenants) == 0:
+		return ""
+	case r.Tenant != "":
+		return r.Tenant
+	default:
+		return originPrefix + r.Origin
+	}
+}
+
 // applyAdmission passes an event to admission and keeps localAttempts up to date.
 func (s *State) applyAdmission(now time.Time, event admission.Event) []Effect {
 	if done, ok := event.(admission.Done); ok {
@@ -102,7 +121,7 @@
 		}
 	}
 
-	effects := s.applyAdmission(now, admission.Done{Attempt: e.Attempt})
+	effects := s.applyAdmission(now, admission.Done{Attempt: e.Attempt, Misdirected: e.Misdirected})
 
 	if e.Ran {
 		s.postponeLimitRecheck(now)
@@ -153,10 +172,12 @@
 	}
 
 	limit := s.health.Limit()
+	cold := s.health.ColdLimit(now)
 
 	return s.applyAdmission(now, admission.ServerChanged{
 		Closed: refusalReason, Slots: s.slotLimit, Queue: s.queueLimit(), Slowness: s.health.Slowness(),
 		Limited: limit.Set, PerSecond: limit.PerSecond,
+		ColdRate: cold.PerSecond, ColdUntil: cold.Until, ColdUnknown: cold.Unknown, ColdFrom: cold.From,
 	})
 }
 
@@ -213,12 +234,14 @@
 	s.updateLimitTimer(now)
 
 	report := s.loadReport(now)
-	known := s.publishedVersion == s.version && s.publishedEpoch == s.epoch
+	known := s.publishedVersion == s.version && s.publishedEpoch == s.epoch &&
+		s.isCold(now) == s.publishedCold
 	if known && !changedSignificantly(s.publishedReport, report) {
 		return effects
 	}
 
 	s.publishedReport, s.publishedVersion, s.publishedEpoch = report, s.version, s.epoch
+	s.publishedCold = s.isCold(now)
 
 	ownReport := report
 	// A draining daemon tells others to send no more work, but still uses its own server.
@@ -232,11 +255,12 @@
 
 // setWatched tells health whether the load is needed, by another daemon or for the attempts that run here.
 func (s *State) setWatched(now time.Time, watched bool) []Effect {
-	if watched == s.health.Watched() {
+	running := s.hasRequests()
+	if watched == s.health.Watched() && running == s.health.Running() {
 		return nil
 	}
 
-	return s.applyHealth(now, health.Busy{Watched: watched})
+	return s.applyHealth(now, health.Busy{Watched: watched, Running: running})
 }
 
 // loadReport returns the present load of the local server.
