soak: callers have a tenant, and some present a withdrawn key

Change: the configuration of the soak has two tenants, one of which gets another key with each version. A request that runs with a withdrawn key 3 s after the publication, or without its tenant, or whose key reaches a server, is a violation.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -59,7 +59,12 @@
 			path = labelPath
 		}
 
-		s.send(client, n, path, host, id)
+		if random.IntN(withdrawnKeyInterval) == 0 {
+			s.sendWithdrawnKey(client, n, host, id)
+		} else {
+			s.send(client, n, path, host, id)
+		}
+
 		task.Sleep(ctx, time.Duration(random.Int64N(int64(2*s.options.Pause))))
 	}
 }
@@ -75,7 +80,7 @@
 
 // newRequest returns a request. The request does not use the context of the soak, so that it is not cancelled when the
 // run ends.
-func newRequest(n *node, path, host, id string) (*http.Request, error) {
+func newRequest(n *node, path, host, id, key string) (*http.Request, error) {
 	method, target := http.MethodGet, path+id
 
 	switch path {
@@ -103,16 +108,26 @@
 
 	r.Header.Set(headerNames.Attempt, id)
 	r.Header.Set(headerNames.Timeout, strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+	r.Header.Set(headerNames.Credential, key)
+	// The daemon has to replace a tenant that a caller states.
+	r.Header.Set(headerNames.Tenant, "forged")
 
 	return r, nil
 }
 
-// send sends a request, checks its response and records the result.
+// send sends a request of callerTenant, checks its response and records the result.
 func (s *Soak) send(client *http.Client, n *node, path, host, id string) sentRequest {
-	sent := sentRequest{host: host, id: id, node: n.name, path: path, idempotent: path != orderPath, begun: time.Now()}
+	return s.sendWithKey(client, n, sentRequest{
+		host: host, id: id, node: n.name, path: path, idempotent: path != orderPath, key: callerKey,
+	})
+}
+
+// sendWithKey does what send does, for a request with any API key.
+func (s *Soak) sendWithKey(client *http.Client, n *node, sent sentRequest) sentRequest {
+	sent.begun = time.Now()
 	run := n.daemon.runNumber()
 
-	r, err := newRequest(n, path, host, id)
+	r, err := newRequest(n, sent.path, sent.host, sent.id, sent.key)
 	if err != nil {
 		s.results.addViolation("SOAK", "%v", err)
 
@@ -219,7 +234,8 @@
 			sent.id, n.name, elapsed, routeTimeout)
 	case !slices.Contains(s.hosts, sent.host):
 		// The request only checks which configuration is in use, so any status is allowed.
-	case sent.status == http.StatusNotFound, sent.status == http.StatusBadRequest:
+	case sent.status == http.StatusNotFound, sent.status == http.StatusBadRequest,
+		sent.status == http.StatusUnauthorized && sent.key == callerKey:
 		s.results.addViolation("DENIED", "request %s at %s got %d", sent.id, n.name, sent.status)
 	}
 }
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -17,8 +17,21 @@
 	maxConfigDelay = 3 * time.Second
 	// configProbeInterval is the time between two checks which configuration the nodes use.
 	configProbeInterval = 400 * time.Millisecond
+	// versionStep is the difference of two successive versions.
+	versionStep = 3
 )
 
+const (
+	// callerTenant is the tenant of all callers, and callerKey its API key.
+	callerTenant = "oak"
+	callerKey    = "key-of-oak"
+	// rotatingTenant has another key in each version of the configuration.
+	rotatingTenant = "elm"
+)
+
+// rotatingKey returns the key that rotatingTenant has in one version only.
+func rotatingKey(version int) string { return fmt.Sprintf("key-of-elm-%d", version) }
+
 // configuration is the latest published configuration. Each version has a route for a host that no other version has,
 // so that a request to this host shows whether a daemon uses the version.
 type configuration struct {
@@ -43,7 +56,7 @@
 	s.config.mutex.Lock()
 	defer s.config.mutex.Unlock()
 
-	s.config.version += 3
+	s.config.version += versionStep
 	s.config.publishedAt = time.Now()
 	s.store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(configText(s.config.version)))
 }
@@ -78,8 +91,9 @@
 
 	return fmt.Sprintf(`{"version":"r%d","routes":{"columns":["name","hostname","pathPrefix","routeType","timeoutMs",`+
 		`"targetLatencyMs","priority","service","maxAttempts"],"rows":[%s]},`+
-		`"services":{"columns":["name","healthPath","maxConnections"],"rows":[["stockdesk","/health",100],["routehall","/health",100],["spare","/health",100]]}}`,
-		version, strings.Join(rows, ","))
+		`"services":{"columns":["name","healthPath","maxConnections"],"rows":[["stockdesk","/health",100],["routehall","/health",100],["spare","/health",100]]},`+
+		`"tenants":{"columns":["name","apiKeys","priority"],"rows":[[%q,[%q],1],[%q,[%q],1]]}}`,
+		version, strings.Join(rows, ","), callerTenant, callerKey, rotatingTenant, rotatingKey(version))
 }
 
 // newProbeClient returns a client that opens a connection for each request.
--- a/internal/soak/results.go
+++ b/internal/soak/results.go
@@ -43,8 +43,10 @@
 // sentRequest is a request and its result, as its caller observed them.
 type sentRequest struct {
 	id, node, path, host string
-	idempotent           bool
-	begun, ended         time.Time
+	// key is the API key that the caller presented.
+	key          string
+	idempotent   bool
+	begun, ended time.Time
 	// status is zero if the connection ended without a whole response.
 	status int
 	// failure says how the connection ended in that case.
@@ -144,6 +146,7 @@
 			for id, ran := range run.ExecutionsByAttempt() {
 				s.executions[id] = append(s.executions[id], execution{
 					server: run.Name(), count: ran.Count, origin: ran.Origin, body: ran.Body,
+					tenant: ran.Tenant, credential: ran.Credential,
 				})
 			}
 		}
@@ -157,6 +160,7 @@
 // execution is how often and with which content one run of a server ran a request.
 type execution struct {
 	server, origin, body string
+	tenant, credential   string
 	count                int
 }
 
@@ -178,6 +182,8 @@
 				ran.server, id, ran.origin, origin)
 		}
 
+		s.checkTenant(sent, ran)
+
 		if want := requestBody(sent.path, id); ran.body != want {
 			s.results.addViolation("UNASKED", "%s ran request %s with the body %q, want %q", ran.server, id, ran.body, want)
 		}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -92,9 +92,9 @@
 type Execution struct {
 	// Count is how often the attempt ran.
 	Count int
-	// Origin and Body are the origin header field and the request body of the last run.
-	Origin string
-	Body   string
+	// Origin, Tenant and Credential are header fields of the last run, and Body is its request body.
+	Origin, Tenant, Credential string
+	Body                       string
 	// Timeout is the value of the timeout header field of the last run, in milliseconds.
 	Timeout string
 }
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -152,6 +152,8 @@
 
 		if s.dialect.Origin != "" {
 			run.Origin = r.Header.Get(s.dialect.Origin)
+			run.Tenant = r.Header.Get(s.dialect.Tenant)
+			run.Credential = s.dialect.CredentialOf(r.Header)
 		}
 
 		if s.dialect.Timeout != "" {
