quota, core: rate limits of tenants over the whole fleet

A tenant's limit has to hold over all daemons together, also while some are cut off or restarted and while the store is away. The new reducer quota divides each limit into one share for each daemon. Each daemon leases its share to one pool of its failure domain, which grants tokens; pools that are short borrow shares from other failure domains. core asks quota before a request of a limited tenant goes to the key table or to routing, and gives the token back if the request is refused and has not run.

A pool that does not answer gives 503, not 429. Loans are returned early.

No window of 5 s exceeds the bound, and the shares in use never exceed the limit, under the faults of TestFaults.

--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -37,7 +37,9 @@
 	// ManifestBehind means that no rule matches, but another daemon has a newer manifest.
 	ManifestBehind Reason = "manifest-behind"
 	// Unauthenticated means that the API key of the request is missing or unknown.
-	Unauthenticated   Reason = "unauthenticated"
+	Unauthenticated Reason = "unauthenticated"
+	// RateLimit means that the tenant has used up its rate limit.
+	RateLimit         Reason = "rate-limit"
 	BodyTooLarge      Reason = "body-too-large"
 	BodyBroken        Reason = "body-broken"
 	TooDeep           Reason = "too-deep"
@@ -59,6 +61,7 @@
 	Unsupported:       http.StatusNotImplemented,
 	NoRule:            http.StatusNotFound,
 	Unauthenticated:   http.StatusUnauthorized,
+	RateLimit:         http.StatusTooManyRequests,
 	BodyTooLarge:      http.StatusRequestEntityTooLarge,
 	BodyBroken:        http.StatusBadRequest,
 	TooDeep:           http.StatusLoopDetected,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,5 +1,5 @@
-// Package core combines the reducers of routing, admission, health, suspects, membership and idempotency keys into
-// the single reducer of a daemon.
+// Package core combines the reducers of routing, admission, health, suspects, membership, idempotency keys and rate
+// limits into the single reducer of a daemon.
 //
 // A reducer takes events and returns effects, which are the actions that the daemon performs. It does no I/O and
 // reads no clock: each event comes with the time. Equal events give equal effects, so a recording of the events can
@@ -22,6 +22,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/quota"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/store"
@@ -80,6 +81,9 @@
 
 	suspects   *suspects.State
 	membership *membership.State
+	// quota holds the rate limits of tenants. quotaListed is set once it knows the number of members.
+	quota       *quota.State
+	quotaListed bool
 	// keyReducer is nil until a manifest uses idempotency keys.
 	keyReducer *keyReducer
 	// ready is set after the first attempt to read the entries of other daemons from the store, even if it failed.
@@ -174,6 +178,7 @@
 
 		suspects:                suspects.New(),
 		membership:              membership.New(options.Self, options.Seed),
+		quota:                   quota.New(options.Self),
 		requests:                make(map[request.ID]request.Request),
 		localAttempts:           make(map[admission.Attempt]*localAttempt),
 		splits:                  make(map[string]*split),
@@ -190,13 +195,16 @@
 // Apply handles an event and returns the effects that the daemon performs.
 func (s *State) Apply(now time.Time, event Event) []Effect {
 	effects := s.apply(now, event)
+	effects = append(effects, s.publishLoad(now)...)
 
-	return append(effects, s.publishLoad(now)...)
+	return s.returnTokens(now, effects)
 }
 
 func (s *State) apply(now time.Time, event Event) []Effect {
 	switch e := event.(type) {
 	case Started:
+		s.quota.Apply(now, quota.Tick{})
+
 		return s.handleMembershipEffects(now, s.membership.Apply(now, membership.Started{
 			Seeds: s.options.Seeds, Announced: s.options.Announced,
 		}))
@@ -225,7 +233,9 @@
 	case Closing:
 		return s.close(now)
 	case Resumed:
-		return s.handleMembershipEffects(now, s.membership.Apply(now, membership.Resumed{}))
+		effects := s.applyQuota(now, quota.Resumed{})
+
+		return append(effects, s.handleMembershipEffects(now, s.membership.Apply(now, membership.Resumed{}))...)
 	case Tick:
 		return s.tick(now)
 	default:
@@ -248,6 +258,8 @@
 		}
 
 		return s.applyKeys(now, e)
+	case quota.Event:
+		return s.applyQuota(now, e)
 	case suspects.Event:
 		return toEffects(s.suspects.Apply(now, e))
 	case membership.EntryWritten:
@@ -282,6 +294,7 @@
 	effects = append(effects, s.handleMembershipEffects(now, s.membership.Apply(now, membership.Tick{}))...)
 	effects = append(effects, s.requestNewerManifest(now)...)
 	effects = append(effects, s.tickKeys(now)...)
+	effects = append(effects, s.applyQuota(now, quota.Tick{})...)
 
 	if !now.Before(s.nextSuspectsTick) {
 		s.nextSuspectsTick = now.Add(suspectsTickInterval)
@@ -295,7 +308,7 @@
 func (s *State) Next() time.Time {
 	return times.Next(
 		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(), s.rereadAt, s.nextKeysTick(),
-		s.limitTimer,
+		s.limitTimer, s.quota.Next(),
 	)
 }
 
@@ -311,6 +324,8 @@
 		Services: e.Manifest.Services,
 	}))...)
 	effects = append(effects, s.applyKeyPolicy(now, e.Manifest.Keys)...)
+	effects = append(effects, s.applyQuota(now, quota.PolicyChanged{Tenants: e.Manifest.Tenants})...)
+	effects = append(effects, s.updateQuotaMembers(now)...)
 
 	return append(effects, ManifestChanged{Version: e.Version, Manifest: e.Manifest})
 }
@@ -383,8 +398,9 @@
 // close refuses all attempts that wait for the backend server and ends the requests of callers.
 func (s *State) close(now time.Time) []Effect {
 	s.closing = true
+	effects := append(s.updateAdmission(now), s.applyQuota(now, quota.Closing{})...)
 
-	return append(s.updateAdmission(now), s.handleRoutingEffects(now, s.routing.Apply(now, routing.Closing{}))...)
+	return append(effects, s.handleRoutingEffects(now, s.routing.Apply(now, routing.Closing{}))...)
 }
 
 // ownEntry returns the daemon's entry for the store.
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/quota"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/internal/trace"
@@ -39,6 +40,9 @@
 		suspects.Crashed{}, suspects.Implicated{}, suspects.ReportsHeard{}, suspects.Completed{},
 		suspects.Tick{},
 
+		quota.Arrived{}, quota.Cancelled{}, quota.Returned{}, quota.MembersChanged{}, quota.Contacted{},
+		quota.PolicyChanged{}, quota.Heard{}, quota.Resumed{}, quota.Closing{}, quota.Tick{},
+
 		membership.Started{}, membership.EntriesRead{}, membership.EntryWritten{}, membership.BeatHeard{},
 		membership.SelfChanged{}, membership.LoadChanged{}, membership.BudgetChanged{}, membership.Used{},
 		membership.Spread{},
@@ -63,6 +67,8 @@
 
 		suspects.Announce{},
 
+		quota.Admit{}, quota.Refuse{}, quota.Send{}, quota.PoolChanged{}, quota.PoolChosen{},
+
 		membership.ReadEntries{}, membership.WriteEntry{}, membership.SendBeat{}, membership.MembersChanged{},
 		membership.Reported{}, membership.MessageHeard{}, membership.VersionHeard{}, membership.EpochHeard{}, membership.Ready{},
 	)
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/quota"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
@@ -29,6 +30,7 @@
 
 			all = append(all, s.handleMembersChanged(now, e)...)
 			all = append(all, s.applyMeasurementBudget(now)...)
+			all = append(all, s.updateQuotaMembers(now)...)
 		case membership.Reported:
 			s.handlePeerFinding(now, e.Report)
 
@@ -50,7 +52,7 @@
 		}
 	}
 
-	return all
+	return append(all, s.updateQuotaContact(now)...)
 }
 
 // handleMembersReady restores what an earlier run of this daemon has stored, and the findings of its service.
@@ -123,6 +125,8 @@
 	Membership membership.Dump
 	// Keys is nil if the manifest uses no idempotency keys.
 	Keys *keys.Dump
+	// Quota is nil if no tenant has a rate limit.
+	Quota *quota.Dump
 	// Told is the load report that routing and the other daemons received last.
 	Told load.Report
 }
@@ -141,5 +145,10 @@
 		d.Keys = &table
 	}
 
+	if s.quota.Active() {
+		limits := s.quota.Dump(now)
+		d.Quota = &limits
+	}
+
 	return d
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -5,13 +5,15 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/quota"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
-// handleRequestArrived chooses the service of a request and passes the request to the key table or to routing.
+// handleRequestArrived chooses the service of a request and passes the request to the key table or to routing. A request
+// of a tenant with a rate limit needs a token before.
 func (s *State) handleRequestArrived(now time.Time, e RequestArrived) []Effect {
 	r := e.Request
 	if len(e.Parts) > 0 {
@@ -37,11 +39,20 @@
 	s.requests[r.ID] = r
 	effects := s.handleMembershipEffects(now, s.membership.Apply(now, membership.Used{Service: r.Service}))
 
+	if !r.Nested() && s.quota.Limited(r.Tenant) {
+		return append(effects, s.applyQuota(now, quota.Arrived{ID: r.ID, Tenant: r.Tenant, Target: targetOf(r)})...)
+	}
+
+	return append(effects, s.dispatch(now, r)...)
+}
+
+// dispatch passes a request to the key table or to routing.
+func (s *State) dispatch(now time.Time, r request.Request) []Effect {
 	if s.UsesKeyTable(r) {
-		return append(effects, s.routeByKey(now, r)...)
+		return s.routeByKey(now, r)
 	}
 
-	return append(effects, s.route(now, r)...)
+	return s.route(now, r)
 }
 
 // handleOwnedArrived passes a request to the key table. It refuses the request if there is none: this daemon has not
@@ -75,7 +86,11 @@
 }
 
 func (s *State) handleRequestCancelled(now time.Time, id request.ID) []Effect {
+	waiting := s.applyQuota(now, quota.Cancelled{ID: id})
+
 	effects, keepsRunning := s.cancelKeyedRequest(now, id)
+	effects = append(waiting, effects...)
+
 	if keepsRunning {
 		return effects
 	}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -112,6 +112,15 @@
 // Stored reports whether this run of the daemon has written its entry.
 func (s *State) Stored() bool { return s.stored }
 
+// Listed reports whether a read of the entries has found the daemon's own one. Of two daemons that start at the same
+// time, at least one has found the other then.
+func (s *State) Listed() bool { return s.listed }
+
+// AllHeard reports whether a beat of every peer has arrived in this run of the daemon.
+func (s *State) AllHeard() bool {
+	return !slices.ContainsFunc(s.order, func(p *peer) bool { return p.heardAt.IsZero() })
+}
+
 // RankAmongHeard returns the number of members with a lower ID than this daemon whose beats arrive regularly.
 func (s *State) RankAmongHeard(now time.Time) int {
 	rank := 0
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -104,6 +104,8 @@
 	// are read again after that.
 	returnedAt time.Time
 	rereadDue  bool
+	// listed is set once a read of the entries has found the daemon's own one.
+	listed bool
 	// hadEntry is set if the store had an entry of an earlier run at the same address.
 	hadEntry bool
 	writeAt  time.Time
@@ -302,7 +304,7 @@
 	for _, entry := range e.Entries {
 		if entry.Member.ID == s.self.Member.ID {
 			ready.Own, s.hadEntry = entry, entry.Member.Peer == s.self.Member.Peer
-			ownListed = true
+			ownListed, s.listed = true, true
 
 			continue
 		}
