daemon: datagrams, metrics and log events of rate limits

The datagrams of quota use the socket of the beats; their first byte tells them apart. The metrics have no names of tenants as labels, because there may be many.

--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/quota"
 	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
@@ -55,6 +56,12 @@
 
 // handleBeat decodes a datagram and applies it as an event.
 func (d *Daemon) handleBeat(data []byte, source netip.AddrPort) {
+	if quota.IsMessage(data) {
+		d.handleQuotaMessage(data)
+
+		return
+	}
+
 	beat, err := membership.DecodeBeat(data)
 	if err != nil {
 		d.beatErrors.Add(1)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -144,6 +144,8 @@
 	beatErrors atomic.Int64
 	// beatBytes counts the bytes of datagrams in both directions.
 	beatBytes atomic.Int64
+	// quotaBytes counts the part of them that rate limits need.
+	quotaBytes atomic.Int64
 	// drain is nil until the shutdown begins.
 	drain atomic.Pointer[drain]
 	// manifestReady is closed when the first manifest is in force.
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/quota"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
@@ -97,6 +98,8 @@
 		d.performMembership(e)
 	case health.Probe:
 		d.probe()
+	case quota.Effect:
+		d.performQuota(e)
 	case suspects.Announce:
 		d.logSuspects(e)
 	case keys.Effect:
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -197,6 +197,7 @@
 	m.exportTotal("beat_errors_total", "", "", traffic.BeatErrors)
 	m.exportTotal("log_lines_left_out_total", "", "", int64(traffic.LinesLeftOut))
 	d.configReads.export(m)
+	d.exportQuota(state)
 	d.exportEpoch()
 	d.exportStore()
 }
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -74,6 +74,11 @@
 	EntryNotStored Event = "entry-not-stored"
 	// Suspects reports requests that may crash servers.
 	Suspects Event = "suspects"
+	// PoolStarted and PoolEnded report that this daemon begins and ceases to keep tokens of rate limits for others, and
+	// PoolChosen that it takes its own tokens from another daemon.
+	PoolStarted Event = "pool-started"
+	PoolEnded   Event = "pool-ended"
+	PoolChosen  Event = "pool-chosen"
 	// LinesSuppressed reports the number of lines of one kind that the rate limit suppressed.
 	LinesSuppressed Event = "left-out"
 	// Panicked reports a panic in the daemon's code, with its stack trace.
