--- a/internal/core/closing.go
+++ b/internal/core/closing.go
@@ -5,6 +5,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/quota"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 )
 
@@ -22,7 +23,9 @@
 func (s *State) close(now time.Time) []Effect {
 	s.closing = true
 
-	return append(s.updateAdmission(now), s.handleRoutingEffects(now, s.routing.Apply(now, routing.Closing{}))...)
+	effects := append(s.updateAdmission(now), s.applyQuota(now, quota.Closing{})...)
+
+	return append(effects, s.handleRoutingEffects(now, s.routing.Apply(now, routing.Closing{}))...)
 }
 
 // ownEntry returns the daemon's entry for the store.
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/health"
 	"github.com/tarragonmill/tarragonmill/internal/keys"
 	"github.com/tarragonmill/tarragonmill/internal/membership"
+	"github.com/tarragonmill/tarragonmill/internal/quota"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/suspects"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
@@ -100,6 +101,8 @@
 	case health.ColdChanged:
 		d.log.Notable(eventlog.ServerCold).Str("server", string(d.state.Server())).Bool("cold", e.ColdFor > 0).
 			Float64("left_ms", milliseconds(e.ColdFor)).Send()
+	case quota.Effect:
+		d.performQuota(e)
 	case suspects.Announce:
 		d.logSuspects(e)
 	case keys.Effect:
