quota, core: requests whose target has passed get no scarce token

Change: while the pool had too few tokens in the last second, a request whose target has passed is refused. Refused requests are remembered, so that the target counts from the first arrival.

--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -30,7 +30,7 @@
 			}
 		case quota.Refuse:
 			if r, known := s.requests[e.ID]; known {
-				s.refusedRequests.renew(now, r.Since, r.Fingerprint)
+				s.refusedRequests.add(now, r.Since, r.Fingerprint)
 			}
 
 			delete(s.requests, e.ID)
--- a/internal/core/refused.go
+++ b/internal/core/refused.go
@@ -40,14 +40,6 @@
 	}
 }
 
-// renew records another refusal of a request if it was refused before. A first refusal because of a rate limit is not
-// recorded: the caller is asked to come back later than the target.
-func (r *refusedRequests) renew(now, firstArrival time.Time, fingerprint request.Fingerprint) {
-	if _, known := r.byFingerprint[fingerprint]; known {
-		r.add(now, firstArrival, fingerprint)
-	}
-}
-
 // takeFirstArrival returns when a request that arrives now was first sent: the present time unless it was refused
 // before. Each refusal counts for one request only, as its caller sends the request again once.
 func (r *refusedRequests) takeFirstArrival(now time.Time, fingerprint request.Fingerprint) time.Time {
--- a/internal/quota/entry.go
+++ b/internal/quota/entry.go
@@ -31,6 +31,8 @@
 	// minRefusal and maxRefusal bound the time for which a refusal by the pool is remembered.
 	minRefusal = 50 * time.Millisecond
 	maxRefusal = 500 * time.Millisecond
+	// shortMemory is how long a tenant counts as short of tokens after the pool had too few.
+	shortMemory = time.Second
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refused request.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
@@ -55,6 +57,9 @@
 	// follows from the last answer of the pool.
 	refusedUntil time.Time
 	refusal      Reason
+	// shortUntil is the time until which requests whose target has passed get no token, because the tenant sends more than
+	// its limit: the tokens are of more use to requests that can still be answered in time.
+	shortUntil time.Time
 	// retryAt is the Retry-After time of the last refused request, pace the time between two tokens for this daemon.
 	retryAt time.Time
 	pace    time.Duration
@@ -107,6 +112,8 @@
 	t.arrivals++
 
 	switch {
+	case !now.Before(e.Target) && now.Before(t.shortUntil):
+		s.refuse(now, t, e.ID, RateLimit, out)
 	case len(t.queue) == 0 && s.take(now, t, e.ID, out):
 	case now.Before(t.refusedUntil):
 		s.refuse(now, t, e.ID, t.refusal, out)
@@ -299,6 +306,7 @@
 		t.refusal = PoolSilent
 	}
 
+	t.shortUntil = now.Add(shortMemory)
 	t.pace = paceOf(t.rate.read(now, ratePeriod), answer.Share)
 	// Half of the pace is the mean time until the next token for this daemon, as other daemons ask as well.
 	wait := max(answer.Wait, minAskInterval)
