manifest: limits on hedged attempts after a delay

Cause: the key quantile of a service had no effect, and an operator could not say how much additional work hedged attempts may cause.

Change: the keys delayed (attempts per request) and work (share of the time that servers run requests) limit attempts that are hedged after the delay that quantile states. Without both limits nothing changes. The canonical form omits absent limits, so that older daemons read it.

--- a/pkg/manifest/codec.go
+++ b/pkg/manifest/codec.go
@@ -38,6 +38,13 @@
 	limitsSection = "limits"
 )
 
+// Keys that services and rules have in common.
+const (
+	quantileKey = "quantile"
+	delayedKey  = "delayed"
+	workKey     = "work"
+)
+
 func serviceSection(service string) string    { return serviceKind + " " + service }
 func ruleSection(service, rule string) string { return ruleKind + " " + service + " " + rule }
 func routeSection(route string) string        { return routeKind + " " + route }
@@ -166,7 +173,9 @@
 		},
 		Hedge: Hedge{
 			Share:    ini.Optional(s, "hedges", 0, ini.Number),
-			Quantile: ini.Optional(s, "quantile", defaultQuantile, ini.Number),
+			Quantile: ini.Optional(s, quantileKey, defaultQuantile, ini.Number),
+			Delayed:  ini.Optional(s, delayedKey, 0, ini.Number),
+			Work:     ini.Optional(s, workKey, 0, ini.Number),
 		},
 		Health:      ini.Optional(s, "health", "", ini.Text),
 		Connections: ini.Optional(s, "connections", 0, ini.Integer),
@@ -201,6 +210,7 @@
 
 		Anonymous: ini.Optional(s, "anonymous", false, strconv.ParseBool),
 		Regions:   ini.Optional(s, "regions", nil, ini.List(ini.Name)),
+		Hedge:     decodeHedgeOverride(s),
 	}
 }
 
@@ -292,6 +302,7 @@
 	}
 
 	formatRegions(out, rule.Regions)
+	formatHedgeOverride(out, rule.Hedge)
 }
 
 func formatRegions(out *bytes.Buffer, regions []string) {
@@ -314,7 +325,8 @@
 	writeKey(out, "retries", formatNumber(s.Retry.Share))
 	writeKey(out, "attempts", strconv.Itoa(s.Retry.Attempts))
 	writeKey(out, "hedges", formatNumber(s.Hedge.Share))
-	writeKey(out, "quantile", formatNumber(s.Hedge.Quantile))
+	writeKey(out, quantileKey, formatNumber(s.Hedge.Quantile))
+	formatHedge(out, s.Hedge)
 
 	if s.Health != "" {
 		writeKey(out, "health", s.Health)
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -93,6 +93,8 @@
 	Anonymous bool
 	// Regions are the regions whose servers may run the requests; empty means all.
 	Regions []string
+	// Hedge replaces values of the service's Hedge.
+	Hedge HedgeOverride
 }
 
 // Budget limits the traffic of a service for measuring the load of its servers, and its traffic between regions.
@@ -123,9 +125,13 @@
 type Hedge struct {
 	// Share is the maximum number of hedged attempts per request on average; zero disables hedging.
 	Share float64
-	// Quantile of the observed latency, such as 0.95, is the delay of the second attempt. Daemons do not use it;
-	// they hedge when the first attempt is expected to miss the target of the request.
+	// Quantile of the recent response times of a route, such as 0.95, is the delay of attempts that Delayed limits.
 	Quantile float64
+	// Delayed is the maximum number of attempts per request, on average, that are hedged after the delay; zero disables
+	// them. Without Delayed and Work, a request is hedged only when it is expected to miss its target, within Share.
+	Delayed float64
+	// Work is the maximum share of the time that servers run requests which hedged attempts of all kinds may use.
+	Work float64
 }
 
 // Keys configures idempotency keys.
--- a/pkg/manifest/validate.go
+++ b/pkg/manifest/validate.go
@@ -207,11 +207,7 @@
 	checkRange(c, "connections", s.Connections, 0, MaxConnections)
 	checkRange(c, "warmup", s.Cold.Time, 0, MaxDeadline)
 	checkRange(c, "cold", s.Cold.Rate, 0, MaxRate)
-	checkRange(c, "hedges", s.Hedge.Share, 0, 1)
-
-	if s.Hedge.Share > 0 || s.Hedge.Quantile != 0 {
-		checkRange(c, "quantile", s.Hedge.Quantile, MinQuantile, MaxQuantile)
-	}
+	c.checkHedge(s.Hedge)
 }
 
 // checkRules checks the rules of a service and registers the valid ones.
@@ -253,6 +249,7 @@
 	checkRange(c, "body", rule.Body, 0, MaxBody)
 	checkRange(c, "answer", rule.Answer, 0, MaxAnswer)
 	c.checkRegions(rule.Regions)
+	c.checkHedgeOverride(rule.Hedge)
 
 	if rule.Kind > Idempotent {
 		c.addProblem("kind", "kind %d is unknown", rule.Kind)
