routing: hedged attempts after a delay, within limits

Cause: a request whose work has a long tail was hedged only if the server's load report said that the target would be missed. A slow request at a server of usual speed was never hedged.

Change: a request that runs for longer than a quantile of the recent response times of its route is hedged if a server with spare slots is expected to respond clearly earlier. Limits are the share of requests, the share of the servers' run time that hedged attempts use, and the budget of repeats, of which a part stays for retries. A service or rule sets them, or the event HedgeChanged for services without limits of their own. Timers are in a heap. Without limits nothing changes. The simulation has work with a tail.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -328,7 +328,7 @@
 	req := request.Request{
 		ID:          id,
 		Service:     match.Service,
-		Route:       match.Service + "/" + match.Rule.Name,
+		Route:       manifest.RuleID(match.Service, match.Rule),
 		Kind:        match.Rule.Kind,
 		Key:         r.Header.Get(idempotencyKeyHeader),
 		Fingerprint: request.NewFingerprint(r.Method, r.RequestURI, body),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -308,7 +308,7 @@
 	s.version, s.manifest, s.manifestEpoch = e.Version, e.Manifest, e.Epoch
 	effects := s.applyMeasurementBudget(now)
 	effects = append(effects, s.handleRoutingEffects(now, s.routing.Apply(now, routing.PolicyChanged{
-		Services: e.Manifest.Services,
+		Services: e.Manifest.Services, Routes: e.Manifest.Routes,
 	}))...)
 	effects = append(effects, s.applyKeyPolicy(now, e.Manifest.Keys)...)
 
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -24,7 +24,7 @@
 		Resumed{}, Tick{},
 
 		routing.Arrived{}, routing.Accepted{}, routing.Ended{}, routing.Cancelled{}, routing.Reported{},
-		routing.MembersChanged{}, routing.PolicyChanged{}, routing.Restarted{}, routing.Closing{}, routing.Tick{},
+		routing.MembersChanged{}, routing.PolicyChanged{}, routing.HedgeChanged{}, routing.Restarted{}, routing.Closing{}, routing.Tick{},
 
 		admission.Arrived{}, admission.Done{}, admission.Cancelled{}, admission.ServerChanged{}, admission.Tick{},
 
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -103,6 +103,9 @@
 	candidates int
 	// late is set if the request is late; see chooseServer. Only servers with spare slots are chosen then.
 	late bool
+	// hedgeLimit is the highest cost, in seconds, at which an attempt hedged after a delay is of use; zero for other
+	// attempts.
+	hedgeLimit float64
 }
 
 // candidate is a server to which a request may be sent.
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -37,6 +37,8 @@
 	request  request.Request
 	service  *service
 	estimate *estimate
+	// hedges limits the hedged attempts; nil if no limits were set when the request arrived.
+	hedges   *hedgeBudget
 	arrived  time.Time
 	attempts []*attempt
 	// possibleRuns is the number of servers that run the request or may have run it.
@@ -69,6 +71,12 @@
 	// accepted is set once the daemon beside the server has acknowledged the attempt, running once the server runs it.
 	accepted bool
 	running  bool
+	// runningSince is when the attempt was reported as running.
+	runningSince time.Time
+	// hedged is set if the attempt was sent beside a running one that was too slow. expectedRun is the run time that was
+	// expected when it was sent.
+	hedged      bool
+	expectedRun time.Duration
 	// workDone is the work that a running attempt has completed by workDoneAt, as time at a server of usual speed.
 	workDone   time.Duration
 	workDoneAt time.Time
@@ -148,6 +156,7 @@
 	svc := s.service(e.Request.Service)
 	f := &flight{
 		request: e.Request, service: svc, estimate: s.routeEstimate(e.Request.Route),
+		hedges:  s.hedgeBudgetOf(e.Request.Service, e.Request.Route),
 		arrived: now, refusedAt: make(map[*server]time.Time), fallback: -1,
 	}
 	s.flights[e.Request.ID] = f
@@ -155,6 +164,10 @@
 	svc.hedgeBudget.addRequests(now, s.repeats, 1)
 	s.countRequest(now, svc)
 
+	if f.hedges != nil {
+		f.hedges.counts.addRequests(now, hedgeWindow, 1)
+	}
+
 	effects := s.send(now, f, First)
 	s.removeIfDone(f)
 
@@ -179,13 +192,14 @@
 
 	if e.Running && !a.running {
 		s.markRunning(now, a)
+		s.armHedge(now, a)
 	}
 }
 
 // markRunning records that a server has started an attempt. If the request has reached a server before, the attempt is
 // charged as a repeat.
 func (s *State) markRunning(now time.Time, a *attempt) {
-	a.running, a.workDoneAt = true, now
+	a.running, a.workDoneAt, a.runningSince = true, now, now
 	a.flight.possibleRuns++
 	a.flight.serversReached++
 
@@ -252,8 +266,15 @@
 	}
 
 	ran := e.Verdict != verdict.NotRun
+	s.recordRunTime(now, a, ran)
+
+	if a.hedged && (a.flight.done || e.Outcome != Answered || e.Failure) {
+		s.counts.HedgesLost++
+	}
+
 	if ran && !a.running && (e.Outcome == Answered || e.Outcome == Broken) {
 		s.markRunning(now, a)
+		a.runningSince = a.sent
 	}
 
 	if !ran {
@@ -292,6 +313,10 @@
 			return s.resend(now, f, Retry)
 		}
 
+		if !e.Failure {
+			s.recordAnswered(now, a)
+		}
+
 		return s.deliver(f, a.number)
 	case Refused, Unreachable:
 		f.refusedAt[a.server] = now
--- a/internal/routing/hedge.go
+++ b/internal/routing/hedge.go
@@ -54,7 +54,8 @@
 	avoidsMiss := !now.Add(expected).After(target) ||
 		now.Add(remaining).After(f.request.Deadline) && !now.Add(expected).After(f.request.Deadline)
 
-	if !avoidsMiss || expected+minHedgeGain > remaining {
+	if !avoidsMiss || expected+minHedgeGain > remaining ||
+		!f.hedges.allowsWork(now, chosen.cost.runTime) {
 		return nil
 	}
 
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -68,8 +68,14 @@
 	Reported struct{ Report load.Report }
 	// MembersChanged lists all members that may take work; members that it omits are removed.
 	MembersChanged struct{ Members []instance.Member }
-	// PolicyChanged lists the services of the manifest in force, with their limits.
-	PolicyChanged struct{ Services []manifest.Service }
+	// PolicyChanged lists the services and routes of the manifest in force, with their limits.
+	PolicyChanged struct {
+		Services []manifest.Service
+		Routes   []manifest.Route
+	}
+	// HedgeChanged states the limits on hedged attempts of all services for which the manifest states none: Quantile,
+	// Delayed and Work. The zero value removes them.
+	HedgeChanged struct{ Limits manifest.Hedge }
 	// Restarted reports that the daemon has restarted; its previous run may have sent repeats a moment ago.
 	Restarted struct{}
 	// Closing gives up all requests, because the daemon is about to exit.
@@ -175,6 +181,7 @@
 func (Reported) isEvent()       {}
 func (MembersChanged) isEvent() {}
 func (PolicyChanged) isEvent()  {}
+func (HedgeChanged) isEvent()   {}
 func (Restarted) isEvent()      {}
 func (Closing) isEvent()        {}
 func (Tick) isEvent()           {}
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -38,6 +38,8 @@
 	requests      map[request.ID]*requestHistory
 	ids           []request.ID
 	reportCounter uint64
+	// maxFailing is the largest share of failed requests that servers report.
+	maxFailing float64
 }
 
 // apply applies an event and checks its effects.
@@ -202,7 +204,7 @@
 		Incarnation: 1, Counter: m.reportCounter,
 		Open: rapid.IntRange(0, 4).Draw(m.T, "open") > 0, Running: rapid.IntRange(0, 6).Draw(m.T, "running"), Slots: 4,
 		Slowness: rapid.Float64Range(0.5, 9).Draw(m.T, "slowness"),
-		Failing:  rapid.Float64Range(0, 1).Draw(m.T, "failing"),
+		Failing:  rapid.Float64Range(0, m.maxFailing).Draw(m.T, "failing"),
 	}})
 }
 
@@ -226,7 +228,7 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
-			T: t, now: time.Unix(1_800_000_000, 0), requests: make(map[request.ID]*requestHistory),
+			T: t, now: time.Unix(1_800_000_000, 0), requests: make(map[request.ID]*requestHistory), maxFailing: 1,
 			state: routing.New(routing.WithSelf(self), routing.WithSeed(1),
 				routing.WithRepeats(routing.Repeats{Share: 1, Slack: 1000, Window: 10 * time.Second})),
 		}
@@ -237,6 +239,10 @@
 
 		m.apply(routing.MembersChanged{Members: members})
 
+		if rapid.Bool().Draw(t, "hedges") {
+			m.allowHedges()
+		}
+
 		for range rapid.IntRange(10, 120).Draw(t, "steps") {
 			m.step()
 		}
@@ -245,6 +251,27 @@
 	})
 }
 
+// allowHedges allows hedged attempts after a delay and lets enough requests end for its quantile. Servers that fail are not
+// worth a hedged attempt, so they report no failures.
+func (m *model) allowHedges() {
+	m.maxFailing = 0
+	m.apply(routing.PolicyChanged{Services: []manifest.Service{{
+		Name: "stock", Budget: manifest.Budget{Unlimited: true},
+		Hedge: manifest.Hedge{Quantile: 0.5, Delayed: 0.5, Work: 0.5}, Rules: []manifest.Rule{{Name: "r"}},
+	}}})
+
+	for number := range 60 {
+		r := request.Request{
+			ID: request.ID(fmt.Sprintf("usual%d", number)), Service: "stock", Route: "stock/r", Kind: manifest.Idempotent,
+			Deadline: m.now.Add(time.Second),
+		}
+		m.state.Apply(m.now, routing.Arrived{Request: r})
+		m.state.Apply(m.now, routing.Accepted{ID: r.ID, Running: true})
+		m.now = m.now.Add(20 * time.Millisecond)
+		m.state.Apply(m.now, routing.Ended{ID: r.ID, Verdict: verdict.Answered})
+	}
+}
+
 // endAll ends all attempts and lets time pass; then every request must have ended.
 func (m *model) endAll() {
 	for range 50 {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -63,6 +63,12 @@
 	// daemons is the number of known daemons, which share the slack and the budget for other regions.
 	daemons  int
 	policies []manifest.Service
+	routes   []manifest.Route
+	// defaultHedge limits the hedged attempts of services for which the manifest states no limits.
+	defaultHedge  manifest.Hedge
+	hedgeBudgets  map[hedgeKey]*hedgeBudget
+	hedgeTimers   hedgeTimers
+	responseTimes map[string]*responseTimes
 	// acceptLatency covers attempts at all servers. It rises if this daemon itself is slow.
 	acceptLatency acceptLatency
 	// candidateBuffer is reused by candidates.
@@ -99,6 +105,7 @@
 		repeats:  Repeats{Share: defaultRepeatShare, Slack: defaultRepeatSlack, Window: defaultRepeatWindow},
 		services: make(map[string]*service), servers: make(map[instance.ID]*server),
 		flights: make(map[request.ID]*flight), estimates: make(map[string]*estimate),
+		hedgeBudgets: make(map[hedgeKey]*hedgeBudget), responseTimes: make(map[string]*responseTimes),
 	}
 	for _, option := range options {
 		option(s)
@@ -123,7 +130,12 @@
 	case MembersChanged:
 		s.handleMembersChanged(now, e.Members)
 	case PolicyChanged:
+		s.routes = e.Routes
 		s.applyPolicy(now, e.Services)
+		s.setHedgeLimits(s.policies, s.routes)
+	case HedgeChanged:
+		s.defaultHedge = e.Limits
+		s.setHedgeLimits(s.policies, s.routes)
 	case Closing:
 		return s.handleClosing(now)
 	case Restarted:
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -23,9 +23,19 @@
 		return s.pauseOrGiveUp(now, f, chosen)
 	}
 
+	return s.start(now, f, chosen, why)
+}
+
+// start starts an attempt at a chosen server.
+func (s *State) start(now time.Time, f *flight, chosen choice, why Reason) []Effect {
 	a := &attempt{
 		flight: f, number: len(f.attempts), server: chosen.server, sent: now, workDoneAt: now, late: chosen.late,
+		hedged: why == Hedge, expectedRun: toDuration(chosen.cost.runTime),
 	}
+	if a.hedged {
+		f.hedges.track(a)
+	}
+
 	if f.serversReached > 0 || f.liveAttempts() > 0 {
 		s.charge(now, a)
 	}
@@ -48,9 +58,10 @@
 	}}
 }
 
-// slotWait returns how long an attempt may wait for a slot and still respond in time. A late attempt does not wait.
+// slotWait returns how long an attempt may wait for a slot and still respond in time. A late attempt does not wait, nor
+// does one that was hedged after a delay, because it must not add to the load of a full server.
 func (a *attempt) slotWait(now time.Time, chosen choice) time.Duration {
-	if a.late {
+	if a.late || chosen.hedgeLimit > 0 {
 		return 0
 	}
 
@@ -102,6 +113,8 @@
 	limit := f.responseDue().Sub(now).Seconds() / work
 
 	switch {
+	case chosen.hedgeLimit > 0:
+		limit = chosen.hedgeLimit / work
 	case chosen.late:
 		limit = min(f.request.Deadline.Sub(now).Seconds()/work, lateSlownessMargin*chosen.server.slowness(now))
 	case chosen.hasNext && len(f.refusedAt) < refusalsBeforeAnyServer:
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -109,6 +109,9 @@
 // for requests that can still be answered in time and for nested calls.
 const lateSlotShare = 0.5
 
+// lowestRank is the rank behind which no request waits.
+const lowestRank = request.Ranks - 1
+
 // hasRoomForLate reports whether the server has a spare slot for a late request.
 func (srv *server) hasRoomForLate(now time.Time) bool {
 	return float64(srv.requestsAhead(now, request.LowRank)) < lateSlotShare*float64(srv.slots())
--- a/internal/routing/timers.go
+++ b/internal/routing/timers.go
@@ -43,7 +43,7 @@
 
 // Next returns when the next Tick is due; the zero time if no timer is set.
 func (s *State) Next() time.Time {
-	var next time.Time
+	next := s.hedgeTimers.next()
 
 	for _, f := range s.flights {
 		if f.done || f.giveUpReason != "" {
@@ -68,7 +68,7 @@
 		s.removeIfDone(f)
 	}
 
-	return effects
+	return append(effects, s.handleHedgeTimers(now)...)
 }
 
 // sortedFlights lists the requests that meet a condition, sorted by ID.
--- a/internal/simulation/attempts.go
+++ b/internal/simulation/attempts.go
@@ -47,6 +47,7 @@
 	bodySent bool
 	aborted  bool
 	ended    bool
+	hedged   bool
 	response response
 }
 
@@ -114,11 +115,17 @@
 	req := p.requests[e.Request.ID]
 	out := &outgoingAttempt{
 		entry: req, number: e.Number, to: p.daemon.fleet.byID[e.Target.ID], bodySent: e.Request.Idempotent(),
+		hedged: e.Why == routing.Hedge,
 	}
 	req.attempts = append(req.attempts, out)
 
 	fleet := p.daemon.fleet
 	fleet.result.attempts++
+
+	if out.hedged {
+		fleet.result.recordHedge()
+	}
+
 	sent := fleet.clock.now
 
 	fleet.network.sendStream(p.daemon, out.to, func() {
@@ -279,7 +286,7 @@
 	}
 
 	a.work = &work{
-		id: a.id.ID, kind: a.outgoing.entry.kind, deadline: a.deadline,
+		id: a.id.ID, kind: a.outgoing.entry.kind, deadline: a.deadline, hedged: a.outgoing.hedged,
 		onEnd: func(result outcome) { a.process.dispatch(func() { a.handleServerOutcome(result) }) },
 	}
 	a.deadlineTimer = clock.schedule(a.deadline.Add(sameInstanceDelay), func() { a.process.dispatch(a.handleDeadline) })
--- a/internal/simulation/pattern.go
+++ b/internal/simulation/pattern.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/ini"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 // Pattern describes a fleet, its load and its faults. Values are immutable.
@@ -43,6 +44,8 @@
 	NearFullFactor float64
 	// ColdTime is how long a server needs twice the usual time for its work after a start during the load.
 	ColdTime time.Duration
+	// Hedge limits the hedged attempts of the service's requests.
+	Hedge manifest.Hedge
 }
 
 // Kind is a kind of request.
@@ -54,6 +57,8 @@
 	// Work is the mean time that a server of usual speed needs for a request, Spread its relative standard deviation.
 	Work   time.Duration
 	Spread float64
+	// TailShare of the requests need TailFactor times the drawn work.
+	TailShare, TailFactor float64
 	// Target is the time within which a response has its full value, Deadline how long the caller waits, and Timeout
 	// the time that the route allows.
 	Target, Deadline, Timeout time.Duration
@@ -139,6 +144,20 @@
 	return p
 }
 
+// WithHedge returns a copy of the pattern in which all services have these limits on hedged attempts.
+func (p Pattern) WithHedge(limits manifest.Hedge) Pattern {
+	services := make([]Service, len(p.Services))
+	copy(services, p.Services)
+
+	for i := range services {
+		services[i].Hedge = limits
+	}
+
+	p.Services = services
+
+	return p
+}
+
 // ParsePattern parses a pattern in INI format. File is the name used in errors, which list all faulty keys.
 func ParsePattern(file string, data []byte) (Pattern, error) {
 	document := ini.Parse(file, data)
@@ -190,6 +209,10 @@
 		MeanSlowPeriod: ini.Optional(s, "mean", defaultMeanSlowPeriod, ini.Duration),
 		AffectsRunning: ini.Optional(s, "follows", "no", ini.OneOf("yes", "no")) == "yes",
 		NearFullFactor: ini.Optional(s, "full", 1, ini.Number), ColdTime: ini.Optional(s, "cold", 0, ini.Duration),
+		Hedge: manifest.Hedge{
+			Share: ini.Optional(s, "hedges", 1, ini.Number), Quantile: ini.Optional(s, "quantile", 0, ini.Number),
+			Delayed: ini.Optional(s, "delayed", 0, ini.Number), Work: ini.Optional(s, "work", 0, ini.Number),
+		},
 	}
 }
 
@@ -199,6 +222,7 @@
 		Idempotent: ini.Optional(s, "repeatable", "no", ini.OneOf("yes", "no")) == "yes",
 		Priority:   ini.Optional(s, "priority", 0, ini.Integer),
 		Work:       ini.Required(s, "work", ini.Duration), Spread: ini.Optional(s, "spread", 0, ini.Number),
+		TailShare: ini.Optional(s, "tail", 0, ini.Range(ini.Number, 0, 1)), TailFactor: ini.Optional(s, "stretch", 1, ini.Number),
 		Target: ini.Required(s, "target", ini.Duration), Deadline: ini.Required(s, "deadline", ini.Duration),
 		Rate: ini.Optional(s, "rate", 0, ini.Number), Value: ini.Optional(s, "worth", 0, ini.Number),
 		LateValue: ini.Optional(s, "late", 0, ini.Number), Retries: ini.Optional(s, "retries", 0, ini.Integer),
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -17,6 +17,10 @@
 	// Attempts, Beats, BeatBytes, Probes and StoreCalls are totals of the whole run: attempts and beats that daemons
 	// sent to each other, the bytes of the beats with their datagram headers, health probes, and calls to the store.
 	Attempts, Beats, BeatBytes, Probes, StoreCalls int
+	// Hedges is the number of hedged attempts. RunTime is the time for which servers ran requests, HedgeRunTime the part of
+	// it for hedged attempts.
+	Hedges                int
+	RunTime, HedgeRunTime time.Duration
 	// Unlisted is the number of daemons that run at the end without an entry in the store, and Behind the number of those
 	// that do not use the newest configuration.
 	Unlisted, Behind int
@@ -49,7 +53,11 @@
 }
 
 // SecondResult is the result of the requests that were first sent in one second.
-type SecondResult struct{ PossibleValue, EarnedValue float64 }
+type SecondResult struct {
+	PossibleValue, EarnedValue float64
+	// Sent is the number of these requests. Hedges is the number of hedged attempts that were sent in the second.
+	Sent, Hedges int
+}
 
 // significantDigits is the precision of the latencies, in decimal digits.
 const significantDigits = 3
@@ -87,7 +95,10 @@
 	k := r.kindResult(request.kind)
 	k.Sent++
 	k.PossibleValue += request.kind.Value
-	r.secondResult(request).PossibleValue += request.kind.Value
+
+	second := r.secondResult(request)
+	second.PossibleValue += request.kind.Value
+	second.Sent++
 }
 
 // recordEnd records the final response to a request.
@@ -118,6 +129,21 @@
 	r.secondResult(request).EarnedValue += earned
 }
 
+// recordHedge records a hedged attempt.
+func (r *Result) recordHedge() {
+	r.Hedges++
+	r.Seconds[min(r.fleet.loadSecond(), len(r.Seconds)-1)].Hedges++
+}
+
+// addRunTime adds the time for which a server ran a request.
+func (r *Result) addRunTime(elapsed time.Duration, hedged bool) {
+	r.RunTime += elapsed
+
+	if hedged {
+		r.HedgeRunTime += elapsed
+	}
+}
+
 // collect sets the violations and the totals at the end of the run.
 func (r *Result) collect() {
 	r.Violations = r.fleet.guarantees.violations
--- a/internal/simulation/server.go
+++ b/internal/simulation/server.go
@@ -53,6 +53,9 @@
 	// openCalls is the number of calls to other services that have not ended.
 	openCalls int
 	started   bool
+	// startedAt is when the server started the request; hedged is set if that was for a hedged attempt.
+	startedAt time.Time
+	hedged    bool
 	// cancelCalls close the connections of the calls.
 	cancelCalls []func()
 	onEnd       func(outcome)
@@ -222,7 +225,7 @@
 		return
 	}
 
-	w.started = true
+	w.started, w.startedAt = true, clock.now
 	s.running = append(s.running, w)
 	s.fleet.guarantees.recordStart(s, w)
 
@@ -291,6 +294,10 @@
 func (s *server) remove(w *work) {
 	s.stopTimersAndCalls(w)
 
+	if w.started {
+		s.fleet.result.addRunTime(s.fleet.clock.now.Sub(w.startedAt), w.hedged)
+	}
+
 	same := func(other *work) bool { return other == w }
 	s.running = slices.DeleteFunc(s.running, same)
 	s.waiting = slices.DeleteFunc(s.waiting, same)
@@ -321,5 +328,9 @@
 func (k *Kind) drawWork(random *rand.Rand) time.Duration {
 	factor := math.Min(maxWorkFactor, math.Max(minWorkFactor, 1+k.Spread*random.NormFloat64()))
 
+	if k.TailShare > 0 && random.Float64() < k.TailShare {
+		factor *= k.TailFactor
+	}
+
 	return time.Duration(factor * float64(k.Work))
 }
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -166,7 +166,7 @@
 	for _, service := range p.Services {
 		m.Services = append(m.Services, manifest.Service{
 			Name: service.Name, Retry: manifest.Retry{Attempts: maxAttempts},
-			Budget: manifest.Budget{Unlimited: true}, Hedge: manifest.Hedge{Share: 1},
+			Budget: manifest.Budget{Unlimited: true}, Hedge: service.Hedge,
 		})
 	}
 
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -97,6 +97,10 @@
 	Hedge HedgeOverride
 }
 
+// RuleID returns the name under which the requests of a rule are counted and timed, for a service of the rule or for the
+// first service of a route.
+func RuleID(service string, rule Rule) string { return service + "/" + rule.Name }
+
 // Budget limits the traffic of a service for measuring the load of its servers, and its traffic between regions.
 type Budget struct {
 	// Unlimited disables all limits, for a configuration that states none. The INI form always states them.
