--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -328,6 +328,10 @@
 		Str("service", d.options.Self.Service).Send()
 	d.apply(core.Started{})
 
+	if current := *d.settings.Load(); current.Hedge != (settings.Hedge{}) {
+		d.applyHedgeLimits(current)
+	}
+
 	var group run.Group
 
 	addActor(ctx, &group, func(ctx context.Context) error { return d.peers.Serve(ctx, d.sockets.Peer) })
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -190,6 +190,8 @@
 		m.scope.Tagged(map[string]string{serviceLabel: service}).Gauge("repeats_left").Update(left)
 	}
 
+	m.exportHedges(state.Routing)
+
 	traffic := d.traffic()
 	m.exportTotal("dials_total", "to", "daemon", traffic.PeerDials)
 	m.exportTotal("dials_total", "to", "server", traffic.ServerDials)
@@ -201,6 +203,24 @@
 	d.exportStore()
 }
 
+// exportHedges exports the totals of hedged attempts and what is left of their limits.
+func (m *metrics) exportHedges(state routing.Dump) {
+	counts := state.Counts
+	m.exportTotal("hedges_total", outcomeLabel, "sent", int64(counts.Hedges))
+	m.exportTotal("hedges_total", outcomeLabel, "won", int64(counts.HedgesWon))
+	m.exportTotal("hedges_total", outcomeLabel, "lost", int64(counts.HedgesLost))
+	m.exportTotal("delayed_hedges_total", "", "", int64(counts.DelayedHedges))
+	m.exportTotal("hedge_milliseconds_total", "", "", counts.HedgeTime.Milliseconds())
+
+	for _, left := range state.Hedges {
+		if left.Route == "" {
+			scope := m.scope.Tagged(map[string]string{serviceLabel: left.Service})
+			scope.Gauge("hedges_left").Update(left.Requests)
+			scope.Gauge("hedge_work_left_seconds").Update(left.Work.Seconds())
+		}
+	}
+}
+
 func (d *Daemon) exportStore() {
 	if d.platform.StoreCounts == nil {
 		return
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
+	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 // reloadInterval is the time between two checks for changed settings without a signal.
@@ -36,6 +38,13 @@
 	}
 }
 
+// applyHedgeLimits passes the limits on hedged attempts to the reducer.
+func (d *Daemon) applyHedgeLimits(s settings.Settings) {
+	d.apply(routing.HedgeChanged{Limits: manifest.Hedge{
+		Quantile: s.Hedge.Quantile, Delayed: s.Hedge.Share, Work: s.Hedge.Work,
+	}})
+}
+
 // reloadSettings reads the settings again. If they are invalid, nothing changes. A setting that needs a restart
 // takes effect only then; the log line says whether such a setting has changed.
 func (d *Daemon) reloadSettings(why string) {
@@ -57,6 +66,10 @@
 
 	d.settings.Store(&reloaded)
 
+	if reloaded.Hedge != current.Hedge {
+		d.applyHedgeLimits(reloaded)
+	}
+
 	restart := !settings.CanReload(reloaded, current)
 	d.log.Notable(eventlog.Reloaded).Str("why", why).Bool("restart", restart).Send()
 }
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -73,8 +73,8 @@
 	running  bool
 	// runningSince is when the attempt was reported as running.
 	runningSince time.Time
-	// hedged is set if the attempt was sent beside a running one that was too slow. expectedRun is the run time that was
-	// expected when it was sent.
+	// hedged is set if the attempt was sent beside a running one that was too slow. expectedRun is the run time that
+	// was expected when it was sent.
 	hedged      bool
 	expectedRun time.Duration
 	// workDone is the work that a running attempt has completed by workDoneAt, as time at a server of usual speed.
--- a/internal/routing/hedge_budget.go
+++ b/internal/routing/hedge_budget.go
@@ -20,8 +20,8 @@
 	running []*attempt
 }
 
-// hedgeWindow is the sliding window in which hedged attempts and run times are counted. In a shorter one, an entry daemon
-// with few requests would refuse some hedged attempts of an even load and send none in their place later.
+// hedgeWindow is the sliding window in which hedged attempts and run times are counted. In a shorter one, an entry
+// daemon with few requests would refuse some hedged attempts of an even load and send none in their place later.
 var hedgeWindow = Repeats{Window: 30 * time.Second}
 
 // hedgeKey identifies a hedgeBudget. The route is empty for the budget of a service.
@@ -31,8 +31,8 @@
 	return cmp.Or(cmp.Compare(k.service, other.service), cmp.Compare(k.route, other.route))
 }
 
-// setHedgeLimits sets the limits of services and of the rules that override them. Budgets whose limits are gone allow no
-// further hedged attempt.
+// setHedgeLimits sets the limits of services and of the rules that override them. Budgets whose limits are gone allow
+// no further hedged attempt.
 func (s *State) setHedgeLimits(services []manifest.Service, routes []manifest.Route) {
 	known := make(map[hedgeKey]bool)
 	set := func(key hedgeKey, limits manifest.Hedge) {
--- a/internal/routing/hedge_delay.go
+++ b/internal/routing/hedge_delay.go
@@ -12,8 +12,8 @@
 	// clearGain is the factor by which the remaining time of an attempt has to exceed the cost of a hedged one. With a
 	// smaller factor, requests that are about to end use up the limits before those that need them.
 	clearGain = 1.5
-	// minClearGain is the shortest time that an attempt hedged after a delay has to save. Below it, the round trips of the
-	// cancellation cost as much as the attempt saves.
+	// minClearGain is the shortest time that an attempt hedged after a delay has to save. Below it, the round trips of
+	// the cancellation cost as much as the attempt saves.
 	minClearGain = 5 * time.Millisecond
 	// minHedgePause is the shortest time between two checks of one attempt. The pause doubles with each check.
 	minHedgePause = 10 * time.Millisecond
@@ -21,8 +21,8 @@
 	hedgeReserveShare = 0.25
 )
 
-// armHedge sets the timer after which a running attempt may be hedged. There is none if the request must not run twice, if
-// it has to run alone, or if the route has too few recent response times.
+// armHedge sets the timer after which a running attempt may be hedged. There is none if the request must not run twice,
+// if it has to run alone, or if the route has too few recent response times.
 func (s *State) armHedge(now time.Time, a *attempt) {
 	f := a.flight
 	if f.hedges == nil || a.hedged || !f.request.Idempotent() || f.request.Alone {
@@ -110,9 +110,10 @@
 }
 
 // chooseHedgeServer returns a server that is expected to respond clearly earlier than an attempt, or a choice without a
-// server. In the latter case, the second result is the time after which the cheapest server would be chosen if the attempt
-// still runs then; zero if no server has room. The cost of a server contains that of moving the whole response, so another failure domain or region is chosen
-// only if the response saves that time, too; another region only if no server of the own one qualifies.
+// server. In the latter case, the second result is the time after which the cheapest server would be chosen if the
+// attempt still runs then; zero if no server has room. The cost of a server contains that of moving the whole response,
+// so another failure domain or region is chosen only if the response saves that time, too; another region only if no
+// server of the own one qualifies.
 func (s *State) chooseHedgeServer(now time.Time, a *attempt) (choice, time.Duration) {
 	remaining := a.expectedRemaining(now)
 	limit := min(remaining.Seconds()/clearGain, (remaining - minClearGain).Seconds())
@@ -142,16 +143,17 @@
 	return chosen, needed - a.runTime(now)
 }
 
-// hasRoomForHedge reports whether a recent report says that the server is neither cold nor nearly full.
+// hasRoomForHedge reports whether a report that was sent or repeated recently says that the server is open and neither
+// cold nor nearly full.
 func (srv *server) hasRoomForHedge(now time.Time) bool {
-	if srv.reportedAt.IsZero() || srv.member.Status == instance.Accused {
+	if srv.reportedAt.IsZero() || now.Sub(srv.confirmedAt) > staleAfter || !srv.report.Open ||
+		srv.member.Status == instance.Accused {
 		return false
 	}
 
-	age := now.Sub(srv.reportedAt)
-	busy := srv.requestsAhead(now, lowestRank) + 1
+	busy := max(0, srv.report.Ahead(lowestRank)+srv.unreportedChange) + 1
 
-	return age <= staleAfter && srv.report.ColdFor <= max(0, age) &&
+	return srv.report.ColdFor <= max(0, now.Sub(srv.reportedAt)) &&
 		float64(busy) <= max(1, nearFullShare*float64(srv.slots()))
 }
 
@@ -164,8 +166,9 @@
 	s.recordResponseTime(now, a)
 }
 
-// recordResponseTime records how long a request took from the start of its first attempt that was still in progress when
-// its response came. Hedging does not change how many responses take longer than the delay: a hedged one always does.
+// recordResponseTime records how long a request took from the start of its first attempt that was still in progress
+// when its response came. Hedging does not change how many responses take longer than the delay: a hedged one always
+// does.
 func (s *State) recordResponseTime(now time.Time, answered *attempt) {
 	f := answered.flight
 	if f.hedges == nil || !f.request.Idempotent() {
--- a/internal/routing/hedge_timers.go
+++ b/internal/routing/hedge_timers.go
@@ -21,8 +21,8 @@
 	return a.running && !a.ended && !a.cancelled && !a.flight.done && a.flight.giveUpReason == ""
 }
 
-// hedgeTimers is a heap of timers, so that neither the next one nor the expired ones need a scan of all requests. Timers
-// without a purpose are removed when they come first.
+// hedgeTimers is a heap of timers, so that neither the next one nor the expired ones need a scan of all requests.
+// Timers without a purpose are removed when they come first.
 type hedgeTimers []hedgeTimer
 
 func (h hedgeTimers) Len() int { return len(h) }
--- a/internal/routing/response_times.go
+++ b/internal/routing/response_times.go
@@ -7,18 +7,19 @@
 )
 
 const (
-	// responsePeriods is the number of periods in the sliding window of response times, and responsePeriod the length of
-	// one. The window holds enough requests of a route with a few requests per second for a high quantile.
+	// responsePeriods is the number of periods in the sliding window of response times, and responsePeriod the length
+	// of one. The window holds enough requests of a route with a few requests per second for a high quantile.
 	responsePeriods = 3
 	responsePeriod  = 20 * time.Second
-	// responseUnit is the unit of the recorded times, and maxResponseTime the longest of them; longer ones count as that.
+	// responseUnit is the unit of the recorded times, and maxResponseTime the longest of them; longer ones count as
+	// that.
 	responseUnit    = 100 * time.Microsecond
 	maxResponseTime = 10 * time.Minute
-	// responseDigits is the number of significant digits that are kept. With one, times are exact to 6 % and a route takes
-	// about 12 KB.
+	// responseDigits is the number of significant digits that are kept. With one, times are exact to 6 % and a route
+	// takes about 12 KB.
 	responseDigits = 1
-	// minResponses is the smallest number of responses from which a quantile is taken, and minResponsesBeyond how many of
-	// them have to be expected above it. With fewer, one slow response would decide.
+	// minResponses is the smallest number of responses from which a quantile is taken, and minResponsesBeyond how many
+	// of them have to be expected above it. With fewer, one slow response would decide.
 	minResponses       = 50
 	minResponsesBeyond = 4
 	// quantileInterval is the time for which a quantile is used before it is computed again.
@@ -28,8 +29,8 @@
 	maxTimedRoutes = 1000
 )
 
-// responseTimes holds the recent response times of a route. A response time counts from the moment at which a server has
-// started the request, so that waiting for a slot does not count.
+// responseTimes holds the recent response times of a route. A response time counts from the moment at which a server
+// has started the request, so that waiting for a slot does not count.
 type responseTimes struct {
 	window   *hdrhistogram.WindowedHistogram
 	rotateAt time.Time
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -134,7 +134,8 @@
 }
 
 // pauseOrGiveUp schedules the next choice of a server for a request that no server takes, or gives the request up. It
-// gives up at once if the service has no servers in an allowed region, the request is late, or no server can respond by the deadline.
+// gives up at once if the service has no servers in an allowed region, the request is late, or no server can respond by
+// the deadline.
 func (s *State) pauseOrGiveUp(now time.Time, f *flight, chosen choice) []Effect {
 	if f.liveAttempts() > 0 {
 		return nil
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -48,6 +48,8 @@
 	report   load.Report
 	// reportedAt is when the report arrived; zero if there is none.
 	reportedAt time.Time
+	// confirmedAt is when the server last sent this report: it repeats a report while nothing important changes.
+	confirmedAt time.Time
 	// unreportedChange is by how much the number of requests at the server has changed since the report, through this
 	// daemon's attempts.
 	unreportedChange int
@@ -137,6 +139,10 @@
 // storeReport stores a report if it is newer than the last one, and reports whether it did.
 func (srv *server) storeReport(now time.Time, report load.Report) bool {
 	if !srv.reportedAt.IsZero() && !report.Newer(srv.report) {
+		if !srv.report.Newer(report) {
+			srv.confirmedAt = now
+		}
+
 		return false
 	}
 
@@ -145,7 +151,7 @@
 		a.updateWorkDone(now, srv)
 	}
 
-	srv.report, srv.reportedAt = report, now
+	srv.report, srv.reportedAt, srv.confirmedAt = report, now, now
 	srv.unreportedChange = 0
 
 	for _, a := range srv.attempts {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/ini"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 // Defaults and bounds of settings, the bounds inclusive.
@@ -23,6 +24,7 @@
 	defaultRepeatShare    = 0.1      // repeats per request
 	defaultRepeatSlack    = 10       // repeats per window
 	defaultRepeatWindow   = 10 * time.Second
+	defaultHedgeQuantile  = 0.95 // of the response times of a route
 	// defaultGrace is the time that supervisors commonly wait between SIGTERM and SIGKILL.
 	defaultGrace = 30 * time.Second
 
@@ -128,10 +130,42 @@
 			Slack:  ini.Optional(repeat, "slack", defaultRepeatSlack, ini.Range(ini.Number, 0, maxRepeatSlack)),
 			Window: ini.Optional(repeat, "window", defaultRepeatWindow, ini.Range(ini.Duration, minRepeatWindow, maxRepeatWindow)),
 		},
+		Hedge: decodeHedge(document.Section(hedgeSection)),
 		Grace: ini.Optional(document.Section("stop"), "grace", defaultGrace, ini.Range(ini.Duration, minGrace, maxGrace)),
 	}
 }
 
+const hedgeSection = "hedge"
+
+// decodeHedge reads the limits on hedged attempts; zero if the section is missing.
+func decodeHedge(s *ini.Section) Hedge {
+	h := Hedge{
+		Share: ini.Optional(s, "share", 0, ini.Range(ini.Number, 0, manifest.MaxDelayed)),
+		Quantile: ini.Optional(s, "quantile", defaultHedgeQuantile,
+			ini.Range(ini.Number, manifest.MinQuantile, manifest.MaxQuantile)),
+		Work: ini.Optional(s, "work", 0, ini.Range(ini.Number, 0, manifest.MaxHedgeWork)),
+	}
+
+	if h.Share == 0 && h.Work == 0 {
+		return Hedge{}
+	}
+
+	return h
+}
+
+// checkHedge reports limits that would have no effect.
+func checkHedge(document *ini.Document, s Settings) {
+	switch {
+	case s.Hedge == Hedge{}:
+	case s.Fields != PlatformFields:
+		document.Fail(hedgeSection, "", "with fields = own, the manifest sets these limits")
+	case s.Hedge.Share == 0:
+		document.Fail(hedgeSection, "work", "nothing is hedged without the key share")
+	case s.Hedge.Work == 0:
+		document.Fail(hedgeSection, "share", "nothing is hedged without the key work")
+	}
+}
+
 // Values of the key "trust".
 const (
 	// trustKey means that other daemons have to present the fleet's key.
@@ -252,6 +286,9 @@
 	if other, found := usedBy[s.Backend.Address]; found {
 		document.Fail("backend", "address", "address is the same as "+other+" in [listen]")
 	}
+
+	checkHedge(document, s)
+
 	if s.Backend.Connections < s.Backend.Slots {
 		document.Fail("backend", "connections", "fewer connections than slots")
 	}
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -65,3 +65,42 @@
 		require.True(t, err == nil || errors.As(err, &fault) && fault.Line > 0, "%v", err)
 	})
 }
+
+// Guards against limits on hedged attempts that are ignored, out of bounds, or without effect.
+func TestHedge(t *testing.T) {
+	data, err := os.ReadFile("testdata/corpus/full.ini")
+	require.NoError(t, err)
+
+	const onPlatform = "\n[callers]\nfields = platform\n"
+
+	for _, test := range []struct {
+		added, message string
+		want           settings.Hedge
+	}{
+		{onPlatform, "", settings.Hedge{}},
+		{onPlatform + "[hedge]\nshare = 0.05\nwork = 0.1\n", "", settings.Hedge{Share: 0.05, Quantile: 0.95, Work: 0.1}},
+		{
+			onPlatform + "[hedge]\nshare = 0.05\nwork = 0.1\nquantile = 0.9\n", "",
+			settings.Hedge{Share: 0.05, Quantile: 0.9, Work: 0.1},
+		},
+		{onPlatform + "[hedge]\nshare = 0.05\n", "[hedge] share", settings.Hedge{}},
+		{onPlatform + "[hedge]\nwork = 0.05\n", "[hedge] work", settings.Hedge{}},
+		{onPlatform + "[hedge]\nshare = 0.6\nwork = 0.1\n", "[hedge] share", settings.Hedge{}},
+		{onPlatform + "[hedge]\nshare = 0.1\nwork = 0.1\nquantile = 0.4\n", "[hedge] quantile", settings.Hedge{}},
+		{"\n[hedge]\nshare = 0.05\nwork = 0.1\n", "the manifest sets these limits", settings.Hedge{}},
+	} {
+		s, err := settings.Parse("s.ini", append(data[:len(data):len(data)], test.added...))
+		if test.message != "" {
+			require.ErrorContains(t, err, test.message)
+
+			continue
+		}
+
+		require.NoError(t, err)
+		require.Equal(t, test.want, s.Hedge)
+
+		without := s
+		without.Hedge = settings.Hedge{}
+		require.True(t, settings.CanReload(s, without))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,7 @@
 	// Fields selects the header fields that callers and backend servers use: OwnFields or PlatformFields.
 	Fields string
 	Repeat Repeat
+	Hedge  Hedge
 	// Grace is the time from SIGTERM until the supervisor kills the process.
 	Grace time.Duration
 }
@@ -44,6 +45,17 @@
 	Window time.Duration
 }
 
+// Hedge limits attempts that are hedged after a delay, for services whose manifest comes from the platform, which has no
+// such limits. The zero value means that none is hedged.
+type Hedge struct {
+	// Share is the maximum number of such attempts per request on average.
+	Share float64
+	// Quantile of the recent response times of a route is the delay.
+	Quantile float64
+	// Work is the maximum share of the time that servers run requests which hedged attempts may use.
+	Work float64
+}
+
 // Listen holds the addresses on which a daemon listens.
 type Listen struct {
 	// Caller is for the requests of callers.
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -216,6 +216,9 @@
 	return runs
 }
 
+// Running returns the number of requests that hold a slot.
+func (s *Server) Running() int { return len(s.slots) }
+
 // Served returns the number of requests that ran, and when the last one started.
 func (s *Server) Served() (int, time.Time) {
 	s.mutex.Lock()
--- a/pkg/manifest/hedge.go
+++ b/pkg/manifest/hedge.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// formatHedge writes the limits on delayed hedged attempts, if there are any. Without them the manifest stays readable for
-// daemons that do not know the keys.
+// formatHedge writes the limits on delayed hedged attempts, if there are any. Without them the manifest stays readable
+// for daemons that do not know the keys.
 func formatHedge(out *bytes.Buffer, h Hedge) {
 	if h.Delayed > 0 {
 		writeKey(out, delayedKey, formatNumber(h.Delayed))
