lint, command: warnings of manifest check, manifest diff and manifest digest

Cause: a valid manifest could hold rules that never match and limits that contradict each other, nobody saw what a publish would change, and the digest of an API key had to be made by other means.

Change: manifest check warns of such entries, with file, line, section and key, and still ends with 0. manifest diff compares a file with the manifest in force or with another file; exit code 1 means a difference, 3 that the store could not be read. API keys are named by 8 digits of their digests. manifest digest reads a key from standard input. The analysis is in the new package lint.

--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tarragonmill/tarragonmill/internal/config"
+	"github.com/tarragonmill/tarragonmill/internal/lint"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
@@ -59,6 +59,8 @@
 				Name: "show", Usage: "print the current manifest from the log service",
 				Action: show, Flags: logFlags(),
 			},
+			diffCommand(open),
+			digestCommand(),
 		},
 	}
 }
@@ -70,51 +72,50 @@
 	}
 }
 
-func checkManifest(_ context.Context, c *cli.Command) error {
-	path, m, err := loadManifest(c)
+func checkManifest(ctx context.Context, c *cli.Command) error {
+	file, err := loadManifest(c)
 	if err != nil {
 		return err
 	}
 
+	warnings := lint.Check(file.path, file.data, file.manifest)
+	logWarnings(ctx, warnings)
+
 	rules := 0
-	for _, service := range m.Services {
+	for _, service := range file.manifest.Services {
 		rules += len(service.Rules)
 	}
 
-	_, err = fmt.Fprintf(c.Root().Writer, "%s: valid, services: %d, rules: %d\n", path, len(m.Services), rules)
+	counted := ""
+	if len(warnings) > 0 {
+		counted = fmt.Sprintf(", warnings: %d", len(warnings))
+	}
+
+	_, err = fmt.Fprintf(c.Root().Writer, "%s: valid, services: %d, rules: %d%s\n",
+		file.path, len(file.manifest.Services), rules, counted)
 
 	return errors.Wrap(err, "write result")
 }
 
-// loadManifest returns the path of the manifest file, the only argument, and the valid manifest in it.
-func loadManifest(c *cli.Command) (string, manifest.Manifest, error) {
+// loadManifest returns the valid manifest in the file that the only argument names.
+func loadManifest(c *cli.Command) (manifestFile, error) {
 	path, err := requireOneArgument(c, "FILE")
 	if err != nil {
-		return "", manifest.Manifest{}, err
-	}
-
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return "", manifest.Manifest{}, usageError(errors.Wrap(err, "read manifest"))
-	}
-
-	m, err := manifest.Parse(path, data)
-	if err != nil {
-		return "", manifest.Manifest{}, usageError(err)
+		return manifestFile{}, err
 	}
 
-	return path, m, nil
+	return readManifest(path)
 }
 
 func publishManifest(ctx context.Context, c *cli.Command, open OpenLog) error {
-	_, m, err := loadManifest(c)
+	file, err := loadManifest(c)
 	if err != nil {
 		return err
 	}
 
 	return withPublisher(c, open, func(p *config.Publisher) error {
 		// Publishing the canonical form ensures that daemons read what was checked here.
-		text := string(manifest.Format(m))
+		text := string(manifest.Format(file.manifest))
 
 		var base *uint64
 
--- a/internal/ini/ini.go
+++ b/internal/ini/ini.go
@@ -305,15 +305,21 @@
 
 // Fail adds an error at a key of a section; an empty key means the section itself.
 func (d *Document) Fail(header, key, message string) {
-	line := d.lastLine
-	if s, found := d.headers[header]; found {
-		line = s.line
-		if e := s.findEntry(key); e != nil {
-			line = e.line
-		}
+	d.addFault(d.lineOf(header, key), header, key, message)
+}
+
+// lineOf returns the line of a key, of its section if that lacks the key, or the last line if there is no such section.
+func (d *Document) lineOf(header, key string) int {
+	s, found := d.headers[header]
+	if !found {
+		return d.lastLine
+	}
+
+	if e := s.findEntry(key); e != nil {
+		return e.line
 	}
 
-	d.addFault(line, header, key, message)
+	return s.line
 }
 
 // Faulty reports whether an error was found so far.
@@ -353,3 +359,15 @@
 		}
 	}
 }
+
+// Warn returns an *Error at a key of a section, as Fail places it, without adding it to the document.
+func (d *Document) Warn(header, key, message string) *Error {
+	return &Error{File: d.file, Line: d.lineOf(header, key), Section: header, Key: key, Message: message}
+}
+
+// Has reports whether a section has a key.
+func (d *Document) Has(header, key string) bool {
+	s, found := d.headers[header]
+
+	return found && s.findEntry(key) != nil
+}
