routing: hedge again after a refused attempt; the server beside the entry

Cause: an attempt hedged after a delay that its server refused was the last one of its request. The server beside the entry daemon, which reports only changes, got no such attempt 2 s after its last change.

Change: the timer stays until the request has run at as many servers as it may, and the server beside the entry counts as just reported.

--- a/internal/routing/hedge_delay.go
+++ b/internal/routing/hedge_delay.go
@@ -56,38 +56,39 @@
 }
 
 // hedgeAfterDelay hedges an attempt that has run for longer than the delay if another server is expected to respond
-// clearly earlier. If nothing was sent, the attempt is checked again later.
+// clearly earlier. The attempt is checked again later.
 func (s *State) hedgeAfterDelay(now time.Time, timer hedgeTimer) []Effect {
 	a := timer.attempt
 	f := a.flight
 
-	if f.liveAttempts() > 1 || f.potentialRuns() >= f.runLimit() {
+	if f.possibleRuns >= f.runLimit() {
 		return nil
 	}
 
+	var effects []Effect
+
 	wait := timer.pause
 
-	if s.allowsDelayedHedge(now, f) {
+	if f.liveAttempts() == 1 && f.potentialRuns() < f.runLimit() && s.allowsDelayedHedge(now, f) {
 		chosen, gainIn := s.chooseHedgeServer(now, a)
 		if chosen.server != nil && f.hedges.allowsWork(now, chosen.cost.runTime) {
 			s.counts.Hedges++
 			s.counts.DelayedHedges++
 			f.hedges.counts.addRepeats(now, hedgeWindow, 1)
 
-			return s.start(now, f, chosen, Hedge)
-		}
-
-		if gainIn > 0 {
+			effects = s.start(now, f, chosen, Hedge)
+		} else if gainIn > 0 {
 			wait = min(wait, max(minHedgePause, gainIn))
 		}
 	}
 
+	// The timer stays after an attempt was sent, because its server may refuse it.
 	timer.at, timer.pause = now.Add(wait), 2*timer.pause
 	if timer.at.Before(f.request.Deadline) {
 		heap.Push(&s.hedgeTimers, timer)
 	}
 
-	return nil
+	return effects
 }
 
 // allowsDelayedHedge reports whether the limits of the service or rule and the budget of repeats allow one more attempt
@@ -146,8 +147,9 @@
 // hasRoomForHedge reports whether a report that was sent or repeated recently says that the server is open and neither
 // cold nor nearly full.
 func (srv *server) hasRoomForHedge(now time.Time) bool {
-	if srv.reportedAt.IsZero() || now.Sub(srv.confirmedAt) > staleAfter || !srv.report.Open ||
-		srv.member.Status == instance.Accused {
+	// The report of the server beside this daemon is always the present one: each change is reported at once.
+	recent := srv.distance == sameInstance || now.Sub(srv.confirmedAt) <= staleAfter
+	if srv.reportedAt.IsZero() || !recent || !srv.report.Open || srv.member.Status == instance.Accused {
 		return false
 	}
 
--- a/internal/routing/hedge_delay_test.go
+++ b/internal/routing/hedge_delay_test.go
@@ -134,6 +134,24 @@
 	require.Zero(t, f.state.Dump(f.now).Flights)
 }
 
+// Guards against a request that stays at its slow server because the hedged attempt was refused.
+func TestRefusedHedge(t *testing.T) {
+	f := newHedgeFixture()
+	require.Equal(t, []string{hedgeToB}, f.run())
+	require.Empty(t, f.apply(routing.Ended{ID: "slow", Number: 1, Outcome: routing.Refused, Verdict: verdict.NotRun}))
+
+	for f.now.Before(f.last.Deadline) {
+		f.now = f.state.Next()
+		if lines := f.apply(routing.Tick{}); len(lines) > 0 {
+			require.Contains(t, lines[0], "send slow/2 to b: hedge")
+
+			return
+		}
+	}
+
+	t.Fatal("not hedged again")
+}
+
 // Guards against a loser that counts as won, and against a hedged attempt that stays after the first one has responded.
 func TestLostHedge(t *testing.T) {
 	f := newHedgeFixture()
