http1, attempt, daemon: a response that is none gets 502 at once

Cause: net/http parses any three characters that form a number as a status. Statuses below 200 were skipped as interim responses, so that 000, 099 and 101 without an upgrade were passed over, and what followed on the connection, such as their body, reached the caller as the response. 600 and 999 reached the caller unchanged. Interim responses were bounded only by their bytes, and the body that one states was read as the next response.

Change: ClientConn.Read, through which all responses of servers (probes included) and daemons are read, returns ErrInvalidResponse for statuses outside 100 to 599, 101, an interim response that states a body, and more than 32 interim responses. The connection is closed; the attempt has failed as server-malformed, which may be retried within the existing rules. A reply of another daemon with a status of no final response is malformed.

--- a/internal/attempt/endless_test.go
+++ b/internal/attempt/endless_test.go
@@ -25,6 +25,7 @@
 		"continue":   {repeated: "HTTP/1.1 100 Continue\r\n\r\n"},
 		"fields":     {prefix: "HTTP/1.1 200 OK\r\n", repeated: "X-Field: value\r\n"},
 		"no line":    {repeated: "x"},
+		"zero":       {prefix: "HTTP/1.1 000 None\r\n\r\n", repeated: "HTTP/1.1 200 OK\r\n\r\n"},
 		"no reply":   {prefix: "HTTP/1.1 200 OK\r\n\r\n", repeated: "endless"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -183,7 +183,7 @@
 // isMalformed reports whether the server sent data that is not a response to the request. In that case it
 // has not crashed.
 func isMalformed(err error) bool {
-	return errors.IsAny(err, http1.ErrHeadTooLarge, backend.ErrForeignResponse, backend.ErrUnsealed)
+	return errors.IsAny(err, http1.ErrHeadTooLarge, http1.ErrInvalidResponse, backend.ErrForeignResponse, backend.ErrUnsealed)
 }
 
 // checkCrash checks whether the server accepts connections. If not, it reports a crash to the reducer, which makes the
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -139,7 +139,7 @@
 		}
 
 		if hasNoInput(c.net) {
-			c.reused, c.received = true, false
+			c.reused, c.received, c.interim = true, false, 0
 
 			return c, nil
 		}
@@ -224,6 +224,8 @@
 	reused bool
 	// received is set once a byte has arrived since the connection was taken from the pool.
 	received bool
+	// interim is the number of interim responses since the last final one.
+	interim int
 	// carried is the history of the requests that have an identifier.
 	carried history
 	// released is the time at which the connection was last returned to the pool.
@@ -286,35 +288,5 @@
 	return errors.Wrap(c.writer.Flush(), "write request")
 }
 
-// Read returns the next response on the connection, which may be an interim response. It returns ErrHeadTooLarge if the
-// interim responses and the head of the final response exceed the limit of the pool.
-func (c *ClientConn) Read(method string) (*http.Response, error) {
-	if !c.input.limited {
-		c.input.setLimit(c.pool.maxHead)
-	}
-
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-
-	switch {
-	case err == nil && response.StatusCode >= http.StatusOK:
-		c.input.clearLimit()
-	case err != nil && errors.Is(c.input.err, ErrHeadTooLarge):
-		// The parser may report an incomplete head as a malformed one.
-		err = ErrHeadTooLarge
-	}
-
-	return response, errors.Wrap(err, "read response")
-}
-
-// ReadFinal returns the next final response and skips interim responses. Errors are those of Read.
-func (c *ClientConn) ReadFinal(method string) (*http.Response, error) {
-	for {
-		response, err := c.Read(method)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
-}
-
 // Received reports whether a byte of a response has arrived since the connection was taken from the pool.
 func (c *ClientConn) Received() bool { return c.received }
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -84,6 +84,12 @@
 	EndlessBody
 	// EndlessRefusal refuses a request with a body without end.
 	EndlessRefusal
+	// ZeroStatus, HighStatus, Upgrade and InterimBody send the response as the body of one that is invalid: with status
+	// 000 or 999, with 101 although no upgrade was requested, and of an interim response.
+	ZeroStatus
+	HighStatus
+	Upgrade
+	InterimBody
 )
 
 // Execution is what the server recorded about an attempt that ran.
--- a/internal/standin/backend/response.go
+++ b/internal/standin/backend/response.go
@@ -30,7 +30,8 @@
 
 		return
 	case DuplicateResponse, MissingLength, ShortBody, MissingSeal, Garbage,
-		EndlessLine, EndlessHeader, EndlessInterim, EndlessChunks, EndlessBody:
+		EndlessLine, EndlessHeader, EndlessInterim, EndlessChunks, EndlessBody,
+		ZeroStatus, HighStatus, Upgrade, InterimBody:
 	}
 
 	recorded := httptest.NewRecorder()
@@ -58,6 +59,9 @@
 	length := strconv.Itoa(len(body))
 
 	switch fault {
+	case ZeroStatus, HighStatus, Upgrade, InterimBody:
+		_, _ = buffer.WriteString(invalidHeads[fault])
+		writeRaw(buffer, recorded, length, body)
 	case EndlessLine, EndlessHeader, EndlessInterim, EndlessChunks, EndlessBody:
 		writeEndless(buffer.Writer, recorded.Header(), fault)
 	case Garbage:
@@ -87,6 +91,14 @@
 	_ = buffer.Flush()
 }
 
+// invalidHeads holds the heads of invalid responses, which a response follows as their body.
+var invalidHeads = map[Fault]string{
+	ZeroStatus:  "HTTP/1.1 000 None\r\n\r\n",
+	HighStatus:  "HTTP/1.1 999 High\r\n\r\n",
+	Upgrade:     "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+	InterimBody: "HTTP/1.1 102 Processing\r\nContent-Length: 200\r\n\r\n",
+}
+
 // writeEndless writes a response without end, until the peer closes the connection.
 func writeEndless(buffer *bufio.Writer, header http.Header, fault Fault) {
 	const ok = "HTTP/1.1 200 OK\r\n"
