--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -157,7 +157,7 @@
 
 	var (
 		crowd sync.WaitGroup
-		conns []net.Conn
+		conns = make([]net.Conn, 0, members)
 	)
 
 	for range members {
