http1: bounds on bodies, heads, responses and connections of peers

Cause: the body of a request was read whatever became of the request, into a buffer that doubled without bound up to the limit of one body. A path without a route therefore held as much as one with a rule. Nothing bounded the header fields in number, the responses that wait for a peer that does not read, or the connections.

Change: a body that has not arrived with the head is read once the handler accepts it, with a limit and a time; a refusal before that goes out at once, and the connection is drained for a bounded time and closed. The buffer grows with what has arrived, after the account of memory has room for it. Bodies have a minimum rate after ten seconds. Responses that wait count in the account. At the limit of connections, the one that has been without a request for longest is closed. A body is written in parts, which saves a copy between daemons.

Result: go test -race ./internal/http1 ./internal/memory passes; the new tests three times.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -281,9 +281,25 @@
 	return writeHeader(c.writer, r.Header, length, r.OmitZeroLength && length == 0)
 }
 
-// WriteBody sends the body of a request whose head WriteHead has sent.
-func (c *ClientConn) WriteBody(body []byte) error {
-	_, _ = c.writer.Write(body)
+// WriteParts sends a request whose body is the given parts, one after the other; Request.Body is not sent.
+func (c *ClientConn) WriteParts(r Request, parts ...[]byte) error {
+	length := int64(0)
+	for _, part := range parts {
+		length += int64(len(part))
+	}
+
+	if err := c.bufferHead(r, length); err != nil {
+		return err
+	}
+
+	return c.WriteBody(parts...)
+}
+
+// WriteBody sends the body of a request whose head WriteHead has sent, in parts.
+func (c *ClientConn) WriteBody(parts ...[]byte) error {
+	for _, part := range parts {
+		_, _ = c.writer.Write(part)
+	}
 
 	return errors.Wrap(c.writer.Flush(), "write request")
 }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,17 +2,14 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -20,12 +17,9 @@
 	// that the peer still sends would cause a reset, and the peer could lose the response.
 	lingerTimeout = 500 * time.Millisecond
 	// lingerBytes is the largest number of bytes that are read in that time.
-	lingerBytes = 256 << 10
+	lingerBytes = 4 << 20
 )
 
-// ErrBodyTooLarge is returned by Exchange.Body for a body beyond the limit.
-var ErrBodyTooLarge = errors.New("body of the request is too large")
-
 // conn is an accepted connection. One goroutine reads the requests; each request is handled by a goroutine of its own.
 type conn struct {
 	server *Server
@@ -45,6 +39,12 @@
 	open int
 	// closing is set once no further request is passed to the handler.
 	closing bool
+	// unsent is the number of bytes of responses that wait for their turn or for the peer.
+	unsent int64
+	// expired is set if the connection is to end because there are too many.
+	expired bool
+	// active is the time at which the last request began or ended.
+	active time.Time
 }
 
 func newConn(s *Server, accepted net.Conn) *conn {
@@ -55,6 +55,7 @@
 		reader:     bufio.NewReaderSize(input, bufferSize),
 		writer:     bufio.NewWriterSize(accepted, bufferSize),
 		inProgress: make(chan struct{}, max(1, s.limits().Pipeline)),
+		active:     time.Now(),
 	}
 }
 
@@ -118,7 +119,7 @@
 
 	r, err := http.ReadRequest(c.reader)
 	if err == nil {
-		err = checkHead(r)
+		err = checkHead(r, limits.Fields)
 	}
 
 	if err != nil {
@@ -129,21 +130,14 @@
 
 	c.input.clearLimit()
 
-	select {
-	case c.inProgress <- struct{}{}:
-	case <-c.ctx.Done():
-		return false
-	}
-
-	x := newExchange(c, r)
-	if !c.addExchange(x) {
-		<-c.inProgress
-
+	x, ok := c.beginExchange(r)
+	if !ok {
 		return false
 	}
 
 	if !c.server.tasks.Go("exchange", func(context.Context) { c.handle(x) }) {
 		x.finish()
+		x.releaseHolding()
 
 		return false
 	}
@@ -161,6 +155,34 @@
 	return true
 }
 
+// beginExchange adds an exchange for a request once the connection may have one more in progress. It returns false if no
+// further request can be handled.
+func (c *conn) beginExchange(r *http.Request) (*Exchange, bool) {
+	x := newExchange(c, r)
+	if err := x.holdHead(); err != nil {
+		c.refuseHead(err)
+
+		return nil, false
+	}
+
+	select {
+	case c.inProgress <- struct{}{}:
+	case <-c.ctx.Done():
+		x.holding.Close()
+
+		return nil, false
+	}
+
+	if !c.addExchange(x) {
+		<-c.inProgress
+		x.holding.Close()
+
+		return nil, false
+	}
+
+	return x, true
+}
+
 // awaitPeerClose waits until the last request of the connection is answered or the peer closes the connection.
 func (c *conn) awaitPeerClose() {
 	c.setReadTimeout(0)
@@ -260,6 +282,7 @@
 
 	c.last = x
 	c.open++
+	c.active, c.expired = time.Now(), false
 	c.server.open.Add(1)
 	// The idle timeout of the connection no longer applies.
 	_ = c.net.SetReadDeadline(time.Time{})
@@ -288,40 +311,6 @@
 	x.finish()
 }
 
-// readBody reads the body of an exchange. It returns false if no further request can be read.
-func (c *conn) readBody(x *Exchange, r *http.Request, limits Limits) bool {
-	if expectsContinue(r) && c.server.skipsBody {
-		// The peer sends nothing before it has received an interim or final response. What it sends then is the body if
-		// the response was 100 Continue, and the next request otherwise.
-		if _, err := c.reader.Peek(1); err != nil {
-			x.deliverBody(nil, errors.Wrap(err, "read body"))
-
-			return false
-		}
-
-		if !x.sentContinue() {
-			x.deliverBody(nil, errNotContinued)
-
-			return true
-		}
-	}
-
-	if limits.BodyTimeout > 0 && r.ContentLength != 0 {
-		c.setReadTimeout(limits.BodyTimeout)
-	}
-
-	body, err := readAll(r, limits.Body)
-	if err != nil && (c.input.err == nil || isTimeout(c.input.err)) {
-		// The peer is still connected and gets a response. It must be the last one, because the rest of the body cannot
-		// be distinguished from the next request.
-		c.setClosing()
-	}
-
-	x.deliverBody(body, err)
-
-	return err == nil
-}
-
 // setClosing makes the response of the newest exchange the last one of the connection.
 func (c *conn) setClosing() {
 	c.mutex.Lock()
@@ -329,92 +318,3 @@
 
 	c.closing = true
 }
-
-var errNotContinued = errors.New("request was answered before its body")
-
-// maxPreallocation is the largest buffer in bytes that is allocated for a body before its bytes have arrived.
-const maxPreallocation = 64 << 10
-
-// readAll reads a body of at most limit bytes. It does not rely on the length that the peer states.
-func readAll(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-
-	if r.ContentLength > limit {
-		return nil, ErrBodyTooLarge
-	}
-
-	body := bytes.NewBuffer(make([]byte, 0, bytes.MinRead+max(0, min(r.ContentLength, maxPreallocation))))
-
-	_, err := body.ReadFrom(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(body.Len()) > limit {
-		err = ErrBodyTooLarge
-	}
-
-	return body.Bytes(), errors.Wrap(err, "read body")
-}
-
-// errBadField is returned for a header field that other parsers may interpret differently.
-var errBadField = errors.New("invalid header field")
-
-// checkHead returns an error for heads that http.ReadRequest accepts but net/http's server refuses.
-func checkHead(r *http.Request) error {
-	if !httpguts.ValidHostHeader(r.Host) || r.ProtoAtLeast(1, 1) && r.Host == "" {
-		return errors.Wrap(errBadField, "Host")
-	}
-
-	for name, values := range r.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return errors.Wrapf(errBadField, "name %q", name)
-		}
-
-		for _, value := range values {
-			if !httpguts.ValidHeaderFieldValue(value) {
-				return errors.Wrapf(errBadField, "value of %q", name)
-			}
-		}
-	}
-
-	return nil
-}
-
-func expectsContinue(r *http.Request) bool {
-	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
-}
-
-// refuseHead sends an error response to a head that cannot be parsed, if the peer is still connected.
-func (c *conn) refuseHead(err error) {
-	status := http.StatusBadRequest
-
-	// The parser may report an incomplete head as a malformed one.
-	if c.input.err != nil {
-		err = c.input.err
-	}
-
-	var netErr net.Error
-
-	switch {
-	case errors.Is(err, ErrHeadTooLarge):
-		status = http.StatusRequestHeaderFieldsTooLarge
-	case isTimeout(err):
-		status = http.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.As(err, &netErr):
-		return
-	}
-
-	c.mutex.Lock()
-	previous := c.last
-	c.closing = true
-	c.mutex.Unlock()
-
-	if previous != nil {
-		select {
-		case <-previous.done:
-		case <-c.ctx.Done():
-			return
-		}
-	}
-
-	_ = c.writeResponse(http.MethodGet, Response{Status: status, Header: http.Header{}, Body: noBody()}, true)
-}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/memory"
 )
 
 // writeTimeout is the longest time that a peer may take to accept the bytes of one response.
@@ -45,10 +47,35 @@
 	bodyErr      error
 	bodyRead     chan struct{}
 	continueSent atomic.Bool
+
+	// holding is the memory of the head and the body. users counts those that still use it: the handler and the reader of
+	// the body.
+	holding *memory.Holding
+	users   atomic.Int32
+	// needless is set if the body needs no acceptance: there is none, it has arrived with the head, or the peer sends it
+	// only after 100 Continue.
+	needless bool
+	// accepting guards the decision whether the body is read: accepted is closed, or unread is set.
+	accepting   sync.Once
+	accepted    chan struct{}
+	unread      bool
+	bodyLimit   int64
+	bodyTimeout time.Duration
+	// aborted is set if the body was aborted to make room for others.
+	aborted atomic.Bool
 }
 
 func newExchange(c *conn, r *http.Request) *Exchange {
-	return &Exchange{Request: r, conn: c, done: make(chan struct{}), bodyRead: make(chan struct{})}
+	x := &Exchange{
+		Request: r, conn: c, done: make(chan struct{}), bodyRead: make(chan struct{}), bodyLimit: -1,
+		accepted: make(chan struct{}),
+	}
+	x.needless = !hasBody(r) || r.ContentLength > 0 && r.ContentLength <= int64(c.reader.Buffered()) ||
+		c.server.skipsBody && expectsContinue(r)
+	x.holding = c.server.memory.Open(x.abortBody)
+	x.users.Store(2)
+
+	return x
 }
 
 // RemoteAddr returns the address of the peer.
@@ -57,11 +84,14 @@
 func (x *Exchange) deliverBody(body []byte, err error) {
 	x.body, x.bodyErr = body, err
 	close(x.bodyRead)
+	x.releaseHolding()
 }
 
 // Body waits for the complete body of the request. It first sends 100 Continue to a peer that expects it. Errors are
-// ErrBodyTooLarge, ErrClosed, and errors of reading the connection.
+// ErrBodyTooLarge, ErrBodySlow, ErrBodyAborted, memory.ErrFull, ErrClosed, and errors of reading the connection.
 func (x *Exchange) Body() ([]byte, error) {
+	x.AcceptBody(-1, 0)
+
 	if err := x.SendContinueIfExpected(); err != nil {
 		return nil, err
 	}
@@ -127,14 +157,21 @@
 // Respond writes the final response. After an error, the connection is closed; this shows the peer that the response is
 // incomplete.
 func (x *Exchange) Respond(response Response) error {
-	if err := x.awaitTurn(); err != nil {
+	response, release, err := x.holdResponse(response)
+	defer release()
+
+	if err == nil {
+		err = x.awaitTurn()
+	}
+
+	if err != nil {
 		x.finish()
 
 		return err
 	}
 
 	// A body that was not read hides the start of the next request, so the connection cannot be used further.
-	unread := expectsContinue(x.Request) && !x.sentContinue() && !x.conn.server.skipsBody
+	unread := x.isUnread() || expectsContinue(x.Request) && !x.sentContinue() && !x.conn.server.skipsBody
 	last := response.Close || x.Request.Close || unread || x.conn.server.draining.Load()
 
 	if last {
@@ -143,7 +180,7 @@
 
 	last = last || x.isLast()
 
-	err := x.conn.writeResponse(x.Request.Method, response, last)
+	err = x.conn.writeResponse(x.Request.Method, response, last)
 	if err != nil || last {
 		x.conn.stopReading(err != nil)
 	}
@@ -191,6 +228,7 @@
 
 		c.mutex.Lock()
 		c.open--
+		c.active = time.Now()
 		c.server.open.Add(-1)
 
 		if c.open == 0 && !c.closing {
@@ -204,6 +242,7 @@
 		c.mutex.Unlock()
 		close(x.done)
 		<-c.inProgress
+		x.releaseHolding()
 	})
 }
 
--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -57,7 +57,7 @@
 		c.interim = 0
 
 		return nil
-	case hasBody(response):
+	case statesBody(response):
 		return errors.Wrapf(ErrInvalidResponse, "status %d with a body", status)
 	}
 
@@ -68,8 +68,8 @@
 	return nil
 }
 
-// hasBody reports whether the head of an interim response states a body. The parser ignores such a statement.
-func hasBody(response *http.Response) bool {
+// statesBody reports whether the head of an interim response states a body. The parser ignores such a statement.
+func statesBody(response *http.Response) bool {
 	length := response.Header.Get("Content-Length")
 
 	return length != "" && length != "0" || len(response.TransferEncoding) > 0
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/memory"
 	"github.com/tarragonmill/tarragonmill/internal/task"
 )
 
@@ -28,6 +29,12 @@
 	IdleTimeout time.Duration
 	// Pipeline is the largest number of requests of one connection that are in progress at once; values below 1 mean 1.
 	Pipeline int
+	// Fields is the largest number of header fields of a request; DefaultMaxFields if it is zero.
+	Fields int
+	// Rate is the least rate of a body in bytes per second, after its first ten seconds; zero means no limit.
+	Rate int64
+	// Connections is the largest number of open connections; zero means no limit.
+	Connections int
 }
 
 // DefaultMaxBody is the default limit on the body of a request, in bytes.
@@ -36,6 +43,7 @@
 func (l Limits) withDefaults() Limits {
 	l.Header = cmp.Or(l.Header, DefaultMaxHead)
 	l.Body = cmp.Or(l.Body, DefaultMaxBody)
+	l.Fields = cmp.Or(l.Fields, DefaultMaxFields)
 
 	return l
 }
@@ -60,6 +68,8 @@
 	// skipsBody is set if a peer that receives a final response instead of 100 Continue never sends the body.
 	skipsBody bool
 	onPanic   task.PanicHandler
+	memory    *memory.Account
+	counts    closeCounts
 
 	tasks *task.Group
 	// open is the number of requests that were read and have not been answered.
@@ -92,9 +102,17 @@
 	return func(s *Server) { s.onPanic = panicked }
 }
 
+// WithMemory sets the account for the bytes of requests and responses. Without this option, there is no limit.
+func WithMemory(account *memory.Account) ServerOption {
+	return func(s *Server) { s.memory = account }
+}
+
 // NewServer returns a server that has not started.
 func NewServer(handler Handler, options ...ServerOption) *Server {
-	s := &Server{handler: handler, limits: func() Limits { return Limits{} }, conns: make(map[*conn]struct{})}
+	s := &Server{
+		handler: handler, limits: func() Limits { return Limits{} }, conns: make(map[*conn]struct{}),
+		memory: memory.Unlimited(),
+	}
 	for _, option := range options {
 		option(s)
 	}
@@ -164,6 +182,12 @@
 
 // serve starts to serve a connection.
 func (s *Server) serve(accepted net.Conn) {
+	if !s.admit() {
+		_ = accepted.Close()
+
+		return
+	}
+
 	limitUnacked(accepted)
 
 	c := newConn(s, accepted)
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -34,11 +34,12 @@
 
 		time.Sleep(5 * time.Second)
 		holdings[0].Progress(4 << 10)
-		holdings[2].Settle()
+		require.True(t, holdings[2].Settle())
 
 		next := a.Open(func() {})
 		require.NoError(t, next.Grow(1<<20))
 		require.Equal(t, []bool{false, true, false}, aborted)
+		require.False(t, holdings[1].Settle())
 
 		for _, h := range append(holdings, next) {
 			h.Close()
--- a/internal/memory/available.go
+++ b/internal/memory/available.go
@@ -21,6 +21,8 @@
 	// machineDivisor is the inverse of the share of an instance's memory that a daemon may use if nothing limits it, because
 	// the backend server runs beside it.
 	machineDivisor = 4
+	// leastAvailable is the least that such a daemon may use, if the instance has it. It has room for the largest body.
+	leastAvailable = 184_000_000
 )
 
 // Capacity returns the capacity of the account of a process that may use an amount of memory in bytes.
@@ -41,7 +43,7 @@
 func runtimeLimit() int64 { return debug.SetMemoryLimit(-1) }
 
 // Available returns the memory in bytes that the process may use: the lowest of the limits of its control groups, of
-// GOMEMLIMIT and of a quarter of the instance's memory. A limit that cannot be read does not count.
+// GOMEMLIMIT and of a quarter of the instance's memory, which counts as at least 184 MB. A limit that cannot be read does not count.
 func Available() int64 {
 	available := int64(math.MaxInt64)
 
@@ -50,7 +52,7 @@
 	}
 
 	if info, err := os.ReadFile("/proc/meminfo"); err == nil {
-		available = min(available, parseTotal(info)/machineDivisor)
+		available = min(available, shareOf(parseTotal(info)))
 	}
 
 	if groups, err := os.ReadFile("/proc/self/cgroup"); err == nil {
@@ -60,6 +62,9 @@
 	return available
 }
 
+// shareOf returns what a daemon may use of an instance's memory, in bytes.
+func shareOf(total int64) int64 { return max(total/machineDivisor, min(total, leastAvailable)) }
+
 // parseTotal returns the memory in bytes that a file in the format of /proc/meminfo states.
 func parseTotal(info []byte) int64 {
 	const kibibyte = 1 << 10
--- a/internal/memory/available_test.go
+++ b/internal/memory/available_test.go
@@ -21,6 +21,7 @@
 	require.EqualValues(t, 184_000_000, groupLimit(root, []byte("3:cpu:/\n0::/a/b\n")))
 	require.EqualValues(t, 2048<<10, parseTotal([]byte("X: 1 kB\nMemTotal:       2048 kB\n")))
 	require.EqualValues(t, math.MaxInt64, parseTotal([]byte("MemTotal\n")))
+	require.EqualValues(t, []int64{100, 184_000_000, 2e9}, []int64{shareOf(100), shareOf(512e6), shareOf(8e9)})
 
 	// A body of 64 MiB grows from 32 MiB and holds both for a moment.
 	require.Greater(t, New(Capacity(184_000_000)).ceiling(SmallSize+1), int64(96<<20))
--- a/internal/memory/holding.go
+++ b/internal/memory/holding.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Holding is the memory of one request. One goroutine at a time may call its methods.
+// Holding is the memory of one request. It is safe for concurrent use, except that nothing
+// may follow Close.
 type Holding struct {
 	account *Account
 	// abort makes the owner close the holding soon. It must not block.
@@ -47,9 +48,7 @@
 		return ErrFull
 	}
 
-	h.size.Store(size)
-
-	if size > SmallSize {
+	if h.size.Add(bytes) > SmallSize {
 		h.register()
 	}
 
@@ -111,8 +110,22 @@
 	return h.recent * math.Exp(-now.Sub(h.seen).Seconds()/decayTime.Seconds())
 }
 
-// Settle keeps the holding from being aborted from now on, because its message is complete.
-func (h *Holding) Settle() { h.settled.Store(true) }
+// Settle keeps the holding from being aborted from now on, because its message is complete. It returns false if the holding
+// was aborted before.
+func (h *Holding) Settle() bool {
+	if !h.registered.Load() {
+		h.settled.Store(true)
+
+		return true
+	}
+
+	h.account.mutex.Lock()
+	defer h.account.mutex.Unlock()
+
+	h.settled.Store(true)
+
+	return !h.aborted
+}
 
 // Close returns all bytes of the holding to the account. Further calls do nothing.
 func (h *Holding) Close() {
