daemon, caller, settings: bounds on what callers and peers make a daemon hold

Cause: callers that misbehave in number filled the memory of a daemon, see TestCrowds.

Change: a daemon has one account of memory for callers and other daemons. Section [limits] of the settings has memory, connections, fields and rate; memory defaults to what the process may use, connections to a share of the descriptors. The limit of the Go runtime follows, unless the environment sets one. Bodies are read once their rule and key are known; a full account gives 503 with Retry-After and the reason memory, a slow body 408, both as not run. Calls of members are read after the fleet's key was checked. The readiness, announcement and admin addresses have bounds on connections, bodies and times, and close the connection after a body that they do not expect. A body that is already in memory is not copied again, nor one that is sent to another daemon. Dump, metrics and the log event bound-reached show when a bound was reached.

--- a/cmd/tarragonmill/main.go
+++ b/cmd/tarragonmill/main.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/config"
 	"github.com/tarragonmill/tarragonmill/internal/core"
 	"github.com/tarragonmill/tarragonmill/internal/daemon"
+	"github.com/tarragonmill/tarragonmill/internal/memory"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
 	"github.com/tarragonmill/tarragonmill/platform"
 )
@@ -45,5 +46,7 @@
 		return err
 	}
 
+	memory.SetSoftLimit(d.MemoryAvailable())
+
 	return d.Run(ctx)
 }
--- a/internal/attempt/client.go
+++ b/internal/attempt/client.go
@@ -253,17 +253,13 @@
 		return e.connection.WriteHead(head, int64(len(e.call.Body))+1)
 	}
 
-	head.Body = e.body()
 	e.committed = true
 
-	return e.connection.Write(head)
+	return e.connection.WriteParts(head, e.call.Body, commitPart)
 }
 
-func (e *exchange) body() []byte {
-	body := make([]byte, 0, len(e.call.Body)+1)
-
-	return append(append(body, e.call.Body...), commitByte)
-}
+// commitPart is the commit byte as a part of a body.
+var commitPart = []byte{commitByte}
 
 // commit sends the body and the commit byte, unless send has done so.
 func (e *exchange) commit() error {
@@ -273,7 +269,7 @@
 
 	e.committed = true
 
-	return e.connection.WriteBody(e.body())
+	return e.connection.WriteBody(e.call.Body, commitPart)
 }
 
 func (e *exchange) finish(response *http.Response) (*Response, error) {
--- a/internal/attempt/server.go
+++ b/internal/attempt/server.go
@@ -89,6 +89,9 @@
 		return
 	}
 
+	// The body arrives while the request waits for a slot.
+	x.AcceptBody(-1, 0)
+
 	call.Header = httpheader.Forwardable(x.Request.Header)
 	respond(x, serve(ctx, call, incomingCall{x}))
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/dialect"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/httpheader"
+	"github.com/tarragonmill/tarragonmill/internal/memory"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
@@ -253,9 +254,11 @@
 		return Submission{}, notRunRefusal(BodyTooLarge), false
 	}
 
+	x.AcceptBody(match.Rule.Body, max(match.Rule.Deadline, leastBodyTime))
+
 	body, err := x.Body()
 	if err != nil || int64(len(body)) > match.Rule.Body {
-		return Submission{}, notRunRefusal(bodyReason(err)), false
+		return Submission{}, refuseBody(err), false
 	}
 
 	req, ok := h.newRequest(x, id, match, tenant, body)
@@ -298,12 +301,28 @@
 	return refusal
 }
 
-func bodyReason(err error) Reason {
-	if err == nil || errors.Is(err, http1.ErrBodyTooLarge) {
-		return BodyTooLarge
-	}
+const (
+	// leastBodyTime is the time that the body of a request may take whatever the deadline of its rule.
+	leastBodyTime = 30 * time.Second
+	// memoryRetryAfter is the Retry-After of a refusal for want of memory. Bodies that stall are aborted within that time.
+	memoryRetryAfter = time.Second
+)
 
-	return BodyBroken
+// refuseBody returns the refusal of a request whose body was not received.
+func refuseBody(err error) Refusal {
+	switch {
+	case err == nil, errors.Is(err, http1.ErrBodyTooLarge):
+		return notRunRefusal(BodyTooLarge)
+	case errors.IsAny(err, memory.ErrFull, http1.ErrBodyAborted):
+		refusal := notRunRefusal(MemoryFull)
+		refusal.RetryAfter = memoryRetryAfter
+
+		return refusal
+	case errors.Is(err, http1.ErrBodySlow):
+		return notRunRefusal(BodySlow)
+	default:
+		return notRunRefusal(BodyBroken)
+	}
 }
 
 // forwardableHeader returns the fields of a caller's header that are sent to the backend server.
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -37,9 +37,13 @@
 	// ManifestBehind means that no rule matches, but another daemon has a newer manifest.
 	ManifestBehind Reason = "manifest-behind"
 	// Unauthenticated means that the API key of the request is missing or unknown.
-	Unauthenticated   Reason = "unauthenticated"
-	BodyTooLarge      Reason = "body-too-large"
-	BodyBroken        Reason = "body-broken"
+	Unauthenticated Reason = "unauthenticated"
+	BodyTooLarge    Reason = "body-too-large"
+	BodyBroken      Reason = "body-broken"
+	// BodySlow means that the body arrived below the minimum rate, or not in time.
+	BodySlow Reason = "body-slow"
+	// MemoryFull means that there is no memory for the body.
+	MemoryFull        Reason = "memory"
 	TooDeep           Reason = "too-deep"
 	Deadline          Reason = "deadline"
 	ShuttingDown      Reason = "shutting-down"
@@ -61,6 +65,7 @@
 	Unauthenticated:   http.StatusUnauthorized,
 	BodyTooLarge:      http.StatusRequestEntityTooLarge,
 	BodyBroken:        http.StatusBadRequest,
+	BodySlow:          http.StatusRequestTimeout,
 	TooDeep:           http.StatusLoopDetected,
 	KeyReused:         http.StatusUnprocessableEntity,
 	KeyInvalid:        http.StatusBadRequest,
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -151,6 +152,17 @@
 	}
 }
 
+// TestBoundReached guards against callers that are refused without a trace for the operator.
+func TestBoundReached(t *testing.T) {
+	p := start(t, limitSettings)
+	defer gather(t, place{address: p.caller, path: "/orders"}, stalled(bodySize, bodySize-1, bodySize))()
+
+	require.Eventually(t, func() bool {
+		return strings.Contains(p.operator("/dump"), `"Held"`) &&
+			regexp.MustCompile(`(?m)^tarragonmill_memory_refusals_total [1-9]`).MatchString(p.operator("/metrics"))
+	}, answerTimeout, 100*time.Millisecond)
+}
+
 // gather connects a crowd, waits until each member has sent all or failed, and returns a function that ends it.
 func gather(t *testing.T, at place, behave member) func() {
 	t.Helper()
--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -166,6 +167,21 @@
 	return response.StatusCode
 }
 
+// operator returns what the admin address has at a path, or an empty text.
+func (p *process) operator(path string) string {
+	response, err := http.Get("http://" + p.admin + path)
+	if err != nil {
+		return ""
+	}
+
+	defer func() { _ = response.Body.Close() }()
+
+	text, err := io.ReadAll(response.Body)
+	require.NoError(p, err)
+
+	return string(text)
+}
+
 // requireServed requires that the process lives and answers an ordinary request.
 func (p *process) requireServed() {
 	p.Helper()
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -24,6 +24,7 @@
 	// Tasks holds the number of running goroutines by name.
 	Tasks     map[string]int
 	Traffic   Traffic
+	Held      Held
 	Decisions core.Dump
 }
 
@@ -52,7 +53,7 @@
 
 	return Dump{
 		Version: d.version.Load(), Now: d.now(), Ready: d.Ready(), Draining: d.drain.Load() != nil,
-		Tasks: d.tasks.Running(), Traffic: d.traffic(), Decisions: decisions,
+		Tasks: d.tasks.Running(), Traffic: d.traffic(), Held: d.held(), Decisions: decisions,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
+	"github.com/tarragonmill/tarragonmill/internal/memory"
 	"github.com/tarragonmill/tarragonmill/internal/request"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/settings"
@@ -130,6 +131,14 @@
 	options          core.Options
 	observe          Observer
 
+	// memory is the account for the bytes of callers and other daemons.
+	memory          *memory.Account
+	memoryAvailable int64
+	// callerConnections and peerConnections bound the open connections; zero for no limit.
+	callerConnections, peerConnections int
+	// boundsReached is the number of refusals and closed connections that were last logged. Only updateGauges uses it.
+	boundsReached int64
+
 	attempts *attempt.Client
 	backend  *backend.Server
 	callers  *http1.Server
@@ -204,6 +213,12 @@
 
 	d.metrics = m
 	d.settings.Store(&initial)
+	if d.memoryAvailable = initial.Limits.Memory; d.memoryAvailable == 0 {
+		d.memoryAvailable = memory.Available()
+	}
+
+	d.memory = memory.New(memory.Capacity(d.memoryAvailable))
+	d.callerConnections, d.peerConnections = maxConnections(initial.Limits)
 	d.attempts = attempt.NewClient(initial.Key)
 
 	if platform.ObserveEpoch != nil {
@@ -233,9 +248,9 @@
 	d.state = core.New(d.options)
 
 	d.callers = http1.NewServer(d.newCallerHandler(initial), http1.WithLimits(d.callerLimits),
-		http1.WithPanicHandler(d.handlePanic))
+		http1.WithMemory(d.memory), http1.WithPanicHandler(d.handlePanic))
 	d.peers = http1.NewServer(attempt.NewHandler(initial.Key, d.serveAttempt, d.serveOwned, d.receiveHandover),
-		http1.WithSkippedBody(), http1.WithPanicHandler(d.handlePanic),
+		http1.WithSkippedBody(), http1.WithMemory(d.memory), http1.WithPanicHandler(d.handlePanic),
 		http1.WithLimits(d.peerLimits))
 
 	return d, nil
@@ -325,7 +340,7 @@
 	d.mutex.Unlock()
 
 	d.log.Notable(eventlog.Started).Uint64("run", uint64(d.options.Self.Incarnation)).
-		Str("service", d.options.Self.Service).Send()
+		Str("service", d.options.Self.Service).Int64("memory", d.memory.State().Capacity).Send()
 	d.apply(core.Started{})
 
 	var group run.Group
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -30,6 +30,7 @@
 	// Limits of the servers for readiness checks, announcements of the backend server, and operators.
 	auxHeaderTimeout   = 2 * time.Second
 	auxReadTimeout     = 5 * time.Second
+	auxWriteTimeout    = 10 * time.Second
 	auxMaxHeader       = 16 << 10 // bytes
 	auxIdleTimeout     = time.Minute
 	auxShutdownTimeout = 500 * time.Millisecond
@@ -42,16 +43,17 @@
 
 	return http1.Limits{
 		Header: attempt.MaxHead, Body: largest + attempt.CommitSize, HeaderTimeout: 10 * time.Second,
-		BodyTimeout: bodyTimeout, IdleTimeout: time.Minute, Pipeline: 1,
+		BodyTimeout: bodyTimeout, IdleTimeout: time.Minute, Pipeline: 1, Connections: d.peerConnections,
+		Rate: minBodyRate,
 	}
 }
 
 // callerLimits returns the limits of connections of callers.
 func (d *Daemon) callerLimits() http1.Limits {
-	limits := http1.Limits{
+	limits := d.limitCallers(http1.Limits{
 		Header: maxHeader, HeaderTimeout: headerTimeout, BodyTimeout: bodyTimeout,
 		IdleTimeout: idleTimeout, Pipeline: pipelineLimit,
-	}
+	})
 
 	m := d.manifest.Load()
 	if m == nil {
@@ -155,14 +157,15 @@
 func (d *Daemon) auxiliaryServers() []func(context.Context) error {
 	var actors []func(context.Context) error
 
-	add := func(listener net.Listener, handler http.Handler) {
+	add := func(listener net.Listener, handler http.Handler, expectsBody bool) {
 		if listener == nil || handler == nil {
 			return
 		}
 
+		listener, handler = limitAuxiliary(listener, handler, expectsBody)
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: auxHeaderTimeout, ReadTimeout: auxReadTimeout, IdleTimeout: auxIdleTimeout,
-			MaxHeaderBytes: auxMaxHeader, ErrorLog: log.New(io.Discard, "", 0),
+			WriteTimeout: auxWriteTimeout, MaxHeaderBytes: auxMaxHeader, ErrorLog: log.New(io.Discard, "", 0),
 		}
 
 		actors = append(actors, func(ctx context.Context) error {
@@ -172,13 +175,13 @@
 
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+d.platform.ReadyPath, d.serveReady)
-	add(d.sockets.Ready, ready)
+	add(d.sockets.Ready, ready, false)
 
 	if d.platform.AnnouncementHandler != nil {
-		add(d.sockets.Announce, d.platform.AnnouncementHandler(d))
+		add(d.sockets.Announce, d.platform.AnnouncementHandler(d), true)
 	}
 
-	add(d.sockets.Admin, d.newAdmin().Handler())
+	add(d.sockets.Admin, d.newAdmin().Handler(), false)
 
 	return actors
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -198,6 +198,7 @@
 	m.exportTotal("log_lines_left_out_total", "", "", int64(traffic.LinesLeftOut))
 	d.configReads.export(m)
 	d.exportEpoch()
+	d.exportHeld()
 	d.exportStore()
 }
 
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -227,6 +227,10 @@
 // bufferBody reads a body into memory if it has at most maxBufferedBody bytes. It returns a body with the same content
 // and its length. An error means that the body broke off.
 func bufferBody(body io.ReadCloser, length int64) (io.ReadCloser, int64, error) {
+	if isBuffered(body) {
+		return body, length, nil
+	}
+
 	var (
 		data []byte
 		err  error
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -74,6 +74,9 @@
 	EntryNotStored Event = "entry-not-stored"
 	// Suspects reports requests that may crash servers.
 	Suspects Event = "suspects"
+	// BoundReached reports requests that were refused and connections that were closed because callers or other daemons
+	// have reached a bound on memory, connections or time. Its fields are totals since the start.
+	BoundReached Event = "bound-reached"
 	// LinesSuppressed reports the number of lines of one kind that the rate limit suppressed.
 	LinesSuppressed Event = "left-out"
 	// Panicked reports a panic in the daemon's code, with its stack trace.
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -128,7 +128,29 @@
 			Slack:  ini.Optional(repeat, "slack", defaultRepeatSlack, ini.Range(ini.Number, 0, maxRepeatSlack)),
 			Window: ini.Optional(repeat, "window", defaultRepeatWindow, ini.Range(ini.Duration, minRepeatWindow, maxRepeatWindow)),
 		},
-		Grace: ini.Optional(document.Section("stop"), "grace", defaultGrace, ini.Range(ini.Duration, minGrace, maxGrace)),
+		Limits: decodeLimits(document.Section("limits")),
+		Grace:  ini.Optional(document.Section("stop"), "grace", defaultGrace, ini.Range(ini.Duration, minGrace, maxGrace)),
+	}
+}
+
+// Bounds of the section "limits", inclusive.
+const (
+	minMemory           = 64 << 20 // bytes
+	maxMemory           = 1 << 40  // bytes
+	minConnectionsLimit = 16
+	maxConnectionsLimit = 1_000_000
+	minFields           = 64
+	maxFields           = 1 << 20
+	maxRate             = 1 << 30 // bytes per second
+)
+
+func decodeLimits(section *ini.Section) Limits {
+	return Limits{
+		Memory: ini.Optional(section, "memory", 0, ini.Range(ini.Size, minMemory, maxMemory)),
+		Connections: ini.Optional(section, "connections", 0,
+			ini.Range(ini.Integer, minConnectionsLimit, maxConnectionsLimit)),
+		Fields: ini.Optional(section, "fields", 0, ini.Range(ini.Integer, minFields, maxFields)),
+		Rate:   ini.Optional(section, "rate", 0, ini.Range(ini.Size, 1, maxRate)),
 	}
 }
 
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -39,6 +39,7 @@
 		Level: "debug",
 
 		Fields: settings.OwnFields,
+		Limits: settings.Limits{Memory: 184_000_000, Connections: 2000, Fields: 4000, Rate: 2 << 10},
 		Repeat: settings.Repeat{Share: 0.1, Slack: 10, Window: 10 * time.Second},
 		Grace:  30 * time.Second,
 	}, s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,7 @@
 	// Fields selects the header fields that callers and backend servers use: OwnFields or PlatformFields.
 	Fields string
 	Repeat Repeat
+	Limits Limits
 	// Grace is the time from SIGTERM until the supervisor kills the process.
 	Grace time.Duration
 }
@@ -44,6 +45,18 @@
 	Window time.Duration
 }
 
+// Limits bounds what callers and other daemons can make a daemon hold. Zero in a field means the default of the daemon.
+type Limits struct {
+	// Memory is what the process may use, in bytes.
+	Memory int64
+	// Connections is the largest number of connections of callers. Other daemons may have half as many.
+	Connections int
+	// Fields is the largest number of header fields of a request.
+	Fields int
+	// Rate is the least rate of a request's body in bytes per second, after its first ten seconds.
+	Rate int64
+}
+
 // Listen holds the addresses on which a daemon listens.
 type Listen struct {
 	// Caller is for the requests of callers.
@@ -89,9 +102,9 @@
 func (s Settings) Equal(other Settings) bool { return reflect.DeepEqual(s, other) }
 
 // CanReload reports whether a running daemon can change from one of the settings to the other without a restart. This
-// requires that identity, place, addresses, key, backend server, store and header fields are the same in both.
+// requires that identity, place, addresses, key, backend server, store, header fields and memory are the same in both.
 func CanReload(a, b Settings) bool {
 	return a.ID == b.ID && a.Service == b.Service && a.Place == b.Place && a.Listen == b.Listen &&
 		a.Advertise == b.Advertise && a.Backend == b.Backend && a.Store == b.Store &&
-		a.Key == b.Key && a.Fields == b.Fields
+		a.Key == b.Key && a.Fields == b.Fields && a.Limits.Memory == b.Limits.Memory
 }
