httpserve, daemon, http1: stalled connections keep no readiness check out

Cause: the servers for readiness checks, announcements and operators stopped accepting at 128 connections, so that a crowd of stalled ones kept others out for 5 s.

Change: at 64 connections, a new one replaces the one without a change for longest. A request whose body needs no acceptance allocates no channel for it.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"net"
 	"net/http"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sys/unix"
 
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
@@ -21,7 +19,7 @@
 	// of other daemons may use. The rest is for connections to other daemons and the backend server.
 	callerShare, peerShare = 2, 4
 	// auxConnections bounds the connections of each server for readiness checks, announcements and operators.
-	auxConnections = 128
+	auxConnections = 64
 	// auxMaxBody is the largest body in bytes that those servers read.
 	auxMaxBody = 128 << 10
 )
@@ -56,12 +54,12 @@
 	return limits
 }
 
-// limitAuxiliary bounds the connections of a listener and the bodies of a handler. A request with a body that its path does
+// limitBodies bounds the bodies that a handler reads. A request with a body that its path does
 // not expect is the last one of its connection, so that the body need not be read.
-func limitAuxiliary(listener net.Listener, handler http.Handler, expectsBody bool) (net.Listener, http.Handler) {
+func limitBodies(handler http.Handler, expectsBody bool) http.Handler {
 	limited := http.MaxBytesHandler(handler, auxMaxBody)
 
-	return netutil.LimitListener(listener, auxConnections), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !expectsBody && r.ContentLength != 0 {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -162,12 +162,13 @@
 			return
 		}
 
-		listener, handler = limitAuxiliary(listener, handler, expectsBody)
 		server := &http.Server{
-			Handler: handler, ReadHeaderTimeout: auxHeaderTimeout, ReadTimeout: auxReadTimeout, IdleTimeout: auxIdleTimeout,
+			Handler: limitBodies(handler, expectsBody), ReadHeaderTimeout: auxHeaderTimeout, ReadTimeout: auxReadTimeout, IdleTimeout: auxIdleTimeout,
 			WriteTimeout: auxWriteTimeout, MaxHeaderBytes: auxMaxHeader, ErrorLog: log.New(io.Discard, "", 0),
 		}
 
+		httpserve.LimitConnections(server, auxConnections)
+
 		actors = append(actors, func(ctx context.Context) error {
 			return errors.Wrap(httpserve.Run(ctx, server, listener, auxShutdownTimeout), "serve")
 		})
--- a/internal/http1/accept_body.go
+++ b/internal/http1/accept_body.go
@@ -22,6 +22,10 @@
 // and a time of zero mean those of the server. Only the first call counts. Without it, Body accepts the body. If the
 // request is answered without either, its body is not read, and the connection is closed.
 func (x *Exchange) AcceptBody(limit int64, timeout time.Duration) {
+	if x.needless {
+		return
+	}
+
 	x.accepting.Do(func() {
 		x.bodyLimit, x.bodyTimeout = limit, timeout
 		close(x.accepted)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -55,7 +55,8 @@
 	// needless is set if the body needs no acceptance: there is none, it has arrived with the head, or the peer sends it
 	// only after 100 Continue.
 	needless bool
-	// accepting guards the decision whether the body is read: accepted is closed, or unread is set.
+	// accepting guards the decision whether the body is read: accepted is closed, or unread is set. accepted is nil
+	// if the body needs no acceptance.
 	accepting   sync.Once
 	accepted    chan struct{}
 	unread      bool
@@ -68,10 +69,13 @@
 func newExchange(c *conn, r *http.Request) *Exchange {
 	x := &Exchange{
 		Request: r, conn: c, done: make(chan struct{}), bodyRead: make(chan struct{}), bodyLimit: -1,
-		accepted: make(chan struct{}),
 	}
 	x.needless = !hasBody(r) || r.ContentLength > 0 && r.ContentLength <= int64(c.reader.Buffered()) ||
 		c.server.skipsBody && expectsContinue(r)
+	if !x.needless {
+		x.accepted = make(chan struct{})
+	}
+
 	x.holding = c.server.memory.Open(x.abortBody)
 	x.users.Store(2)
 
--- a/internal/http1/receive_body.go
+++ b/internal/http1/receive_body.go
@@ -92,16 +92,10 @@
 func newBodyReader(x *Exchange, r *http.Request, limits Limits) *bodyReader {
 	b := &bodyReader{
 		exchange: x, request: r, limit: limits.Body, rate: float64(limits.Rate),
-		started: time.Now(), timeout: limits.BodyTimeout,
+		started: time.Now(), timeout: cmp.Or(x.bodyTimeout, limits.BodyTimeout),
 	}
-
-	// Without a need for acceptance, it may come while the body is read.
-	if !x.needless {
-		if x.bodyLimit >= 0 {
-			b.limit = min(b.limit, x.bodyLimit)
-		}
-
-		b.timeout = cmp.Or(x.bodyTimeout, b.timeout)
+	if x.bodyLimit >= 0 {
+		b.limit = min(b.limit, x.bodyLimit)
 	}
 
 	return b
