--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -39,9 +39,13 @@
 	// Unauthenticated means that the API key of the request is missing or unknown.
 	Unauthenticated Reason = "unauthenticated"
 	// RateLimit means that the tenant has used up its rate limit.
-	RateLimit         Reason = "rate-limit"
-	BodyTooLarge      Reason = "body-too-large"
-	BodyBroken        Reason = "body-broken"
+	RateLimit    Reason = "rate-limit"
+	BodyTooLarge Reason = "body-too-large"
+	BodyBroken   Reason = "body-broken"
+	// BodySlow means that the body arrived below the minimum rate, or not in time.
+	BodySlow Reason = "body-slow"
+	// MemoryFull means that there is no memory for the body.
+	MemoryFull        Reason = "memory"
 	TooDeep           Reason = "too-deep"
 	Deadline          Reason = "deadline"
 	ShuttingDown      Reason = "shutting-down"
@@ -64,6 +68,7 @@
 	RateLimit:         http.StatusTooManyRequests,
 	BodyTooLarge:      http.StatusRequestEntityTooLarge,
 	BodyBroken:        http.StatusBadRequest,
+	BodySlow:          http.StatusRequestTimeout,
 	TooDeep:           http.StatusLoopDetected,
 	KeyReused:         http.StatusUnprocessableEntity,
 	KeyInvalid:        http.StatusBadRequest,
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -202,6 +202,7 @@
 	d.configReads.export(m)
 	d.exportQuota(state)
 	d.exportEpoch()
+	d.exportHeld()
 	d.exportStore()
 }
 
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -139,7 +139,7 @@
 		}
 
 		if hasNoInput(c.net) {
-			c.reused, c.received = true, false
+			c.reused, c.received, c.interim = true, false, 0
 
 			return c, nil
 		}
@@ -224,6 +224,8 @@
 	reused bool
 	// received is set once a byte has arrived since the connection was taken from the pool.
 	received bool
+	// interim is the number of interim responses since the last final one.
+	interim int
 	// carried is the history of the requests that have an identifier.
 	carried history
 	// released is the time at which the connection was last returned to the pool.
@@ -279,41 +281,27 @@
 	return writeHeader(c.writer, r.Header, length, r.OmitZeroLength && length == 0)
 }
 
-// WriteBody sends the body of a request whose head WriteHead has sent.
-func (c *ClientConn) WriteBody(body []byte) error {
-	_, _ = c.writer.Write(body)
-
-	return errors.Wrap(c.writer.Flush(), "write request")
-}
-
-// Read returns the next response on the connection, which may be an interim response. It returns ErrHeadTooLarge if the
-// interim responses and the head of the final response exceed the limit of the pool.
-func (c *ClientConn) Read(method string) (*http.Response, error) {
-	if !c.input.limited {
-		c.input.setLimit(c.pool.maxHead)
+// WriteParts sends a request whose body is the given parts, one after the other; Request.Body is not sent.
+func (c *ClientConn) WriteParts(r Request, parts ...[]byte) error {
+	length := int64(0)
+	for _, part := range parts {
+		length += int64(len(part))
 	}
 
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-
-	switch {
-	case err == nil && response.StatusCode >= http.StatusOK:
-		c.input.clearLimit()
-	case err != nil && errors.Is(c.input.err, ErrHeadTooLarge):
-		// The parser may report an incomplete head as a malformed one.
-		err = ErrHeadTooLarge
+	if err := c.bufferHead(r, length); err != nil {
+		return err
 	}
 
-	return response, errors.Wrap(err, "read response")
+	return c.WriteBody(parts...)
 }
 
-// ReadFinal returns the next final response and skips interim responses. Errors are those of Read.
-func (c *ClientConn) ReadFinal(method string) (*http.Response, error) {
-	for {
-		response, err := c.Read(method)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
+// WriteBody sends the body of a request whose head WriteHead has sent, in parts.
+func (c *ClientConn) WriteBody(parts ...[]byte) error {
+	for _, part := range parts {
+		_, _ = c.writer.Write(part)
 	}
+
+	return errors.Wrap(c.writer.Flush(), "write request")
 }
 
 // Received reports whether a byte of a response has arrived since the connection was taken from the pool.
--- a/internal/routing/hedge_delay.go
+++ b/internal/routing/hedge_delay.go
@@ -138,7 +138,7 @@
 		qualified = qualified[:firstRemote]
 	}
 
-	chosen := s.pickCheapest(qualified)
+	chosen := s.pickCheapest(qualified, qualified)
 	chosen.hedgeLimit = limit
 
 	return chosen, needed - a.runTime(now)
