core, routing, membership: evacuation of failure domains

An operator's record asks that no new request reaches the servers of a failure domain. core.EvacuationsRead reports the evacuated domains as of a position of the topic; an older list, one that may be outdated, or a return of the store from an older copy ends no evacuation. Routing excludes servers of evacuated domains for first attempts, retries and hedges, and refuses a request at once if all domains of its service are evacuated. The daemon beside such a server refuses attempts, waiting ones included, and reports the server as closed. An entry that has not heard chooses again without losing an attempt.

While reads fail, a daemon that is behind another one fetches the configuration from the nearest daemon that has it, one at a time.

--- a/internal/admission/messages.go
+++ b/internal/admission/messages.go
@@ -91,6 +91,8 @@
 	TooSlow Reason = "too-slow"
 	// Draining means that the daemon or the backend server finishes its work and takes no more.
 	Draining Reason = "draining"
+	// Evacuated means that the failure domain is evacuated.
+	Evacuated Reason = "evacuated"
 	// ServerDown means that the backend server cannot be reached.
 	ServerDown Reason = "server-down"
 	// ServerFailing means that the circuit breaker of the backend server is open.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -126,17 +126,24 @@
 	closing bool
 	// newestVersion is the highest manifest version heard from another daemon.
 	newestVersion uint64
-	// rereadAt is when to read the manifest again; zero if no daemon has a newer one. rereadInterval is the time until the
+	// read is the position up to which the topic of the configuration was read, newestRead the newest one heard from
+	// another daemon.
+	read, newestRead store.Position
+	evacuations      evacuations
+	fetches          fetches
+	// rereadAt is when to read the topic again; zero if no daemon has read more of it. rereadInterval is the time until the
 	// read after that.
 	rereadAt       time.Time
 	rereadInterval time.Duration
 	// epoch is the newest epoch that the store has stated, and heardEpoch the newest one heard from another daemon.
 	epoch, heardEpoch store.Epoch
 	// publishedReport is the load report that routing and the other daemons received last, publishedVersion the version of
-	// the manifest, and publishedEpoch the epoch of the store that the other daemons received with it.
+	// the manifest, publishedEpoch the epoch of the store and publishedRead the position that the other daemons received
+	// with it.
 	publishedReport  load.Report
 	publishedVersion uint64
 	publishedEpoch   store.Epoch
+	publishedRead    store.Position
 	// reportedServer is the backend server that the last ServerReplaced named.
 	reportedServer   backend.ID
 	nextSuspectsTick time.Time
@@ -178,6 +185,7 @@
 		localAttempts:           make(map[admission.Attempt]*localAttempt),
 		splits:                  make(map[string]*split),
 		notices:                 make(map[instance.ID]backend.Notice),
+		fetches:                 newFetches(options.Seed),
 		random:                  rand.New(rand.NewPCG(options.Seed, splitRandomStream)),
 		origins:                 origins{callerRoutes: make(map[string]bool)},
 		refusedRequests:         refusedRequests{byFingerprint: make(map[request.Fingerprint]refusedRequest)},
@@ -218,6 +226,12 @@
 		return s.handleServerCrashed(now)
 	case ManifestRead:
 		return s.handleManifestRead(now, e)
+	case EvacuationsRead:
+		return s.handleEvacuationsRead(now, e)
+	case StoreRead:
+		return s.handleStoreRead(now, e)
+	case FetchEnded:
+		return s.handleFetchEnded(now, e)
 	case EpochSeen:
 		return s.handleEpochSeen(now, e)
 	case DrainStarted:
@@ -281,6 +295,7 @@
 	effects = append(effects, s.applyHealth(now, health.Tick{})...)
 	effects = append(effects, s.handleMembershipEffects(now, s.membership.Apply(now, membership.Tick{}))...)
 	effects = append(effects, s.requestNewerManifest(now)...)
+	effects = append(effects, s.startFetch(now)...)
 	effects = append(effects, s.tickKeys(now)...)
 
 	if !now.Before(s.nextSuspectsTick) {
@@ -295,12 +310,16 @@
 func (s *State) Next() time.Time {
 	return times.Next(
 		s.routing.Next(), s.admission.Next(), s.health.Next(), s.membership.Next(), s.rereadAt, s.nextKeysTick(),
-		s.limitTimer,
+		s.limitTimer, s.fetches.dueAt,
 	)
 }
 
 // handleManifestRead puts a manifest in force unless its version is the present one or older.
 func (s *State) handleManifestRead(now time.Time, e ManifestRead) []Effect {
+	if e.End > 0 {
+		s.recordRead(store.Position{Epoch: e.Epoch, Offset: e.End})
+	}
+
 	if e.Version < s.version || e.Version == s.version && !s.replacesManifest(e) {
 		return nil
 	}
@@ -328,48 +347,6 @@
 	return !reflect.DeepEqual(e.Manifest, s.manifest)
 }
 
-const (
-	// newVersionWait is how long a newer version that another daemon has may take to arrive from the store by itself.
-	// After it, the daemon reads the store again.
-	newVersionWait = 400 * time.Millisecond
-	// minRereadInterval and maxRereadInterval bound the time between two such reads, which doubles each time: a store that
-	// came back from an older copy may lack the version until the operator publishes again.
-	minRereadInterval = 2 * time.Second
-	maxRereadInterval = 32 * time.Second
-)
-
-// handleVersionHeard records the manifest version of another daemon and schedules a read if it is the newest.
-func (s *State) handleVersionHeard(now time.Time, version uint64) {
-	if version <= s.version || version <= s.newestVersion {
-		return
-	}
-
-	s.newestVersion, s.rereadInterval = version, minRereadInterval
-	if s.rereadAt.IsZero() {
-		s.rereadAt = now.Add(newVersionWait)
-	}
-}
-
-// ManifestBehind reports whether another daemon has a newer manifest in force.
-func (s *State) ManifestBehind() bool { return s.newestVersion > s.version }
-
-// requestNewerManifest asks for the manifest again if another daemon has had a newer version for newVersionWait.
-func (s *State) requestNewerManifest(now time.Time) []Effect {
-	switch {
-	case s.newestVersion <= s.version:
-		s.rereadAt = time.Time{}
-
-		return nil
-	case s.rereadAt.IsZero() || now.Before(s.rereadAt):
-		return nil
-	}
-
-	s.rereadAt = now.Add(s.rereadInterval)
-	s.rereadInterval = min(2*s.rereadInterval, maxRereadInterval)
-
-	return []Effect{RereadManifest{Version: s.newestVersion}}
-}
-
 // drain tells other daemons to send no more work, and makes the key table hand over its entries.
 func (s *State) drain(now time.Time) []Effect {
 	s.draining = true
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -20,11 +20,12 @@
 func EventKinds() (*trace.Kinds[Event], error) {
 	return trace.NewKinds[Event](
 		Started{}, RequestArrived{}, OwnedArrived{}, Answered{}, RequestCancelled{}, AttemptEnded{},
-		AttemptArrived{}, AttemptServed{}, ServerCrashed{}, ManifestRead{}, EpochSeen{}, DrainStarted{}, Closing{},
-		Resumed{}, Tick{},
+		AttemptArrived{}, AttemptServed{}, ServerCrashed{}, ManifestRead{}, EvacuationsRead{}, StoreRead{}, FetchEnded{},
+		EpochSeen{}, DrainStarted{}, Closing{}, Resumed{}, Tick{},
 
 		routing.Arrived{}, routing.Accepted{}, routing.Ended{}, routing.Cancelled{}, routing.Reported{},
-		routing.MembersChanged{}, routing.PolicyChanged{}, routing.Restarted{}, routing.Closing{}, routing.Tick{},
+		routing.MembersChanged{}, routing.PolicyChanged{}, routing.EvacuationsChanged{}, routing.Restarted{},
+		routing.Closing{}, routing.Tick{},
 
 		admission.Arrived{}, admission.Done{}, admission.Cancelled{}, admission.ServerChanged{}, admission.Tick{},
 
@@ -50,8 +51,8 @@
 // one.
 func EffectKinds() (*trace.Kinds[Effect], error) {
 	return trace.NewKinds[Effect](
-		Refuse{}, Forward{}, FollowGrants{}, ManifestChanged{}, RereadManifest{}, StoreReturned{}, CheckStore{},
-		ServerReplaced{}, ServerChanged{},
+		Refuse{}, Forward{}, FollowGrants{}, ManifestChanged{}, RereadManifest{}, EvacuationsChanged{},
+		FetchConfiguration{}, StoreReturned{}, CheckStore{}, ServerReplaced{}, ServerChanged{},
 
 		routing.Attempt{}, routing.CancelAttempt{}, routing.Deliver{}, routing.GiveUp{},
 
@@ -64,7 +65,8 @@
 		suspects.Announce{},
 
 		membership.ReadEntries{}, membership.WriteEntry{}, membership.SendBeat{}, membership.MembersChanged{},
-		membership.Reported{}, membership.MessageHeard{}, membership.VersionHeard{}, membership.EpochHeard{}, membership.Ready{},
+		membership.Reported{}, membership.MessageHeard{}, membership.VersionHeard{}, membership.PositionHeard{},
+		membership.EpochHeard{}, membership.Ready{},
 	)
 }
 
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -37,6 +37,10 @@
 			s.handleSuspectsMessage(now, e.Message)
 		case membership.VersionHeard:
 			s.handleVersionHeard(now, e.Version)
+			s.recordHeldVersion(now, e)
+		case membership.PositionHeard:
+			s.handlePositionHeard(now, e.Position)
+			s.recordHeldPosition(now, e)
 		case membership.EpochHeard:
 			all = append(all, s.handleEpochHeard(e.Epoch)...)
 		case membership.Ready:
@@ -114,7 +118,14 @@
 	Crashes int
 	Version uint64
 	// Epoch is the newest epoch that the store has stated; zero if it states none.
-	Epoch      store.Epoch
+	Epoch store.Epoch
+	// Read is the position up to which the topic of the configuration was read.
+	Read store.Position
+	// Evacuated holds the evacuated failure domains. OwnEvacuated is set if that of this daemon is one of them.
+	Evacuated    []string
+	OwnEvacuated bool
+	// Unreadable is set while the configuration cannot be read from the store.
+	Unreadable bool
 	Draining   bool
 	Routing    routing.Dump
 	Admission  admission.Dump
@@ -131,7 +142,8 @@
 func (s *State) Dump(now time.Time) Dump {
 	d := Dump{
 		Requests: len(s.requests), Serving: len(s.localAttempts), Crashes: s.crashCount, Version: s.version,
-		Epoch: s.epoch, Draining: s.draining, Routing: s.routing.Dump(now), Admission: s.admission.Dump(),
+		Epoch: s.epoch, Read: s.read, Evacuated: s.Evacuated(), OwnEvacuated: s.ownDomainEvacuated(),
+		Unreadable: s.fetches.unreadable, Draining: s.draining, Routing: s.routing.Dump(now), Admission: s.admission.Dump(),
 		Health: s.health.Dump(now), Suspects: s.suspects.Dump(now), Membership: s.membership.Dump(now),
 		Told: s.publishedReport,
 	}
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -81,13 +81,35 @@
 	}
 	// ServerCrashed reports that the local backend server has crashed.
 	ServerCrashed struct{}
-	// ManifestRead reports a manifest that was read from the store.
+	// ManifestRead reports a manifest that was read from the store, or by another daemon from which it was fetched.
 	ManifestRead struct {
-		// Epoch is the epoch of the store in which it was read.
+		// Epoch is the epoch of the store in which it was read, and End the offset up to which its topic was read with it;
+		// zero if unknown.
 		Epoch    store.Epoch
+		End      int64
 		Version  uint64
 		Manifest manifest.Manifest
 	}
+	// EvacuationsRead reports the evacuated failure domains, as read from the topic of the configuration or fetched from
+	// another daemon.
+	EvacuationsRead struct {
+		// At is the position up to which the topic was read.
+		At store.Position
+		// Domains holds all evacuated domains.
+		Domains []string
+		// Ended holds the domains whose evacuation was ended by a record that was read this time.
+		Ended []string
+		// Incomplete is set if the topic may have later records, because a list of the newest ones may be outdated.
+		Incomplete bool
+	}
+	// StoreRead reports that reads of the configuration from the store have begun to fail, or to succeed again.
+	StoreRead struct{ Failed bool }
+	// FetchEnded reports the end of FetchConfiguration. What was fetched comes before it, as other events.
+	FetchEnded struct {
+		From instance.ID
+		// Failed is set if the daemon could not be asked or had nothing new.
+		Failed bool
+	}
 	// EpochSeen reports the epoch that a response of the store has stated, whatever its topic. It comes before what the
 	// response holds.
 	EpochSeen struct{ Epoch store.Epoch }
@@ -125,8 +147,27 @@
 		Version  uint64
 		Manifest manifest.Manifest
 	}
-	// RereadManifest reads the manifest again, because another daemon has the newer Version.
-	RereadManifest struct{ Version uint64 }
+	// RereadManifest reads the topic of the configuration again, because another daemon has the newer Version or has read
+	// it up to the position Read.
+	RereadManifest struct {
+		Version uint64
+		Read    store.Position
+	}
+	// EvacuationsChanged reports which failure domains are evacuated, for the log.
+	EvacuationsChanged struct {
+		// At is the position as of which they are known.
+		At                    store.Position
+		Domains, Began, Ended []string
+		// Own is set if the domain of this daemon is evacuated.
+		Own bool
+	}
+	// FetchConfiguration fetches the configuration from another daemon, because the store cannot be read. Version and Read
+	// are what this daemon has. FetchEnded follows.
+	FetchConfiguration struct {
+		From    instance.Member
+		Version uint64
+		Read    store.Position
+	}
 	// StoreReturned reports that the store has come back from an older copy. What the daemon has read from its topics may
 	// be lost, and other records may have taken the offsets.
 	StoreReturned struct{ Epoch, Previous store.Epoch }
--- a/internal/core/serving.go
+++ b/internal/core/serving.go
@@ -147,7 +147,7 @@
 
 // updateAdmission tells admission which attempts the backend server can take.
 func (s *State) updateAdmission(now time.Time) []Effect {
-	refusalReason := s.health.RefusalReason()
+	refusalReason := s.serverRefusalReason()
 	if s.closing {
 		refusalReason = admission.Draining
 	}
@@ -203,7 +203,8 @@
 }
 
 // publishLoad reports the load of the local server to routing and the other daemons if it has changed enough, or if
-// there is another version of the manifest or epoch of the store, which the other daemons learn with it.
+// there is another version of the manifest, epoch of the store or position in the topic of the configuration, which the
+// other daemons learn with it.
 func (s *State) publishLoad(now time.Time) []Effect {
 	s.concurrency.SetLoad(now, s.admission.Running(), s.health.Slowness())
 
@@ -213,20 +214,20 @@
 	s.updateLimitTimer(now)
 
 	report := s.loadReport(now)
-	known := s.publishedVersion == s.version && s.publishedEpoch == s.epoch
+	known := s.publishedVersion == s.version && s.publishedEpoch == s.epoch && s.publishedRead == s.read
 	if known && !changedSignificantly(s.publishedReport, report) {
 		return effects
 	}
 
-	s.publishedReport, s.publishedVersion, s.publishedEpoch = report, s.version, s.epoch
+	s.publishedReport, s.publishedVersion, s.publishedEpoch, s.publishedRead = report, s.version, s.epoch, s.read
 
 	ownReport := report
 	// A draining daemon tells others to send no more work, but still uses its own server.
-	ownReport.Open = s.health.RefusalReason() == ""
+	ownReport.Open = s.serverRefusalReason() == ""
 	effects = append(effects, s.handleRoutingEffects(now, s.routing.Apply(now, routing.Reported{Report: ownReport}))...)
 
 	return append(effects, s.handleMembershipEffects(now, s.membership.Apply(now, membership.LoadChanged{
-		Report: report, Version: s.version, Epoch: s.epoch,
+		Report: report, Version: s.version, Epoch: s.epoch, Read: s.read,
 	}))...)
 }
 
@@ -243,7 +244,7 @@
 func (s *State) loadReport(now time.Time) load.Report {
 	return s.limitReport(now, load.Report{
 		Server: s.options.Self.ID, Incarnation: s.membership.Self().Member.Incarnation,
-		Open:    s.health.RefusalReason() == "" && !s.draining,
+		Open:    s.serverRefusalReason() == "" && !s.draining,
 		Running: s.admission.Running(), Waiting: s.admission.Waiting(), Slots: s.slotLimit,
 		Slowness: s.health.Slowness(), Failing: s.health.FailureShare(now), ColdFor: s.health.ColdFor(now),
 		Counter: s.reportCounter(now), Found: s.concurrency.OwnFinding(now),
--- a/internal/daemon/reply.go
+++ b/internal/daemon/reply.go
@@ -60,7 +60,7 @@
 	}
 
 	switch admission.Reason(reason) {
-	case admission.Draining, admission.ServerDown, admission.ServerFailing, admission.ServerUnknown:
+	case admission.Draining, admission.Evacuated, admission.ServerDown, admission.ServerFailing, admission.ServerUnknown:
 		return true
 	default:
 		return false
--- a/internal/membership/beats.go
+++ b/internal/membership/beats.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
+	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/times"
 )
 
@@ -32,10 +33,20 @@
 func (s *State) newBeat(watch, greeting bool) Beat {
 	return Beat{
 		From: s.self.Member, References: true, Watch: watch, Greeting: greeting, Version: s.version, Epoch: s.epoch,
-		Report: s.report,
+		End: s.readEnd(), Report: s.report,
 	}
 }
 
+// readEnd returns the offset up to which this daemon has read the topic of the configuration, if that is of the epoch
+// that its beats state.
+func (s *State) readEnd() int64 {
+	if s.read.Epoch != s.epoch {
+		return 0
+	}
+
+	return s.read.Offset
+}
+
 func (s *State) beatHeard(now time.Time, e BeatHeard) []Effect {
 	b, resolved, effects := s.resolveSender(now, e)
 	if !resolved || b.From.ID == s.self.Member.ID {
@@ -88,6 +99,10 @@
 		effects = append(effects, VersionHeard{Version: b.Version, From: p.member})
 	}
 
+	if position := (store.Position{Epoch: b.Epoch, Offset: b.End}); b.End > 0 && position.After(s.read) {
+		effects = append(effects, PositionHeard{Position: position, From: p.member})
+	}
+
 	if b.Epoch > s.epoch {
 		effects = append(effects, EpochHeard{Epoch: b.Epoch})
 	}
@@ -97,9 +112,9 @@
 
 func (s *State) loadChanged(now time.Time, e LoadChanged) []Effect {
 	kind := classifyChange(s.baseline, e.Report)
-	newVersion := e.Version != s.version
+	readMore := e.Version != s.version || e.Read.After(s.read)
 	returned := e.Epoch > s.epoch && s.epoch != 0
-	s.report, s.version, s.epoch = e.Report, e.Version, e.Epoch
+	s.report, s.version, s.epoch, s.read = e.Report, e.Version, e.Epoch, e.Read
 
 	if kind > requestCountChange {
 		s.baseline = e.Report
@@ -108,7 +123,7 @@
 	switch {
 	case returned:
 		return append(s.notifyWatchers(now, urgentChange), s.notifyWatched(now)...)
-	case newVersion:
+	case readMore:
 		return append(s.notifyWatchers(now, loadChange), s.notifyWatched(now)...)
 	default:
 		return s.notifyWatchers(now, kind)
@@ -135,8 +150,8 @@
 	noChange change = iota
 	// requestCountChange is a changed number of requests at the server.
 	requestCountChange
-	// loadChange is another change of the load, or another version of the configuration. Like requestCountChange, it is
-	// left to the next idle beat if the budget is spent.
+	// loadChange is another change of the load, or that more of the configuration's topic was read. Like
+	// requestCountChange, it is left to the next idle beat if the budget is spent.
 	loadChange
 	// urgentChange is sent regardless of the budget: without it, others would send requests to a daemon that does not
 	// accept them.
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -45,6 +45,7 @@
 	fieldWaiting
 	fieldReference
 	fieldEpoch
+	fieldEnd
 )
 
 const (
@@ -70,6 +71,7 @@
 
 	out = appendNumber(out, fieldVersion, b.Version)
 	out = appendNumber(out, fieldEpoch, uint64(b.Epoch))
+	out = appendNumber(out, fieldEnd, uint64(max(0, b.End)))
 
 	flags := uint64(0)
 	if b.Watch {
@@ -198,10 +200,14 @@
 		}
 	}
 
+	if numbers[fieldEnd] > math.MaxInt64 {
+		return Beat{}, errors.Wrap(errBadBeat, "end")
+	}
+
 	flags := numbers[fieldFlags]
 	beat := Beat{
 		References: flags&flagReferences != 0, Watch: flags&flagWatch != 0, Greeting: flags&flagGreeting != 0,
-		Version: numbers[fieldVersion], Epoch: store.Epoch(numbers[fieldEpoch]),
+		Version: numbers[fieldVersion], Epoch: store.Epoch(numbers[fieldEpoch]), End: int64(numbers[fieldEnd]),
 	}
 
 	switch reference := numbers[fieldReference]; {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -75,7 +75,9 @@
 	// version is the version of the configuration in force at this daemon.
 	version uint64
 	// epoch is the newest epoch that the store has stated to this daemon; zero if it states none.
-	epoch  store.Epoch
+	epoch store.Epoch
+	// read is the position up to which this daemon has read the topic of the configuration.
+	read   store.Position
 	random *rand.Rand
 	peers  map[instance.ID]*peer
 	// order lists the peers by ID, so that effects do not depend on map order.
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -44,7 +44,9 @@
 	// Version is the version of the configuration in force at the sender.
 	Version uint64
 	// Epoch is the newest epoch that the store has stated to the sender; zero if it states none.
-	Epoch  store.Epoch
+	Epoch store.Epoch
+	// End is the offset up to which the sender has read the topic of the configuration in Epoch; zero if it has read none.
+	End    int64
 	Report load.Report
 	// Message is a message to all daemons; nil if there is none. This package does not interpret it.
 	Message []byte
@@ -78,12 +80,13 @@
 	}
 	// SelfChanged replaces the daemon's own entry.
 	SelfChanged struct{ Entry Entry }
-	// LoadChanged reports the load of the daemon's own server, the version of the configuration in force, and the epoch of
-	// the store.
+	// LoadChanged reports the load of the daemon's own server, the version of the configuration in force, the epoch of the
+	// store, and the position up to which the topic of the configuration was read.
 	LoadChanged struct {
 		Report  load.Report
 		Version uint64
 		Epoch   store.Epoch
+		Read    store.Position
 	}
 	// BudgetChanged limits the traffic of beats that report a change of the load.
 	BudgetChanged struct {
@@ -126,6 +129,11 @@
 		Version uint64
 		From    instance.Member
 	}
+	// PositionHeard reports that a member has read more of the topic of the configuration.
+	PositionHeard struct {
+		Position store.Position
+		From     instance.Member
+	}
 	// EpochHeard reports that a member has seen a newer epoch of the store.
 	EpochHeard struct{ Epoch store.Epoch }
 	// Ready reports that the first read of the entries has ended, successfully or not.
@@ -157,6 +165,7 @@
 func (MembersChanged) isEffect() {}
 func (Reported) isEffect()       {}
 func (VersionHeard) isEffect()   {}
+func (PositionHeard) isEffect()  {}
 func (EpochHeard) isEffect()     {}
 func (MessageHeard) isEffect()   {}
 func (Ready) isEffect()          {}
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -166,7 +166,7 @@
 
 	for _, remote := range []bool{false, true} {
 		for _, srv := range f.service.servers {
-			if remote == (srv.distance == otherRegion) && f.allows(srv) && srv.isOpen(now) &&
+			if remote == (srv.distance == otherRegion) && f.allows(srv) && srv.isOpen(now) && !s.isEvacuated(srv) &&
 				!f.excludes(now, srv) && f.service.linkAllows(now, srv) {
 				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv)})
 			}
--- a/internal/routing/dump.go
+++ b/internal/routing/dump.go
@@ -33,13 +33,15 @@
 // DumpServer describes one server of a Dump. Ahead is the number of requests that run or wait at it, and Avoid is how
 // much longer it gets no new attempts.
 type DumpServer struct {
-	ID       instance.ID
-	Service  string
-	Open     bool
-	Ahead    int
-	Slots    int
-	Slowness float64
-	Failing  float64
+	ID      instance.ID
+	Service string
+	// Evacuated is set if the failure domain of the server is evacuated.
+	Evacuated bool
+	Open      bool
+	Ahead     int
+	Slots     int
+	Slowness  float64
+	Failing   float64
 	// Age is the age of the last load report; negative if there is none.
 	Age   time.Duration
 	Avoid time.Duration
@@ -60,7 +62,7 @@
 		}
 
 		d.Servers = append(d.Servers, DumpServer{
-			ID: id, Service: srv.service.name, Open: srv.isOpen(now),
+			ID: id, Service: srv.service.name, Open: srv.isOpen(now), Evacuated: s.isEvacuated(srv),
 			Ahead: srv.requestsAhead(now, request.LowRank), Slots: srv.slots(),
 			Slowness: srv.slowness(now), Failing: srv.report.Failing, Age: age,
 			Avoid: max(0, srv.avoidUntil.Sub(now)),
--- a/internal/routing/ending.go
+++ b/internal/routing/ending.go
@@ -80,6 +80,9 @@
 
 	// The jitter is as long as the wait: callers that were refused at the same time return spread over that period.
 	base := max(minRetryAfter, shortest)
+	if f.giveUpReason == Evacuated {
+		base = max(evacuatedRetryAfter, base)
+	}
 
 	return base + time.Duration(s.random.Int64N(int64(base)))
 }
--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -284,6 +284,10 @@
 func (s *State) nextStep(now time.Time, a *attempt, e Ended) []Effect {
 	f := a.flight
 
+	if e.isEvacuation() {
+		return s.handleEvacuated(now, a)
+	}
+
 	switch e.Outcome {
 	case Answered:
 		if e.Failure && s.mayRepeat(now, f) {
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -57,6 +57,8 @@
 		Failure bool
 		// Unusable is set if the server takes no attempt at all until it reports that it is open.
 		Unusable bool
+		// Evacuated is set if the attempt was refused because the failure domain of the server is evacuated.
+		Evacuated bool
 		// Dropped is set if the server probably dropped the connection before the request; see backend.ErrDropped.
 		Dropped bool
 		// Bytes is the size of the response body.
@@ -70,6 +72,8 @@
 	MembersChanged struct{ Members []instance.Member }
 	// PolicyChanged lists the services of the manifest in force, with their limits.
 	PolicyChanged struct{ Services []manifest.Service }
+	// EvacuationsChanged lists all failure domains whose servers get no new attempts.
+	EvacuationsChanged struct{ Domains []string }
 	// Restarted reports that the daemon has restarted; its previous run may have sent repeats a moment ago.
 	Restarted struct{}
 	// Closing gives up all requests, because the daemon is about to exit.
@@ -158,6 +162,8 @@
 	DeadlinePassed Reason = "deadline"
 	// NoServers means that the service has no servers.
 	NoServers Reason = "no-servers"
+	// Evacuated means that all failure domains with servers of the service are evacuated.
+	Evacuated Reason = "evacuated"
 	// Overloaded means that no server takes the request in time.
 	Overloaded Reason = "overloaded"
 	// ConnectionLost means that an attempt may have run, brought no response and must not be repeated.
@@ -168,16 +174,17 @@
 	ShuttingDown Reason = "shutting-down"
 )
 
-func (Arrived) isEvent()        {}
-func (Accepted) isEvent()       {}
-func (Ended) isEvent()          {}
-func (Cancelled) isEvent()      {}
-func (Reported) isEvent()       {}
-func (MembersChanged) isEvent() {}
-func (PolicyChanged) isEvent()  {}
-func (Restarted) isEvent()      {}
-func (Closing) isEvent()        {}
-func (Tick) isEvent()           {}
+func (Arrived) isEvent()            {}
+func (Accepted) isEvent()           {}
+func (Ended) isEvent()              {}
+func (Cancelled) isEvent()          {}
+func (Reported) isEvent()           {}
+func (MembersChanged) isEvent()     {}
+func (PolicyChanged) isEvent()      {}
+func (Restarted) isEvent()          {}
+func (EvacuationsChanged) isEvent() {}
+func (Closing) isEvent()            {}
+func (Tick) isEvent()               {}
 
 func (Attempt) isEffect()       {}
 func (CancelAttempt) isEffect() {}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -53,10 +53,12 @@
 
 // State holds the servers that an entry daemon knows and its requests in progress. It is not safe for concurrent use.
 type State struct {
-	self      instance.Member
-	random    *rand.Rand
-	repeats   Repeats
-	services  map[string]*service
+	self     instance.Member
+	random   *rand.Rand
+	repeats  Repeats
+	services map[string]*service
+	// evacuated is the set of evacuated failure domains.
+	evacuated map[string]bool
 	servers   map[instance.ID]*server
 	flights   map[request.ID]*flight
 	estimates map[string]*estimate
@@ -99,6 +101,7 @@
 		repeats:  Repeats{Share: defaultRepeatShare, Slack: defaultRepeatSlack, Window: defaultRepeatWindow},
 		services: make(map[string]*service), servers: make(map[instance.ID]*server),
 		flights: make(map[request.ID]*flight), estimates: make(map[string]*estimate),
+		evacuated: make(map[string]bool),
 	}
 	for _, option := range options {
 		option(s)
@@ -124,6 +127,8 @@
 		s.handleMembersChanged(now, e.Members)
 	case PolicyChanged:
 		s.applyPolicy(now, e.Services)
+	case EvacuationsChanged:
+		s.setEvacuated(e.Domains)
 	case Closing:
 		return s.handleClosing(now)
 	case Restarted:
--- a/internal/routing/script_test.go
+++ b/internal/routing/script_test.go
@@ -124,6 +124,8 @@
 		return routing.Closing{}
 	case "restarted":
 		return routing.Restarted{}
+	case "evacuated":
+		return routing.EvacuationsChanged{Domains: line.Words}
 	case "cancelled":
 		return routing.Cancelled{ID: request.ID(line.Word(0))}
 	default:
@@ -179,11 +181,13 @@
 	return []load.Calls{{Service: "route", Rate: rate}}
 }
 
-// parseEnded reads: ended ID [attempt=N] answered|refused|unreachable|broken|aborted [failure] [ran] [dropped] [bytes=N].
+// parseEnded reads: ended ID [attempt=N] answered|refused|unreachable|broken|aborted [failure] [ran] [dropped]
+// [evacuated] [bytes=N].
 func parseEnded(line script.Line) routing.Ended {
 	e := routing.Ended{
 		ID: request.ID(line.Word(0)), Number: line.Int("attempt", 0), Failure: line.Has("failure"),
 		Bytes: int64(line.Int("bytes", 1000)), Verdict: verdict.NotRun, Dropped: line.Has("dropped"),
+		Evacuated: line.Has("evacuated"),
 	}
 
 	switch {
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -121,7 +121,8 @@
 }
 
 // pauseOrGiveUp schedules the next choice of a server for a request that no server takes, or gives the request up. It
-// gives up at once if the service has no servers in an allowed region, the request is late, or no server can respond by the deadline.
+// gives up at once if the service has no servers in an allowed region or only evacuated ones, the request is late, or no
+// server can respond by the deadline.
 func (s *State) pauseOrGiveUp(now time.Time, f *flight, chosen choice) []Effect {
 	if f.liveAttempts() > 0 {
 		return nil
@@ -134,6 +135,8 @@
 		return s.giveUp(now, f, AttemptsExhausted)
 	case !slices.ContainsFunc(f.service.servers, f.allows):
 		return s.giveUp(now, f, NoServers)
+	case s.onlyEvacuated(f):
+		return s.giveUp(now, f, Evacuated)
 	case chosen.server != nil, chosen.late, f.pauses > f.pauseLimit():
 		return s.giveUp(now, f, Overloaded)
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -55,6 +55,9 @@
 	attempts []*attempt
 	// avoidUntil is the time until which the server gets no new attempts, after one without an answer.
 	avoidUntil time.Time
+	// evacuatedUntil is the time until which the server gets no new attempts, after its daemon has refused one because the
+	// failure domain is evacuated. A report that the server is open ends it.
+	evacuatedUntil time.Time
 	// acceptLatency covers attempts at this server.
 	acceptLatency acceptLatency
 	// consecutiveMisses is the number of consecutive attempts without an answer.
@@ -128,7 +131,7 @@
 func (srv *server) isOpen(now time.Time) bool {
 	closed := !srv.reportedAt.IsZero() && !srv.report.Open && now.Sub(srv.reportedAt) <= staleAfter
 
-	return srv.member.Usable() && !closed && !now.Before(srv.avoidUntil)
+	return srv.member.Usable() && !closed && !now.Before(srv.avoidUntil) && !now.Before(srv.evacuatedUntil)
 }
 
 // storeReport stores a report if it is newer than the last one, and reports whether it did.
@@ -145,6 +148,10 @@
 	srv.report, srv.reportedAt = report, now
 	srv.unreportedChange = 0
 
+	if report.Open {
+		srv.evacuatedUntil = time.Time{}
+	}
+
 	for _, a := range srv.attempts {
 		if !a.accepted {
 			srv.unreportedChange++
@@ -171,6 +178,7 @@
 // resetAfterRestart drops what is known of the previous run of the server's daemon.
 func (srv *server) resetAfterRestart() {
 	srv.recordAnswer()
+	srv.evacuatedUntil = time.Time{}
 	srv.report, srv.reportedAt = load.Report{}, time.Time{}
 	srv.unreportedChange = len(srv.attempts)
 }
--- a/internal/simulation/attempts.go
+++ b/internal/simulation/attempts.go
@@ -206,6 +206,7 @@
 		if a := p.incoming[e.Attempt]; a != nil {
 			a.reply(core.AttemptEnded{Ended: routing.Ended{
 				Outcome: routing.Refused, Verdict: verdict.NotRun, Unusable: makesUnusable(e.Reason),
+				Evacuated: e.Reason == admission.Evacuated,
 			}})
 		}
 	case admission.Abort:
@@ -218,7 +219,7 @@
 // makesUnusable reports whether a refusal with this reason means that the server accepts no attempts at all at present.
 func makesUnusable(reason admission.Reason) bool {
 	switch reason {
-	case admission.Draining, admission.ServerDown, admission.ServerFailing, admission.ServerUnknown:
+	case admission.Draining, admission.Evacuated, admission.ServerDown, admission.ServerFailing, admission.ServerUnknown:
 		return true
 	default:
 		return false
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -51,6 +51,11 @@
 // ValidIn reports whether the records before p are those that a log in the given epoch has before the same offset.
 func (p Position) ValidIn(epoch Epoch) bool { return p.Offset == 0 || p.Epoch == epoch }
 
+// After reports whether p stands after another position, in the same epoch or in a later one.
+func (p Position) After(other Position) bool {
+	return p.Epoch > other.Epoch || p.Epoch == other.Epoch && p.Offset > other.Offset
+}
+
 // Record is a record of a topic.
 type Record struct {
 	// Key is empty in a topic without keys.
