daemon, attempt, platform: evacuations and configurations of other daemons

The daemon learns of evacuated failure domains from the topic of the configuration, with the manifest and under one lock, so that no request is routed in between. A reason to read again names what another daemon has: a read that has it is not interrupted, and one that has just begun gets 250 ms.

While the store cannot be read, the daemon fetches the record of the configuration, the position and the evacuated domains from another daemon, at /configuration of the peer interface: 8 MiB at most, within 2 s, with the same decoding and validation as a record of the store. A daemon answers four others at a time. A daemon that starts may serve by this.

The test of a forged answer found that closing the body of an endless answer reads on until the fetch ends; the connection is closed instead.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -25,13 +25,13 @@
 const fleetKey = "0123456789abcdef"
 
 // serve starts the peer interface of a daemon that runs calls with the given function.
-func serve(t *testing.T, run attempt.ServeFunc) netip.AddrPort {
+func serve(t *testing.T, run attempt.ServeFunc, options ...attempt.HandlerOption) netip.AddrPort {
 	t.Helper()
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
-	server := http1.NewServer(attempt.NewHandler(fleetKey, run, run, func([]byte) error { return nil }))
+	server := http1.NewServer(attempt.NewHandler(fleetKey, run, run, func([]byte) error { return nil }, options...))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -46,6 +46,8 @@
 	OwnedPath = "/owned"
 	// HandoverPath receives a part of the key table of an owner that leaves the fleet.
 	HandoverPath = "/handover"
+	// ConfigurationPath returns the configuration that the daemon has.
+	ConfigurationPath = "/configuration"
 )
 
 // ErrMalformed is returned for a call or reply header that cannot be decoded.
--- a/internal/attempt/fuzz_test.go
+++ b/internal/attempt/fuzz_test.go
@@ -29,6 +29,23 @@
 	})
 }
 
+// Guards against a configuration from another daemon that crashes this one, or that decodes differently after it was
+// encoded again.
+func FuzzDecodeConfiguration(f *testing.F) {
+	f.Add(EncodeConfiguration(Configuration{Version: 7, Epoch: 1, Record: []byte("{}"), Evacuated: []string{"d1"}}))
+
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := DecodeConfiguration(data)
+		if err != nil {
+			return
+		}
+
+		again, err := DecodeConfiguration(EncodeConfiguration(c))
+		require.NoError(t, err)
+		require.Equal(t, EncodeConfiguration(c), EncodeConfiguration(again))
+	})
+}
+
 // Guards against a reply header from another daemon that crashes this one, or that decodes differently after it was
 // encoded again.
 func FuzzDecodeReply(f *testing.F) {
--- a/internal/attempt/server.go
+++ b/internal/attempt/server.go
@@ -44,7 +44,12 @@
 // NewHandler returns the handler for the requests of other daemons. It refuses requests without the fleet's key. It
 // passes calls for the local backend server to serve, calls whose idempotency key the daemon owns to owned, and parts
 // of key tables to handOver.
-func NewHandler(key string, serve, owned ServeFunc, handOver HandoverFunc) http1.Handler {
+func NewHandler(key string, serve, owned ServeFunc, handOver HandoverFunc, options ...HandlerOption) http1.Handler {
+	h := &handler{answers: make(chan struct{}, maxConfigurationAnswers)}
+	for _, option := range options {
+		option(h)
+	}
+
 	return http1.HandlerFunc(func(ctx context.Context, x *http1.Exchange) {
 		presented := x.Request.Header.Get(FleetKeyHeader)
 		if subtle.ConstantTimeCompare([]byte(presented), []byte(key)) != 1 {
@@ -60,12 +65,21 @@
 			serveCall(ctx, x, owned)
 		case HandoverPath:
 			serveHandover(x, handOver)
+		case ConfigurationPath:
+			h.serveConfiguration(x)
 		default:
 			respondStatus(x, http.StatusNotFound)
 		}
 	})
 }
 
+// handler holds what is optional in a handler.
+type handler struct {
+	configuration ConfigurationFunc
+	// answers holds a value for each answer with the configuration that is being sent.
+	answers chan struct{}
+}
+
 func serveHandover(x *http1.Exchange, handOver HandoverFunc) {
 	body, err := x.Body()
 	if err == nil {
--- a/internal/bind/bind.go
+++ b/internal/bind/bind.go
@@ -20,6 +20,7 @@
 	p.StoreCounts = func() daemon.StoreCounts { return daemon.StoreCounts(store.Counts()) }
 
 	p.ObserveEpoch = store.ObserveEpoch
+	p.EvacuatedDomain = platform.EvacuatedDomain
 
 	if fields == settings.PlatformFields {
 		p.Dialect = platform.Dialect()
--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/admission"
 	"github.com/tarragonmill/tarragonmill/internal/attempt"
 	"github.com/tarragonmill/tarragonmill/internal/caller"
 	"github.com/tarragonmill/tarragonmill/internal/core"
@@ -150,6 +151,7 @@
 	reply := response.Reply
 	ended.Ended.Verdict = reply.Verdict
 	ended.Ended.Unusable, ended.Ended.Dropped = reply.Unusable, reply.Dropped
+	ended.Ended.Evacuated = reply.Reason == string(admission.Evacuated)
 	ended.Report = reply.Report
 	ended.Notice = reply.Notice
 	ended.Crash = reply.Crash
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,7 +72,10 @@
 	Bases  KeyedTopic
 	// ConfigKey is the key of the configuration in its topic, and Decode decodes its record.
 	ConfigKey string
-	Decode    func(data []byte) (version uint64, m manifest.Manifest, err error)
+	// EvacuatedDomain returns the failure domain that a record with a key in the topic of the configuration evacuates. It
+	// returns false for other keys. It is nil if there are no such records.
+	EvacuatedDomain func(key string) (domain string, ok bool)
+	Decode          func(data []byte) (version uint64, m manifest.Manifest, err error)
 	// AnnouncementHandler returns the handler of the backend server's announcements. It is nil if the server sends
 	// none.
 	AnnouncementHandler func(to AnnouncementReceiver) http.Handler
@@ -139,7 +142,9 @@
 	settings atomic.Pointer[settings.Settings]
 	matcher  atomic.Pointer[manifest.Matcher]
 	manifest atomic.Pointer[manifest.Manifest]
-	version  atomic.Uint64
+	// record is the record of the configuration in force; nil if there is none.
+	record  atomic.Pointer[configRecord]
+	version atomic.Uint64
 	// beatErrors counts datagrams that could not be sent or read.
 	beatErrors atomic.Int64
 	// beatBytes counts the bytes of datagrams in both directions.
@@ -164,6 +169,8 @@
 	// mutex guards the fields below.
 	mutex sync.Mutex
 	state *core.State
+	// incoming is the record of the configuration that is being applied; nil if there is none.
+	incoming *configRecord
 	// pending holds events that are not applied yet. applying is set while a goroutine applies them.
 	pending  []core.Event
 	applying bool
@@ -234,7 +241,8 @@
 
 	d.callers = http1.NewServer(d.newCallerHandler(initial), http1.WithLimits(d.callerLimits),
 		http1.WithPanicHandler(d.handlePanic))
-	d.peers = http1.NewServer(attempt.NewHandler(initial.Key, d.serveAttempt, d.serveOwned, d.receiveHandover),
+	d.peers = http1.NewServer(attempt.NewHandler(initial.Key, d.serveAttempt, d.serveOwned, d.receiveHandover,
+		attempt.WithConfiguration(d.heldConfiguration)),
 		http1.WithSkippedBody(), http1.WithPanicHandler(d.handlePanic),
 		http1.WithLimits(d.peerLimits))
 
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -12,7 +12,6 @@
 	"github.com/tarragonmill/tarragonmill/internal/eventlog"
 	"github.com/tarragonmill/tarragonmill/internal/store"
 	"github.com/tarragonmill/tarragonmill/internal/task"
-	"github.com/tarragonmill/tarragonmill/pkg/manifest"
 )
 
 const (
@@ -42,6 +41,9 @@
 	// returnSpread is the time over which the daemons of a fleet read the configuration again after the store has come
 	// back, because they may all learn of it at the same moment.
 	returnSpread = 400 * time.Millisecond
+	// interruptDelay is how long a read that has just begun is not interrupted because another daemon has read more. A
+	// connection that works brings what the topic already has within this time.
+	interruptDelay = 250 * time.Millisecond
 	// maxFirstRetryPause replaces maxRetryPause until the first configuration is in force, because the daemon serves no
 	// requests before.
 	maxFirstRetryPause = 800 * time.Millisecond
@@ -73,6 +75,8 @@
 	// retryPause is the mean pause after the next failed read.
 	retryPause     time.Duration
 	storeAvailable bool
+	// evacuated holds the evacuated failure domains as of next.
+	evacuated evacuationRecords
 }
 
 // poll makes one call to the store, applies the configuration that it returns, and pauses.
@@ -126,7 +130,7 @@
 // answer was that of a read that waited for a new record.
 func (f *follower) pauseAfter(ctx context.Context, page store.Page, waited bool) {
 	switch {
-	case !waited && mayBeOutdated(page) && f.relists < maxRelists:
+	case !waited && f.repeatsList(page):
 		f.relists++
 		f.backOff(ctx)
 		f.hasNext = false
@@ -141,6 +145,11 @@
 	}
 }
 
+// repeatsList reports whether the page that was just read is a list that may be outdated and will be repeated.
+func (f *follower) repeatsList(page store.Page) bool {
+	return f.listed && mayBeOutdated(page) && f.relists < maxRelists
+}
+
 // mayBeOutdated reports whether a list of the newest records lacks the last record of the topic. It does so if the list
 // is older than the end that comes with it, or if the last record was a deletion.
 func mayBeOutdated(list store.Page) bool {
@@ -172,8 +181,27 @@
 
 // reread is a reason to read the configuration again at once.
 type reread struct {
-	// epoch is the epoch of the store that the daemon has learned of; zero if the reason is a newer version.
+	// epoch is the epoch of the store that the daemon has learned of; zero if the reason is another one.
 	epoch store.Epoch
+	// version and read are what another daemon has, if that is the reason.
+	version uint64
+	read    store.Position
+}
+
+// known reports whether a follower that has read up to a position already has what the reason is about. version is that
+// of the configuration in force.
+func (r reread) known(version uint64, next store.Position) bool {
+	return r != (reread{}) && r.epoch <= next.Epoch && r.version <= version && !r.read.After(next)
+}
+
+// merge returns a reason that covers r and another one.
+func (r reread) merge(other reread) reread {
+	merged := reread{epoch: max(r.epoch, other.epoch), version: max(r.version, other.version), read: r.read}
+	if other.read.After(merged.read) {
+		merged.read = other.read
+	}
+
+	return merged
 }
 
 // read returns the newest records if hasNext is not set, and otherwise waits for records from the next position on.
@@ -193,7 +221,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 
-	go f.interruptRead(cancel, stop, f.next.Epoch)
+	go f.interruptRead(cancel, stop, f.next, time.Now().Add(interruptDelay))
 
 	page, err := f.daemon.platform.Configuration.Await(ctx, waiting, f.next, f.daemon.configurationWait(f.paused))
 	f.paused = false
@@ -207,17 +235,24 @@
 	return page, err
 }
 
-// interruptRead cancels a read from a position of the given epoch if there is a reason to read again, until stop is
-// closed. A newer epoch that the position already has is no reason.
-func (f *follower) interruptRead(cancel context.CancelCauseFunc, stop <-chan struct{}, epoch store.Epoch) {
+// interruptRead cancels a read from the position next if there is a reason to read again, until stop is closed. What the
+// follower already has is no reason, and a read that has just begun gets until the time earliest to bring the rest.
+func (f *follower) interruptRead(
+	cancel context.CancelCauseFunc, stop <-chan struct{}, next store.Position, earliest time.Time,
+) {
 	for {
 		select {
 		case reason := <-f.daemon.rereadConfig:
-			if reason.epoch != 0 && reason.epoch <= epoch {
+			if reason.known(f.daemon.version.Load(), next) {
 				continue
 			}
 
-			if reason.epoch != 0 && !sleepUnless(stop, rand.N(returnSpread)) {
+			pause := time.Until(earliest)
+			if reason.epoch != 0 {
+				pause = rand.N(returnSpread)
+			}
+
+			if !sleepUnless(stop, pause) {
 				return
 			}
 
@@ -240,16 +275,18 @@
 	}
 }
 
-// applyPage applies the configurations of a page. The reducer ignores versions that are not newer.
+// applyPage applies the configurations and the evacuations of a page. The reducer ignores what is not newer.
 func (f *follower) applyPage(page store.Page) {
 	d := f.daemon
 
+	var configurations []configRead
+
 	for _, record := range page.Records {
 		if record.Key != d.platform.ConfigKey || len(record.Value) == 0 {
 			continue
 		}
 
-		version, m, err := f.decode(record.Value)
+		version, m, err := d.decodeConfiguration(record.Value)
 		if err != nil {
 			d.configReads.rejected.Add(1)
 			d.log.Warn(eventlog.BadRecord).Str("key", record.Key).Int64("offset", record.Offset).AnErr("error", err).Send()
@@ -257,7 +294,11 @@
 			continue
 		}
 
-		d.apply(core.ManifestRead{Epoch: page.Epoch, Version: version, Manifest: m})
+		configurations = append(configurations, newConfigRead(page.Epoch, f.next.Offset, version, m, record.Value))
+	}
+
+	if f.listed || len(page.Records) > 0 {
+		d.applyConfiguration(configurations, f.readEvacuations(page))
 	}
 }
 
@@ -295,26 +336,11 @@
 		Uint64("epoch", uint64(page.Epoch)).Send()
 }
 
-// errDecoderPanicked is returned for a record at which the decoder panicked. Decoding it again would panic again.
-var errDecoderPanicked = errors.New("configuration decoder panicked")
-
-// decode decodes a configuration and validates it.
-func (f *follower) decode(data []byte) (version uint64, m manifest.Manifest, err error) {
-	err = errDecoderPanicked
-
-	f.daemon.catchPanic("decode configuration", func() {
-		if version, m, err = f.daemon.platform.Decode(data); err == nil {
-			err = m.Validate()
-		}
-	})
-
-	return version, m, err
-}
-
 // logAvailability logs when the store becomes unavailable and available again. err is the result of the last call.
 func (f *follower) logAvailability(err error) {
 	if available := err == nil; available != f.storeAvailable {
 		f.storeAvailable = available
+		f.daemon.apply(core.StoreRead{Failed: !available})
 
 		if available {
 			f.daemon.log.Notable(eventlog.Recovered).Str("what", "store").Send()
--- a/internal/daemon/follow_test.go
+++ b/internal/daemon/follow_test.go
@@ -122,6 +122,7 @@
 		topic := &refusingTopic{}
 		d := &Daemon{
 			platform: Platform{Configuration: topic}, log: eventlog.New(zerolog.Nop()), rereadConfig: make(chan reread, 1),
+			state: core.New(core.Options{}),
 		}
 		d.version.Store(4)
 
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -97,7 +97,7 @@
 		outcome = o.Refusal.Verdict.String()
 		d.metrics.countReason("refusals_total", string(o.Refusal.Reason))
 	case isFailure(o.Status):
-		outcome = "failed"
+		outcome = failedOutcome
 	}
 
 	d.metrics.countRequest(o.Service, o.Kind, outcome, o.Elapsed)
@@ -118,7 +118,7 @@
 
 	outcome := "answered"
 	if isFailure(response.Status) {
-		outcome = "failed"
+		outcome = failedOutcome
 	}
 
 	d.metrics.addSlotTime(outcome, sc.slowness, elapsed)
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -110,8 +110,13 @@
 	case core.ManifestChanged:
 		d.changeManifest(e)
 	case core.RereadManifest:
-		d.log.Notable(eventlog.ConfigurationBehind).Uint64("version", d.version.Load()).Uint64("newest", e.Version).Send()
-		d.requestReread(reread{})
+		d.log.Notable(eventlog.ConfigurationBehind).Uint64("version", d.version.Load()).Uint64("newest", e.Version).
+			Uint64("epoch", uint64(e.Read.Epoch)).Int64("offset", e.Read.Offset).Send()
+		d.requestReread(reread{version: e.Version, read: e.Read})
+	case core.EvacuationsChanged:
+		d.logEvacuations(e)
+	case core.FetchConfiguration:
+		d.fetchConfiguration(e)
 	case core.StoreReturned:
 		d.storeReturned(e)
 	case core.CheckStore:
@@ -125,8 +130,15 @@
 	}
 }
 
-// requestReread makes the follower of the configuration read the store at once.
+// requestReread makes the follower of the configuration read the store at once. A reason that it has not taken yet is
+// merged with the new one. The caller holds the mutex.
 func (d *Daemon) requestReread(reason reread) {
+	select {
+	case earlier := <-d.rereadConfig:
+		reason = reason.merge(earlier)
+	default:
+	}
+
 	select {
 	case d.rereadConfig <- reason:
 	default:
@@ -195,6 +207,7 @@
 
 	m := e.Manifest
 	d.manifest.Store(&m)
+	d.record.Store(d.incoming)
 
 	if d.matcher.Swap(matcher) == nil {
 		close(d.manifestReady)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -27,6 +27,9 @@
 // durationBuckets range from the time of a call between two daemons (250 µs) to that of long requests (8 s).
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 16)
 
+// failedOutcome is the outcome of what has failed.
+const failedOutcome = "failed"
+
 // Names of labels. Each has few values: the services and kinds in the manifest, and constants of the code.
 const (
 	serviceLabel = "service"
@@ -181,6 +184,7 @@
 	m := d.metrics
 	m.exportServer(state)
 	m.exportMembers(state)
+	m.exportEvacuations(state)
 	m.scope.Gauge("manifest_version").Update(float64(state.Version))
 	m.scope.Gauge("requests").Update(float64(state.Requests))
 	m.scope.Gauge("suspects").Update(float64(len(state.Suspects.Reports)))
@@ -208,7 +212,7 @@
 
 	counts := d.platform.StoreCounts()
 	d.metrics.exportTotal("store_calls_total", outcomeLabel, "answered", counts.Answered)
-	d.metrics.exportTotal("store_calls_total", outcomeLabel, "failed", counts.Failed)
+	d.metrics.exportTotal("store_calls_total", outcomeLabel, failedOutcome, counts.Failed)
 	d.metrics.exportTotal("store_bytes_total", "direction", "read", counts.BytesRead)
 	d.metrics.exportTotal("store_bytes_total", "direction", "written", counts.BytesWritten)
 }
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -54,6 +54,10 @@
 	ConfigurationRead Event = "configuration-read"
 	// ConfigurationBehind reports that another daemon has a newer configuration.
 	ConfigurationBehind Event = "configuration-behind"
+	// ConfigurationFetched reports a fetch of the configuration from another daemon, because the store cannot be read.
+	ConfigurationFetched Event = "configuration-fetched"
+	// Evacuation reports a change of the failure domains whose servers get no new requests.
+	Evacuation Event = "evacuation"
 	// StoreReturned reports that the store has come back from an older copy, without what daemons have written since.
 	StoreReturned Event = "store-returned"
 	// StoreBehind reports that another daemon has seen a newer epoch of the store.
