--- a/cmd/tarragonmill/main.go
+++ b/cmd/tarragonmill/main.go
@@ -22,7 +22,8 @@
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 
 	os.Exit(command.Tarragonmill(context.Background(), os.Args, command.Streams{Out: os.Stdout, Err: os.Stderr},
-		command.WithDaemon(runDaemon), command.WithManifests(openManifests), command.WithReplay(core.Replay)))
+		command.WithDaemon(runDaemon), command.WithManifests(openManifests),
+		command.WithEvacuations(openEvacuations), command.WithReplay(core.Replay)))
 }
 
 // openManifests returns the topic to which manifests in this project's INI form are published, and a function that
@@ -33,6 +34,13 @@
 	return store.Topic(platform.ManifestTopic), store.Close
 }
 
+// openEvacuations returns the records that evacuate failure domains, and a function that closes the store.
+func openEvacuations(address netip.AddrPort) (command.Evacuations, func()) {
+	store := platform.NewStore(address)
+
+	return bind.NewEvacuations(store), store.Close
+}
+
 // runDaemon runs a daemon until ctx is cancelled.
 func runDaemon(
 	ctx context.Context, s settings.Settings, reload func() (settings.Settings, error), logger zerolog.Logger,
