--- a/internal/attempt/configuration_test.go
+++ b/internal/attempt/configuration_test.go
@@ -43,28 +43,28 @@
 // malformed and used.
 func TestForgedConfiguration(t *testing.T) {
 	large := make([]byte, 64<<10)
+	whole := attempt.EncodeConfiguration(attempt.Configuration{Version: 8, Record: []byte("record")})
+	// Field 5, the end, is 2^63.
+	negative := []byte{5 << 3, 128, 128, 128, 128, 128, 128, 128, 128, 128, 1}
+	write := func(data []byte) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(data) }
+	}
 
-	for name, answer := range map[string]func(w http.ResponseWriter, r *http.Request){
+	for name, answer := range map[string]http.HandlerFunc{
+		"no configuration": write([]byte("<html>")), "cut off": write(whole[:len(whole)-1]), "negative": write(negative),
 		"length": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", strconv.Itoa(attempt.MaxConfiguration+1))
 			_, _ = w.Write(large)
 		},
-		"endless": func(w http.ResponseWriter, r *http.Request) {
-			for r.Context().Err() == nil {
-				if _, err := w.Write(large); err != nil {
-					return
-				}
+		"endless": func(w http.ResponseWriter, _ *http.Request) {
+			for written := true; written; {
+				_, err := w.Write(large)
+				written = err == nil
 			}
 		},
-		"no configuration": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) },
-		"cut off": func(w http.ResponseWriter, _ *http.Request) {
-			data := attempt.EncodeConfiguration(attempt.Configuration{Version: 8, Record: []byte("record")})
-			_, _ = w.Write(data[:len(data)-1])
-		},
-		"negative end": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(negativeEnd()) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(answer))
+			server := httptest.NewServer(answer)
 			defer server.Close()
 
 			address := netip.MustParseAddrPort(server.Listener.Addr().String())
@@ -73,6 +73,3 @@
 		})
 	}
 }
-
-// negativeEnd returns an answer with the number 2^63 in field 5.
-func negativeEnd() []byte { return []byte{5 << 3, 128, 128, 128, 128, 128, 128, 128, 128, 128, 1} }
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -52,7 +52,7 @@
 			for task.Sleep(ctx, 15*time.Millisecond) {
 				l.sent.Add(1)
 
-				if lookUp(client, url) != http.StatusOK {
+				if lookUp(client, url, "stockdesk", http.Header{}) != http.StatusOK {
 					l.refused.Add(1)
 				}
 			}
@@ -67,23 +67,22 @@
 	return l
 }
 
-// lookUp sends one lookup and returns the status; zero without a response.
-func lookUp(client *http.Client, url string) int {
+// lookUp sends one lookup with the given host and header fields, and returns the status; zero without a response.
+func lookUp(client *http.Client, url, host string, header http.Header) int {
 	r, err := http.NewRequest(http.MethodGet, url+"/stock/5", http.NoBody)
 	if err != nil {
 		return 0
 	}
 
-	r.Host = "stockdesk"
+	r.Host, r.Header = host, header
 
 	response, err := client.Do(r)
 	if err != nil {
 		return 0
 	}
 
-	defer func() { _ = response.Body.Close() }()
-
 	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
 
 	return response.StatusCode
 }
@@ -185,7 +184,7 @@
 	require.NoError(t, f.RestartDaemon(started))
 	require.Eventually(t, started.Daemon.Ready, 10*time.Second, 10*time.Millisecond)
 	require.Equal(t, []string{evacuatedDomain}, started.Daemon.Dump().Decisions.Evacuated)
-	require.Equal(t, http.StatusOK, lookUp(http.DefaultClient, started.CallerURL()))
+	require.Equal(t, http.StatusOK, lookUp(http.DefaultClient, started.CallerURL(), "stockdesk", http.Header{}))
 
 	// The store is the authority again as soon as it answers.
 	f.Store.SetFaults(store.Faults{})
--- a/internal/fleet/withdrawn_key_test.go
+++ b/internal/fleet/withdrawn_key_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,21 +27,11 @@
 }
 
 // lookUpWithKey sends one lookup of a tenant and returns the status.
-func lookUpWithKey(t *testing.T, to *fleet.Instance, key string) int {
-	t.Helper()
+func lookUpWithKey(to *fleet.Instance, key string) int {
+	names := platform.Dialect()
 
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, to.CallerURL()+"/stock/5", http.NoBody)
-	require.NoError(t, err)
-
-	r.Host = "shop.example"
-	r.Header.Set(platform.Dialect().Credential, key)
-	r.Header.Set(platform.Dialect().Attempt, "lookup")
-
-	response, err := http.DefaultClient.Do(r)
-	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
-
-	return response.StatusCode
+	return lookUp(http.DefaultClient, to.CallerURL(), "shop.example",
+		http.Header{names.Credential: {key}, names.Attempt: {"lookup"}})
 }
 
 // Guards against a daemon that goes on to accept a withdrawn API key, or to refuse a new one, because the store refuses
@@ -54,13 +45,7 @@
 
 	awaitVersion := func(version uint64, within time.Duration) {
 		require.Eventually(t, func() bool {
-			for _, i := range f.Instances {
-				if i.Daemon.Version() < version {
-					return false
-				}
-			}
-
-			return true
+			return !slices.ContainsFunc(f.Instances, func(i *fleet.Instance) bool { return i.Daemon.Version() < version })
 		}, within, 10*time.Millisecond)
 	}
 
@@ -69,14 +54,14 @@
 
 	// The daemon that the store refuses hears of the version from those that it watches for its requests.
 	refused := f.Instances[3]
-	require.Eventually(t, func() bool { return lookUpWithKey(t, refused, "withdrawn-key") == http.StatusOK },
+	require.Eventually(t, func() bool { return lookUpWithKey(refused, "withdrawn-key") == http.StatusOK },
 		10*time.Second, 100*time.Millisecond)
 	gates[3].refuses.Store(true)
 
 	putTenants(f, 8, "new-key")
-	require.Eventually(t, func() bool { return lookUpWithKey(t, refused, "withdrawn-key") == http.StatusUnauthorized },
+	require.Eventually(t, func() bool { return lookUpWithKey(refused, "withdrawn-key") == http.StatusUnauthorized },
 		maxWithdrawalDelay, 10*time.Millisecond)
-	require.Equal(t, http.StatusOK, lookUpWithKey(t, refused, "new-key"))
+	require.Equal(t, http.StatusOK, lookUpWithKey(refused, "new-key"))
 	require.EqualValues(t, 8, refused.Daemon.Version())
 
 	// The store is the authority: the daemon follows it as soon as it answers.
