daemon: copy the record of the configuration in force

The record is kept for other daemons. It may be a part of a response of 1 MiB, which would stay in memory with it.

--- a/internal/daemon/peer_configuration.go
+++ b/internal/daemon/peer_configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -122,11 +123,12 @@
 	return nil
 }
 
-// newConfigRead returns a configuration that was read in an epoch. End is as in core.ManifestRead.
+// newConfigRead returns a configuration that was read in an epoch. End is as in core.ManifestRead. The record is copied,
+// because it may be a small part of a large response.
 func newConfigRead(epoch store.Epoch, end int64, version uint64, m manifest.Manifest, value []byte) configRead {
 	return configRead{
 		event:  core.ManifestRead{Epoch: epoch, End: end, Version: version, Manifest: m},
-		record: configRecord{version: version, value: value},
+		record: configRecord{version: version, value: slices.Clone(value)},
 	}
 }
 
