core: fetch from a daemon that has all that is missing

TestStartFromPeer failed in 4 of 5 runs: a daemon that started while the store was down got the manifest from the nearest daemon that had the version, which had not read an evacuation that another one had. It served without it until the next fetch. Daemons that have both the newest version and the newest position heard now come before nearer ones that have only the version, and a fetch waits at least 100 ms, in which the beats of several daemons arrive.

--- a/internal/core/fetch.go
+++ b/internal/core/fetch.go
@@ -13,6 +13,8 @@
 	// fetchSpread is the time over which the daemons that cannot read the store ask others for the configuration, because
 	// they all hear of a new version at about the same moment.
 	fetchSpread = 300 * time.Millisecond
+	// minFetchPause is the time before each fetch in which beats of other daemons arrive, from which the best one is chosen.
+	minFetchPause = 100 * time.Millisecond
 	// minFetchInterval and maxFetchInterval bound the time until a daemon asks again those that it has asked without
 	// success, which doubles each time.
 	minFetchInterval = time.Second
@@ -84,7 +86,9 @@
 	}
 }
 
-func (f *fetches) jitter() time.Duration { return time.Duration(f.random.Int64N(int64(fetchSpread))) }
+func (f *fetches) jitter() time.Duration {
+	return minFetchPause + time.Duration(f.random.Int64N(int64(fetchSpread)))
+}
 
 // startFetch starts the fetch that is due.
 func (s *State) startFetch(now time.Time) []Effect {
@@ -122,12 +126,13 @@
 	f.interval = min(2*f.interval, maxFetchInterval)
 }
 
-// chooseHolder draws one of the nearest daemons that have what this one lacks and were not asked without success.
+// chooseHolder draws one of the nearest daemons that have all that this one lacks, or else a part of it, and were not
+// asked without success. A daemon that starts would otherwise get a manifest without a later evacuation.
 func (s *State) chooseHolder() (instance.Member, bool) {
 	var (
-		chosen  instance.Member
-		nearest = farthest + 1
-		count   int
+		chosen instance.Member
+		best   = unsuitable
+		count  int
 	)
 
 	holders := make(map[instance.ID]holder, len(s.fetches.holders))
@@ -141,13 +146,13 @@
 
 		holders[member.ID] = h
 
-		away := s.distanceTo(member)
-		if !s.holdsNewest(h) || !reachable(member) || away > nearest {
+		rank := s.rankHolder(member, h)
+		if rank > best || rank == unsuitable {
 			continue
 		}
 
-		if away < nearest {
-			nearest, count = away, 0
+		if rank < best {
+			best, count = rank, 0
 		}
 
 		count++
@@ -161,23 +166,33 @@
 	return chosen, count > 0
 }
 
-// holdsNewest reports whether a daemon that was not asked yet has the newest version, or else the newest position.
-func (s *State) holdsNewest(h holder) bool {
-	if h.asked {
-		return false
-	}
+// rankHolder orders daemons for a fetch, the best first: by whether they have all that this one lacks, and then by
+// distance. It returns unsuitable for one that lacks the newest version as well, that has nothing newer, or that was asked
+// without success.
+func (s *State) rankHolder(m instance.Member, h holder) int {
+	hasVersion := !s.ManifestBehind() || h.version == s.newestVersion
+	hasPosition := !s.newestRead.After(s.read) || !s.newestRead.After(h.read)
 
-	if s.ManifestBehind() {
-		return h.version == s.newestVersion
+	switch {
+	case h.asked || !reachable(m) || !hasVersion:
+		return unsuitable
+	case hasPosition:
+		return s.distanceTo(m)
+	case s.ManifestBehind() || h.read.After(s.read):
+		return farthest + 1 + s.distanceTo(m)
+	default:
+		return unsuitable
 	}
-
-	return h.read.After(s.read)
 }
 
 func reachable(m instance.Member) bool { return m.Status != instance.Dead && m.Status != instance.Left }
 
-// farthest is the distance of a member in another region.
-const farthest = 2
+const (
+	// farthest is the distance of a member in another region.
+	farthest = 2
+	// unsuitable is the rank of a member from which nothing is fetched.
+	unsuitable = 2 * (farthest + 1)
+)
 
 // distanceTo is 0 for a member of the same failure domain, 1 for another one of the region, and farthest for others.
 func (s *State) distanceTo(m instance.Member) int {
