--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -196,7 +196,7 @@
 
 	for _, limit := range []distance{sameDomain, sameRegion, otherRegion} {
 		for _, srv := range f.service.servers {
-			if max(srv.distance, sameDomain) == limit && f.allows(srv) && srv.isOpen(now) &&
+			if max(srv.distance, sameDomain) == limit && f.allows(srv) && srv.isOpen(now) && !s.isEvacuated(srv) &&
 				!f.excludes(now, srv) && f.service.linkAllows(now, srv) {
 				all = append(all, candidate{server: srv, cost: s.cost(now, f, srv)})
 			}
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -57,6 +57,8 @@
 		Failure bool
 		// Unusable is set if the server takes no attempt at all until it reports that it is open.
 		Unusable bool
+		// Evacuated is set if the attempt was refused because the failure domain of the server is evacuated.
+		Evacuated bool
 		// Dropped is set if the server probably dropped the connection before the request; see backend.ErrDropped.
 		Dropped bool
 		// Bytes is the size of the response body.
@@ -76,6 +78,8 @@
 	// HedgeChanged states the limits on hedged attempts of all services for which the manifest states none: Quantile,
 	// Delayed and Work. The zero value removes them.
 	HedgeChanged struct{ Limits manifest.Hedge }
+	// EvacuationsChanged lists all failure domains whose servers get no new attempts.
+	EvacuationsChanged struct{ Domains []string }
 	// Restarted reports that the daemon has restarted; its previous run may have sent repeats a moment ago.
 	Restarted struct{}
 	// Closing gives up all requests, because the daemon is about to exit.
@@ -164,6 +168,8 @@
 	DeadlinePassed Reason = "deadline"
 	// NoServers means that the service has no servers.
 	NoServers Reason = "no-servers"
+	// Evacuated means that all failure domains with servers of the service are evacuated.
+	Evacuated Reason = "evacuated"
 	// Overloaded means that no server takes the request in time.
 	Overloaded Reason = "overloaded"
 	// ConnectionLost means that an attempt may have run, brought no response and must not be repeated.
@@ -174,17 +180,18 @@
 	ShuttingDown Reason = "shutting-down"
 )
 
-func (Arrived) isEvent()        {}
-func (Accepted) isEvent()       {}
-func (Ended) isEvent()          {}
-func (Cancelled) isEvent()      {}
-func (Reported) isEvent()       {}
-func (MembersChanged) isEvent() {}
-func (PolicyChanged) isEvent()  {}
-func (HedgeChanged) isEvent()   {}
-func (Restarted) isEvent()      {}
-func (Closing) isEvent()        {}
-func (Tick) isEvent()           {}
+func (Arrived) isEvent()            {}
+func (Accepted) isEvent()           {}
+func (Ended) isEvent()              {}
+func (Cancelled) isEvent()          {}
+func (Reported) isEvent()           {}
+func (MembersChanged) isEvent()     {}
+func (PolicyChanged) isEvent()      {}
+func (HedgeChanged) isEvent()       {}
+func (EvacuationsChanged) isEvent() {}
+func (Restarted) isEvent()          {}
+func (Closing) isEvent()            {}
+func (Tick) isEvent()               {}
 
 func (Attempt) isEffect()       {}
 func (CancelAttempt) isEffect() {}
--- a/internal/soak/results.go
+++ b/internal/soak/results.go
@@ -105,7 +105,8 @@
 	return fmt.Sprint(s.status)
 }
 
-// successShare returns the share of successes among the requests sent since a time, and the number of these requests.
+// successShare returns the share of successes among the requests with a valid key that were sent since a time, and the
+// number of these requests.
 func (r *results) successShare(since time.Time) (share float64, count int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -113,7 +114,7 @@
 	successes := 0
 
 	for _, s := range r.requests {
-		if s.begun.Before(since) {
+		if s.begun.Before(since) || s.key != callerKey {
 			continue
 		}
 
