--- a/internal/routing/flight.go
+++ b/internal/routing/flight.go
@@ -16,8 +16,6 @@
 	// minWait and maxWait bound the time that an attempt waits for a slot before a server is chosen again.
 	minWait = 30 * time.Millisecond
 	maxWait = 120 * time.Millisecond
-	// distantWaitRounds is the number of round trips to a server for which an attempt waits there at least.
-	distantWaitRounds = 2
 	// refusalBackoff is the time for which a request is not sent again to a server that refused it.
 	refusalBackoff = 60 * time.Millisecond
 	// retryPause is the pause before a request that no server takes is tried again.
--- a/internal/routing/sending.go
+++ b/internal/routing/sending.go
@@ -67,9 +67,11 @@
 
 	due := a.flight.responseDue()
 
-	// At a distant server, a longer wait is better than the time that another attempt would spend on the way.
-	shortest := max(minWait, distantWaitRounds*chosen.server.distance.roundTrip())
-	wait := min(max(waitRoundTime/time.Duration(max(1, chosen.candidates)), shortest), maxWait)
+	wait := min(max(waitRoundTime/time.Duration(max(1, chosen.candidates)), minWait), maxWait)
+	if chosen.server.distance > sameDomain {
+		// A refusal there costs another attempt, whose traffic is billed and takes time on the way.
+		wait = maxWait
+	}
 
 	return max(0, min(wait, due.Sub(now)-toDuration(chosen.cost.runTime)))
 }
