membership: servers of evacuated domains stay watched

Cause: without them, entries in the evacuated domain watched servers of the other domain of the region and moved more requests there.

--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/tarragonmill/tarragonmill/internal/admission"
-	"github.com/tarragonmill/tarragonmill/internal/membership"
 	"github.com/tarragonmill/tarragonmill/internal/routing"
 	"github.com/tarragonmill/tarragonmill/internal/store"
 )
@@ -59,9 +58,6 @@
 
 	effects := s.handleRoutingEffects(now, s.routing.Apply(now, routing.EvacuationsChanged{Domains: domains}))
 	effects = append(effects, s.updateAdmission(now)...)
-	effects = append(effects, s.handleMembershipEffects(now, s.membership.Apply(now, membership.EvacuationsChanged{
-		Domains: domains,
-	}))...)
 
 	return append(effects, EvacuationsChanged{
 		At: e.At, Domains: domains, Began: missingFrom(before, domains), Ended: missingFrom(domains, before),
--- a/internal/core/kinds.go
+++ b/internal/core/kinds.go
@@ -47,7 +47,7 @@
 
 		membership.Started{}, membership.EntriesRead{}, membership.EntryWritten{}, membership.BeatHeard{},
 		membership.SelfChanged{}, membership.LoadChanged{}, membership.BudgetChanged{}, membership.Used{},
-		membership.Spread{}, membership.EvacuationsChanged{},
+		membership.Spread{},
 		membership.StoreReturned{}, membership.Resumed{}, membership.Left{}, membership.Tick{},
 	)
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -89,8 +89,6 @@
 	introductionRequests map[netip.AddrPort]time.Time
 	// usedServices are the services to which this daemon sends requests.
 	usedServices map[string]bool
-	// evacuated lists the failure domains whose servers get no new requests and are therefore not watched.
-	evacuated []string
 
 	broadcasts []*broadcast
 	// budget limits the bytes per second of beats that report a change of the load.
@@ -184,9 +182,6 @@
 		return nil
 	case Used:
 		return s.used(now, e.Service)
-	case EvacuationsChanged:
-		s.evacuated = e.Domains
-		s.chooseWatched(now)
 	case Spread:
 		return s.startBroadcast(now, e.Message)
 	case StoreReturned:
@@ -199,9 +194,9 @@
 		return s.leave(now)
 	case Tick:
 		return s.tick(now)
+	default:
+		return nil
 	}
-
-	return nil
 }
 
 // start reads the entries and greets the seeds.
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -94,8 +94,6 @@
 		Bytes     float64
 		Unlimited bool
 	}
-	// EvacuationsChanged lists all failure domains whose servers get no new requests.
-	EvacuationsChanged struct{ Domains []string }
 	// Used reports that this daemon sends requests to a service.
 	Used struct{ Service string }
 	// Spread asks to send a message to all daemons.
@@ -147,20 +145,19 @@
 	}
 )
 
-func (Started) isEvent()            {}
-func (EntriesRead) isEvent()        {}
-func (EntryWritten) isEvent()       {}
-func (BeatHeard) isEvent()          {}
-func (SelfChanged) isEvent()        {}
-func (LoadChanged) isEvent()        {}
-func (BudgetChanged) isEvent()      {}
-func (Used) isEvent()               {}
-func (EvacuationsChanged) isEvent() {}
-func (Spread) isEvent()             {}
-func (StoreReturned) isEvent()      {}
-func (Resumed) isEvent()            {}
-func (Left) isEvent()               {}
-func (Tick) isEvent()               {}
+func (Started) isEvent()       {}
+func (EntriesRead) isEvent()   {}
+func (EntryWritten) isEvent()  {}
+func (BeatHeard) isEvent()     {}
+func (SelfChanged) isEvent()   {}
+func (LoadChanged) isEvent()   {}
+func (BudgetChanged) isEvent() {}
+func (Used) isEvent()          {}
+func (Spread) isEvent()        {}
+func (StoreReturned) isEvent() {}
+func (Resumed) isEvent()       {}
+func (Left) isEvent()          {}
+func (Tick) isEvent()          {}
 
 func (ReadEntries) isEffect()    {}
 func (WriteEntry) isEffect()     {}
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -51,8 +51,7 @@
 	byService := make(map[string][]*peer, len(s.usedServices))
 
 	for _, p := range s.order {
-		if s.usedServices[p.member.Service] && p.member.Place.Region == s.self.Member.Place.Region &&
-			!slices.Contains(s.evacuated, p.member.Place.Domain) {
+		if s.usedServices[p.member.Service] && p.member.Place.Region == s.self.Member.Place.Region {
 			byService[p.member.Service] = append(byService[p.member.Service], p)
 		}
 	}
