--- a/internal/http1/guard_test.go
+++ b/internal/http1/guard_test.go
@@ -111,14 +111,17 @@
 
 	used := dial(t, address)
 
-	for range 10 {
+	for dialled := 1; dialled <= 10; dialled++ {
 		dial(t, address)
+		// A connection that is accepted only after the next request makes the used one the one idle for longest.
+		require.Eventually(t, func() bool {
+			return server.Closed(http1.ClosedExcess) == int64(max(0, dialled-2)) && server.Connections() >= min(dialled+1, 3)
+		}, 10*time.Second, time.Millisecond)
 		used.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		used.read()
 	}
 
-	// The last connection may not have been accepted yet.
-	require.Eventually(t, func() bool { return server.Closed(http1.ClosedExcess) == 8 }, time.Second, time.Millisecond)
+	require.EqualValues(t, 8, server.Closed(http1.ClosedExcess))
 	require.LessOrEqual(t, server.Connections(), 4)
 }
 
