soak, platform: tenants in the words of the platform's configuration

Change: the adapter encodes the table of tenants for the soak's operator, so that the platform's names stay in one package.

Result: internal/soak and platform pass.

--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -92,8 +92,11 @@
 	return fmt.Sprintf(`{"version":"r%d","routes":{"columns":["name","hostname","pathPrefix","routeType","timeoutMs",`+
 		`"targetLatencyMs","priority","service","maxAttempts"],"rows":[%s]},`+
 		`"services":{"columns":["name","healthPath","maxConnections"],"rows":[["stockdesk","/health",100],["routehall","/health",100],["spare","/health",100]]},`+
-		`"tenants":{"columns":["name","apiKeys","priority"],"rows":[[%q,[%q],1],[%q,[%q],1]]}}`,
-		version, strings.Join(rows, ","), callerTenant, callerKey, rotatingTenant, rotatingKey(version))
+		`"tenants":%s}`,
+		version, strings.Join(rows, ","), platform.EncodeTenants(
+			platform.TenantKey{Tenant: callerTenant, Key: callerKey},
+			platform.TenantKey{Tenant: rotatingTenant, Key: rotatingKey(version)},
+		))
 }
 
 // newProbeClient returns a client that opens a connection for each request.
