--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -207,7 +207,8 @@
 func (s *State) refusalReason(now time.Time, w *waitingAttempt) (Reason, bool) {
 	e := w.Arrived
 	before := s.queue.countBefore(w)
-	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+s.queue.size() >= s.slots || s.startWait(now, before) > 0
+	mustWait := s.runningAlone || s.waitingAlone != nil || len(s.running)+s.queue.size() >= s.slots ||
+		s.startWait(now, before) > 0
 
 	switch {
 	case s.closedReason != "":
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -119,9 +119,11 @@
 
 // chooseServer returns a server for a request, or a choice without a server. A request stays in this daemon's region while a
 // server there is expected to respond in time: traffic that leaves it is billed, the links between regions are narrow, and
-// the load of remote servers is hardly known. It stays in the failure domain if its caller gains little elsewhere. If the cheapest server of all
-// regions is not expected to respond in time either, the request is late. It then goes only to a server with spare slots,
-// because at another one it would make other requests late, too, and leaves the region only if that has no candidate.
+// the load of remote servers is hardly known. It stays in the failure domain if its caller gains little elsewhere.
+//
+// If the cheapest server of all regions is not expected to respond in time either, the request is late. It then goes only to
+// a server with spare slots, because at another one it would make other requests late, too, and leaves the region only if
+// that has no candidate.
 //
 // A nested call is never late, because its parent waits for it, and would stay near at any price. It goes to the cheapest
 // server.
