routing: one function for candidates that stay in the region

Cause: hedged attempts cut the candidates to the region with a loop of their own, beside the same step in chooseServer.

Change: both use regionFirst.

--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -129,11 +129,7 @@
 // server.
 func (s *State) chooseServer(now time.Time, f *flight) choice {
 	candidates := s.candidates(now, f)
-	inDomain, inRegion := within(candidates, sameDomain), within(candidates, sameRegion)
-
-	if len(inRegion) == 0 {
-		inRegion = candidates
-	}
+	inDomain, inRegion := within(candidates, sameDomain), regionFirst(candidates)
 
 	switch {
 	case len(candidates) == 0:
@@ -176,6 +172,15 @@
 	return candidates
 }
 
+// regionFirst returns the candidates in the region of this daemon, or all if there are none.
+func regionFirst(candidates []candidate) []candidate {
+	if inRegion := within(candidates, sameRegion); len(inRegion) > 0 {
+		return inRegion
+	}
+
+	return candidates
+}
+
 // respondsInTime reports whether a response at this cost is expected before responseDue.
 func (f *flight) respondsInTime(now time.Time, c cost) bool {
 	return !now.Add(toDuration(c.responseTime)).After(f.responseDue())
--- a/internal/routing/hedge_delay.go
+++ b/internal/routing/hedge_delay.go
@@ -132,12 +132,7 @@
 
 	qualified = slices.DeleteFunc(qualified, func(c candidate) bool { return c.cost.total > limit })
 
-	if firstRemote := slices.IndexFunc(qualified, func(c candidate) bool {
-		return c.server.distance == otherRegion
-	}); firstRemote > 0 {
-		qualified = qualified[:firstRemote]
-	}
-
+	qualified = regionFirst(qualified)
 	chosen := s.pickCheapest(qualified, qualified)
 	chosen.hedgeLimit = limit
 
