--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -91,12 +91,12 @@
 			return err
 		}
 
-		f.Machines = append(f.Machines, m)
-
 		if err := m.Backend.start(ctx); err != nil {
 			return err
 		}
 
+		f.Machines = append(f.Machines, m)
+
 		go m.run(ctx)
 	}
 
