http1: a body that ends with the connection is whole only if the connection ended in order

Seen by callers: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, also through another daemon, and for orders as well as for requests that may run twice.

Cause: the kernel reports a reset once, to the system call on the connection that comes first. The body of a large request is written by a goroutine while another one reads the response. If the write got ECONNRESET, the following read returned the end of the connection, as after an end in order. The result of the write was used only to decide on reuse.

Change: the client wraps each connection in tcp.Conn. At the end of the connection, its Read ends the write in progress, waits for it, and returns ErrBroken if a write has failed with an error by which the kernel ends connections (ECONNRESET, ETIMEDOUT and others). EPIPE means that the peer had ended the connection in order before a reset, and a write that was still in progress that it had ended it without a reset; both end the body as before. This decides by what the kernel has reported and not by time, because the system call that took the error belongs to a write that has not returned or has recorded it. The verdict is "may have run", as for any answer that breaks off.

The tests play 5 rounds of 6 MiB at callers now, 80 in all.

--- /dev/null
+++ b/internal/daemon/broken_answer_test.go
@@ -0,0 +1,172 @@
+package daemon_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonmill/tarragonmill/internal/fleet"
+	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
+	"github.com/tarragonmill/tarragonmill/platform"
+)
+
+// uploadConfig has a route for orders with large bodies and one for uploads that may run twice.
+const uploadConfig = `{"version":"r8",
+	"routes":{"columns":["name","hostname","pathPrefix","routeType","timeoutMs","service","maxAttempts"],
+		"rows":[["orders","shop.example","/","unsafe",5000,"stockdesk",3],
+			["uploads","label.example","/","safe",5000,"stockdesk",3]]},
+	"services":{"columns":["name"],"rows":[["stockdesk"]]}}`
+
+// startForUploads starts a fleet on the users' platform in which uploadConfig is in force.
+func startForUploads(t *testing.T) *fleet.Fleet {
+	t.Helper()
+
+	f := startOnPlatform(t)
+	f.Store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(uploadConfig))
+	awaitVersion(t, f, 8, 10*time.Second)
+
+	return f
+}
+
+// answerWith makes all servers respond by a function.
+func answerWith(f *fleet.Fleet, answer func(*net.TCPConn, http.Header)) {
+	changeBehaviours(f, func(b *backend.Behaviour) { b.Answer = answer })
+}
+
+// writeUnframed writes a response whose body ends with the connection. It makes one write, because a reset would discard
+// later ones that wait for an acknowledgement.
+func writeUnframed(connection *net.TCPConn, header http.Header, body string) {
+	var response bytes.Buffer
+
+	_, _ = response.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = header.Write(&response)
+	_, _ = response.WriteString("\r\n" + body)
+	_, _ = connection.Write(response.Bytes())
+}
+
+const (
+	// orderHost and uploadHost are the hosts of the routes of uploadConfig.
+	orderHost  = "shop.example"
+	uploadHost = "label.example"
+	// uploadSize is the size in bytes of a body that does not fit into the buffers of a connection.
+	uploadSize = 6 << 20
+)
+
+// upload sends a large request to a daemon. It returns the identifier of the attempt and the response. The error is that of
+// reading the body of the response, which is returned as well.
+func upload(t *testing.T, f *fleet.Fleet, host string, entry int) (string, *http.Response, string, error) {
+	t.Helper()
+
+	id := uuid.NewString()
+
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.Instances[entry].CallerURL()+"/orders",
+		bytes.NewReader(make([]byte, uploadSize)))
+	require.NoError(t, err)
+
+	r.Host = host
+	r.Header.Set(platform.Dialect().Attempt, id)
+
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+
+	return id, response, string(body), err
+}
+
+// runsOf returns how often an attempt ran at all servers together.
+func runsOf(f *fleet.Fleet, id string) int {
+	runs := 0
+	for _, i := range f.Instances {
+		runs += i.Server.ExecutionsByAttempt()[id].Count
+	}
+
+	return runs
+}
+
+// TestResetDuringUpload guards against a caller that gets a part of a response as the whole, because the server answered at
+// once, without a length, and reset the connection while the upload was written.
+func TestResetDuringUpload(t *testing.T) {
+	const rounds = 5
+
+	f := startForUploads(t)
+
+	for _, delay := range []time.Duration{0, 100 * time.Microsecond, time.Millisecond, 5 * time.Millisecond} {
+		// The larger part exceeds what a daemon keeps in memory.
+		for _, part := range []int{100, 1 << 20} {
+			answerWith(f, func(connection *net.TCPConn, header http.Header) {
+				writeUnframed(connection, header, strings.Repeat("x", part))
+
+				time.Sleep(delay)
+
+				_ = connection.SetLinger(0)
+			})
+
+			for _, host := range []string{orderHost, uploadHost} {
+				t.Run(fmt.Sprintf("%s, %d bytes, reset after %v", host, part, delay), func(t *testing.T) {
+					whole, ran := 0, 0
+
+					for n := range rounds {
+						id, response, _, err := upload(t, f, host, n%len(f.Instances))
+						if response.StatusCode == http.StatusOK && err == nil {
+							whole++
+						}
+
+						runs := runsOf(f, id)
+						ran += runs
+
+						if host == orderHost {
+							require.LessOrEqual(t, runs, 1)
+						}
+					}
+
+					require.Zero(t, whole, "of %d parts were taken for the whole", rounds)
+					require.GreaterOrEqual(t, ran, rounds/2, "too few requests have reached a server")
+				})
+			}
+		}
+	}
+}
+
+// TestResponseBeforeEndOfUpload guards against a caller that loses a whole response without a length, because the server
+// ends the connection in order before it has read the upload.
+func TestResponseBeforeEndOfUpload(t *testing.T) {
+	f := startForUploads(t)
+
+	for name, end := range map[string]func(*net.TCPConn){
+		"upload is not read":  func(*net.TCPConn) { time.Sleep(time.Second) },
+		"upload is read":      func(connection *net.TCPConn) { _, _ = io.Copy(io.Discard, connection) },
+		"reset after the end": func(connection *net.TCPConn) { _ = connection.SetLinger(0) },
+	} {
+		const body = "taken"
+
+		answerWith(f, func(connection *net.TCPConn, header http.Header) {
+			writeUnframed(connection, header, body)
+
+			_ = connection.CloseWrite()
+
+			end(connection)
+		})
+
+		for _, host := range []string{orderHost, uploadHost} {
+			t.Run(name+", "+host, func(t *testing.T) {
+				for entry := range f.Instances {
+					id, response, received, err := upload(t, f, host, entry)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, response.StatusCode, received)
+					require.Equal(t, body, received)
+					require.Equal(t, 1, runsOf(f, id))
+				}
+			})
+		}
+	}
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonmill/tarragonmill/internal/tcp"
 )
 
 // Request is a request to send. The method, target and header are sent unchanged.
@@ -138,7 +140,7 @@
 			return p.dial(ctx)
 		}
 
-		if hasNoInput(c.net) {
+		if hasNoInput(c.net.NetConn()) {
 			c.reused, c.received, c.interim = true, false, 0
 
 			return c, nil
@@ -180,7 +182,8 @@
 	p.dials.Add(1)
 	limitUnacked(opened)
 
-	c := &ClientConn{pool: p, net: opened, writer: bufio.NewWriterSize(opened, bufferSize)}
+	connection := tcp.NewConn(opened)
+	c := &ClientConn{pool: p, net: connection, writer: bufio.NewWriterSize(connection, bufferSize)}
 	c.input = &limitedReader{reader: receiveTracker{c}}
 	c.reader = bufio.NewReaderSize(c.input, bufferSize)
 
@@ -217,7 +220,7 @@
 // ClientConn is a connection to a server, used for one request at a time.
 type ClientConn struct {
 	pool   *Pool
-	net    net.Conn
+	net    *tcp.Conn
 	input  *limitedReader
 	reader *bufio.Reader
 	writer *bufio.Writer
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -47,6 +47,9 @@
 	// Fault is injected into every FaultEvery-th request; none if FaultEvery is zero.
 	Fault      Fault
 	FaultEvery int
+	// Answer responds to requests in place of the server, on their connection and before their bodies are read; nil if the
+	// server responds itself. The header has the fields that mark a response as one of the server.
+	Answer func(connection *net.TCPConn, header http.Header)
 	// Copies is the share of requests before whose response the server writes an earlier response of the connection once
 	// more.
 	Copies float64
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -35,6 +35,13 @@
 
 		defer func() { <-s.slots }()
 
+		if behaviour.Answer != nil {
+			s.record(r, "")
+			s.answer(w, r, behaviour.Answer)
+
+			return
+		}
+
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
--- a/internal/standin/backend/response.go
+++ b/internal/standin/backend/response.go
@@ -49,6 +49,27 @@
 	s.respondWithFault(connection, buffer, recorded, fault)
 }
 
+// answer makes Behaviour.Answer respond to a request.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, respond func(*net.TCPConn, http.Header)) {
+	header := http.Header{}
+	s.markResponse(header, r)
+
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+
+	defer func() { _ = connection.Close() }()
+
+	if copying, ok := connection.(*copyingConn); ok {
+		connection = copying.Conn
+	}
+
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		respond(tcp, header)
+	}
+}
+
 // respondWithFault writes a faulty response to the hijacked connection, where net/http does not correct it.
 func (s *Server) respondWithFault(
 	connection net.Conn, buffer *bufio.ReadWriter, recorded *httptest.ResponseRecorder, fault Fault,
--- /dev/null
+++ b/internal/tcp/tcp.go
@@ -0,0 +1,86 @@
+// Package tcp tells the two ways apart in which a peer can end a TCP connection: in order, after all of its bytes, and by a
+// reset, which discards those that are still to come.
+//
+// The kernel reports a reset once, to the system call that comes first. If that is a write, later reads return the end of
+// the connection, as after an end in order. A body that ends with the connection would then look complete.
+package tcp
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrBroken is returned by Conn.Read at the end of a connection that has not ended in order. The error of the write that
+// has reported the cause is attached to it.
+var ErrBroken = errors.New("connection has not ended in order")
+
+// Conn is a connection that one goroutine may read while another one writes. It hides the methods of the connection below
+// that copy between sockets, because they would bypass Write.
+type Conn struct {
+	net.Conn
+
+	// writing is held during a write, and guards writeErr.
+	writing sync.Mutex
+	// writeErr is the first error of a write.
+	writeErr error
+}
+
+// NewConn returns a Conn for an open TCP connection.
+func NewConn(connection net.Conn) *Conn { return &Conn{Conn: connection} }
+
+// NetConn returns the connection below.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+
+	n, err := c.Conn.Write(data)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+
+	return n, err //nolint:wrapcheck // The error is that of the connection below.
+}
+
+// Read implements net.Conn. It returns io.EOF only if the peer has ended the connection in order, and ErrBroken otherwise.
+// The end of the connection also ends a write in progress.
+func (c *Conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if err != io.EOF { //nolint:errorlint // A connection returns it unwrapped
+		return n, err //nolint:wrapcheck // The error is that of the connection below.
+	}
+
+	if failure := c.endWrites(); !endsInOrder(failure) {
+		return n, errors.WithSecondaryError(ErrBroken, failure)
+	}
+
+	return n, io.EOF
+}
+
+// past is a deadline that ends a write at once.
+var past = time.Unix(1, 0)
+
+// endWrites ends the write in progress and returns the first error of a write. The system call that has reported a reset
+// belongs to a write whose error is not recorded before that write ends.
+func (c *Conn) endWrites() error {
+	_ = c.SetWriteDeadline(past)
+
+	c.writing.Lock()
+	defer c.writing.Unlock()
+
+	return c.writeErr
+}
+
+// endsInOrder reports whether the peer of a connection has ended it in order, given the first error of a write. EPIPE is the
+// error of a reset that came after such an end.
+func endsInOrder(writeErr error) bool {
+	return writeErr == nil || errors.Is(writeErr, os.ErrDeadlineExceeded) || errors.Is(writeErr, syscall.EPIPE)
+}
