--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -6,6 +6,7 @@
 package tcp
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -16,8 +17,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrBroken is returned by Conn.Read at the end of a connection that has not ended in order. The error of the write that
-// has reported the cause is attached to it.
+// ErrBroken is returned by Conn.Read at the end of a connection that has not ended in order. It wraps the error of the write
+// that has reported the cause.
 var ErrBroken = errors.New("connection has not ended in order")
 
 // Conn is a connection that one goroutine may read while another one writes. It hides the methods of the connection below
@@ -59,7 +60,7 @@
 	}
 
 	if failure := c.endWrites(); !endsInOrder(failure) {
-		return n, errors.WithSecondaryError(ErrBroken, failure)
+		return n, fmt.Errorf("%w: %w", ErrBroken, failure)
 	}
 
 	return n, io.EOF
--- a/internal/tcp/tcp_test.go
+++ b/internal/tcp/tcp_test.go
@@ -112,5 +112,6 @@
 
 		_, err = c.Read(make([]byte, 1))
 		require.ErrorIs(t, err, tcp.ErrBroken)
+		require.ErrorIs(t, err, broken)
 	}
 }
