http1: refuse responses in which a line of the head does not begin with the name of a field

Seen by callers: a server in trouble sent a response in whose head the name of a field held a blank. The caller got it as an answer: without that line, with the line before it changed, or with a body that was not the server's, because a length or a transfer coding with such a name was overlooked. In an interim response, the same let a response within its body count as the answer. Replies and configurations of other daemons, health responses and trailers were read in the same way.

Cause: the parser of net/http accepts a name with blanks as one of another field, and takes a line that begins with a blank for a part of the line before, as in obsolete line folding. Its callers have to check the names; the server of http1 did, the client did not. A folded line cannot be recognized in the parsed header.

Change: the client keeps the bytes of a head while it is parsed, and refuses the response with ErrInvalidResponse unless each line after the first begins with a valid name and a colon. This covers final and interim responses of servers and daemons. At the end of a body in chunks, the names in the trailer are checked. A folded line is refused as well, which RFC 9112, section 5.2, allows to gateways; servers must not send any.

TestTrailers shows that valid trailers are accepted.

--- a/internal/daemon/broken_answer_test.go
+++ b/internal/daemon/broken_answer_test.go
@@ -41,14 +41,19 @@
 	changeBehaviours(f, func(b *backend.Behaviour) { b.Answer = answer })
 }
 
-// writeUnframed writes a response whose body ends with the connection. It makes one write, because a reset would discard
-// later ones that wait for an acknowledgement.
+// writeUnframed writes a response whose body ends with the connection.
 func writeUnframed(connection *net.TCPConn, header http.Header, body string) {
+	writeMarked(connection, header, "HTTP/1.1 200 OK\r\n", "\r\n"+body)
+}
+
+// writeMarked writes the header between the text before it and that after it. It makes one write, because a reset would
+// discard later ones that wait for an acknowledgement.
+func writeMarked(connection *net.TCPConn, header http.Header, before, after string) {
 	var response bytes.Buffer
 
-	_, _ = response.WriteString("HTTP/1.1 200 OK\r\n")
+	_, _ = response.WriteString(before)
 	_ = header.Write(&response)
-	_, _ = response.WriteString("\r\n" + body)
+	_, _ = response.WriteString(after)
 	_, _ = connection.Write(response.Bytes())
 }
 
@@ -60,15 +65,15 @@
 	uploadSize = 6 << 20
 )
 
-// upload sends a large request to a daemon. It returns the identifier of the attempt and the response. The error is that of
+// upload sends a request with a body of some size in bytes to a daemon. It returns the identifier of the attempt and the response. The error is that of
 // reading the body of the response, which is returned as well.
-func upload(t *testing.T, f *fleet.Fleet, host string, entry int) (string, *http.Response, string, error) {
+func upload(t *testing.T, f *fleet.Fleet, host string, entry, size int) (string, *http.Response, string, error) {
 	t.Helper()
 
 	id := uuid.NewString()
 
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.Instances[entry].CallerURL()+"/orders",
-		bytes.NewReader(make([]byte, uploadSize)))
+		bytes.NewReader(make([]byte, size)))
 	require.NoError(t, err)
 
 	r.Host = host
@@ -116,7 +121,7 @@
 					whole, ran := 0, 0
 
 					for n := range rounds {
-						id, response, _, err := upload(t, f, host, n%len(f.Instances))
+						id, response, _, err := upload(t, f, host, n%len(f.Instances), uploadSize)
 						if response.StatusCode == http.StatusOK && err == nil {
 							whole++
 						}
@@ -160,7 +165,7 @@
 		for _, host := range []string{orderHost, uploadHost} {
 			t.Run(name+", "+host, func(t *testing.T) {
 				for entry := range f.Instances {
-					id, response, received, err := upload(t, f, host, entry)
+					id, response, received, err := upload(t, f, host, entry, uploadSize)
 					require.NoError(t, err)
 					require.Equal(t, http.StatusOK, response.StatusCode, received)
 					require.Equal(t, body, received)
@@ -170,3 +175,83 @@
 		}
 	}
 }
+
+// TestBrokenHeads guards against a caller that gets a response whose head or trailer is invalid, a body that is not that of
+// the server, or a refusal that says that the request has not run.
+func TestBrokenHeads(t *testing.T) {
+	const (
+		// entries is the number of daemons to which each request is sent.
+		entries = 3
+		// wholeResponses is the number of whole responses after each broken one. With too few of them, servers would count as
+		// failing and get no requests.
+		wholeResponses = 10
+		ok             = "HTTP/1.1 200 OK\r\n"
+		framed         = "Content-Length: 4\r\n\r\nbody"
+	)
+
+	f := startForUploads(t)
+
+	for name, text := range map[string]struct{ before, after string }{
+		"status 000":                    {"HTTP/1.1 000 None\r\n", framed},
+		"status 000 without a length":   {"HTTP/1.1 000 None\r\n", "\r\nbody"},
+		"status 000 in HTTP/1.0":        {"HTTP/1.0 000 None\r\n", framed},
+		"status 000 after an interim":   {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\n", framed},
+		"status 000 before a response":  {"HTTP/1.1 000 None\r\n\r\n" + ok, framed},
+		"blank in a name":               {ok, "X Field: 1\r\n" + framed},
+		"blank in the first name":       {ok + "X Field: 1\r\n", framed},
+		"blank at the end of a name":    {ok, "X-Field : 1\r\n" + framed},
+		"blank at the start of a name":  {ok, " X-Field: 1\r\n" + framed},
+		"tab at the start of a name":    {ok, "\tX-Field: 1\r\n" + framed},
+		"tab in a name":                 {ok, "X\tField: 1\r\n" + framed},
+		"control byte in a name":        {ok, "X\x01Field: 1\r\n" + framed},
+		"zero byte in a name":           {ok, "X\x00Field: 1\r\n" + framed},
+		"carriage return in a name":     {ok, "X\rField: 1\r\n" + framed},
+		"deleted byte in a name":        {ok, "X\x7fField: 1\r\n" + framed},
+		"blank after the length":        {ok, "Content-Length : 4\r\n\r\nbody of another"},
+		"blank in the length":           {ok, "Content Length: 4\r\n\r\nbody of another"},
+		"blank before the length":       {ok, " Content-Length: 4\r\n\r\nbody of another"},
+		"blank after the coding":        {ok, "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		"blank in a name in HTTP/1.0":   {"HTTP/1.0 200 OK\r\n", "X Field: 1\r\n\r\nbody"},
+		"blank in a name of an interim": {"HTTP/1.1 103 Early Hints\r\nContent-Length : 4\r\n\r\n" + ok, framed},
+		"blank in a name of a trailer":  {ok, "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Field: 1\r\n\r\n"},
+		"control byte in a trailer":     {ok, "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX\x01Field: 1\r\n\r\n"},
+	} {
+		for _, host := range []string{orderHost, uploadHost} {
+			t.Run(name+", "+host, func(t *testing.T) {
+				ran := 0
+
+				for entry := range entries {
+					answerWith(f, func(connection *net.TCPConn, header http.Header) {
+						writeMarked(connection, header, text.before, text.after)
+					})
+
+					id, response, body, err := upload(t, f, host, entry, 1)
+					require.NoError(t, err)
+					require.GreaterOrEqual(t, response.StatusCode, http.StatusInternalServerError, body)
+					require.True(t, strings.HasPrefix(body, "{\"title\""), body)
+
+					runs := runsOf(f, id)
+					ran += runs
+
+					if runs > 0 {
+						require.Equal(t, http.StatusBadGateway, response.StatusCode, body)
+					}
+
+					if host == orderHost {
+						require.LessOrEqual(t, runs, 1)
+					}
+
+					answerWith(f, nil)
+
+					for range wholeResponses {
+						_, response, body, err := upload(t, f, host, entry, 1)
+						require.NoError(t, err)
+						require.Equal(t, http.StatusCreated, response.StatusCode, body)
+					}
+				}
+
+				require.Positive(t, ran, "no request has reached a server")
+			})
+		}
+	}
+}
--- a/internal/http1/invalid_test.go
+++ b/internal/http1/invalid_test.go
@@ -89,3 +89,44 @@
 
 	require.EqualValues(t, 1, pool.Dials())
 }
+
+// chunked is the head of a response in chunks.
+const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Guards against a response that counts as whole although its trailer is none, or breaks off.
+func TestInvalidTrailers(t *testing.T) {
+	for name, trailer := range map[string]string{
+		"blank at the end": "X-Field : 1\r\n\r\n", "blank": "X Field: 1\r\n\r\n", "blank at the start": " X-Field: 1\r\n\r\n",
+		"control byte": "X\x01Field: 1\r\n\r\n", "no colon": "X-Field\r\n\r\n", "no name": ": 1\r\n\r\n",
+		"second field":  "X-Field: 1\r\nContent-Length : 4\r\n\r\n",
+		"cut in a name": "X-Fie", "cut after a field": "X-Field: 1\r\n", "missing": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Error(t, readResponse(t.Context(), t, serveText(t, chunked+"4\r\nbody\r\n0\r\n"+trailer)))
+		})
+	}
+}
+
+// Guards against a refusal of the trailers that a server may send.
+func TestTrailers(t *testing.T) {
+	for _, trailer := range []string{"\r\n", "X-Field: 1\r\n\r\n", "X-Field: 1\r\nx~field:\r\n\r\n"} {
+		require.NoError(t, readResponse(t.Context(), t, serveText(t, chunked+"4\r\nbody\r\n0\r\n"+trailer)))
+	}
+}
+
+// serveText returns a pool for a server that answers the first request of each connection with a text, and then ends the
+// connection in order.
+func serveText(t *testing.T, text string) *http1.Pool {
+	t.Helper()
+
+	address, err := raw.Serve(t.Context(), func(accepted net.Conn) {
+		_, _ = accepted.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(accepted, text)
+	})
+	require.NoError(t, err)
+
+	pool := http1.NewPool(address)
+	t.Cleanup(pool.Close)
+
+	return pool
+}
--- a/internal/http1/limit.go
+++ b/internal/http1/limit.go
@@ -18,6 +18,22 @@
 	remaining int
 	// err is the last error of the reader.
 	err error
+	// recording is set while what is read is kept in recorded.
+	recording bool
+	recorded  []byte
+}
+
+// startRecording keeps the bytes of the following reads. Buffered holds those that were read before.
+func (r *limitedReader) startRecording(buffered []byte) {
+	r.recording, r.recorded = true, append([]byte(nil), buffered...)
+}
+
+// stopRecording returns the bytes that were kept, but for a number of them at the end that are still buffered.
+func (r *limitedReader) stopRecording(buffered int) []byte {
+	recorded := r.recorded[:len(r.recorded)-buffered]
+	r.recording, r.recorded = false, nil
+
+	return recorded
 }
 
 // setLimit limits the number of bytes of the following reads; zero means no limit.
@@ -45,5 +61,9 @@
 	r.remaining -= n
 	r.err = err
 
+	if r.recording {
+		r.recorded = append(r.recorded, data[:n]...)
+	}
+
 	return n, err
 }
--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -1,9 +1,12 @@
 package http1
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -14,8 +17,9 @@
 )
 
 // ErrInvalidResponse is returned for bytes that have the form of a response and are none: a status outside 100 to 599,
-// 101 although no upgrade was requested, an interim response with a body, or too many interim responses. What follows
-// them on the connection cannot be assigned to a request, so the connection must be closed.
+// 101 although no upgrade was requested, an interim response with a body, too many interim responses, or a line in the
+// head or the trailer that does not begin with the name of a field. What follows them on the connection cannot be assigned
+// to a request, so the connection must be closed.
 var ErrInvalidResponse = errors.New("invalid response")
 
 // Read returns the next response on the connection, which may be an interim response. It returns ErrHeadTooLarge if the
@@ -25,11 +29,15 @@
 		c.input.setLimit(c.pool.maxHead)
 	}
 
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.input.startRecording(buffered)
+
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	head := c.input.stopRecording(c.reader.Buffered())
 
 	switch {
 	case err == nil:
-		err = c.checkResponse(response)
+		err = c.checkResponse(response, head)
 	case errors.Is(c.input.err, ErrHeadTooLarge):
 		// The parser may report an incomplete head as a malformed one.
 		err = ErrHeadTooLarge
@@ -41,13 +49,43 @@
 
 	if response.StatusCode >= http.StatusOK {
 		c.input.clearLimit()
+
+		if len(response.TransferEncoding) > 0 {
+			response.Body = &trailedBody{ReadCloser: response.Body, response: response}
+		}
 	}
 
 	return response, nil
 }
 
-// checkResponse returns ErrInvalidResponse unless a response may follow the earlier ones of the connection.
-func (c *ClientConn) checkResponse(response *http.Response) error {
+// trailedBody is the body of a response in chunks, which may have a trailer after it.
+type trailedBody struct {
+	io.ReadCloser
+
+	response *http.Response
+}
+
+// Read implements io.Reader. At the end of the body, it returns ErrInvalidResponse if the trailer has an invalid field.
+func (b *trailedBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if err == io.EOF { //nolint:errorlint // The parser returns it unwrapped
+		for name := range b.response.Trailer {
+			if !httpguts.ValidHeaderFieldName(name) {
+				return n, errors.Wrapf(ErrInvalidResponse, "field %q of the trailer", name)
+			}
+		}
+	}
+
+	return n, err //nolint:wrapcheck // The error is that of the parser.
+}
+
+// checkResponse returns ErrInvalidResponse unless a response may follow the earlier ones of the connection and its head is
+// unambiguous.
+func (c *ClientConn) checkResponse(response *http.Response, head []byte) error {
+	if err := checkFieldLines(head); err != nil {
+		return err
+	}
+
 	status := response.StatusCode
 
 	switch {
@@ -68,6 +106,27 @@
 	return nil
 }
 
+// checkFieldLines returns ErrInvalidResponse unless each line of a head after the first begins with the name of a field. The
+// parser accepts names with blanks as other fields, so that it overlooks a length, for example, and takes a line that begins
+// with a blank for a part of the line before (RFC 9112, sections 5.1 and 5.2).
+func checkFieldLines(head []byte) error {
+	_, fields, _ := bytes.Cut(head, newline)
+
+	for line := range bytes.Lines(fields) {
+		name, _, _ := bytes.Cut(line, colon)
+		if len(bytes.TrimRight(line, "\r\n")) > 0 && !httpguts.ValidHeaderFieldName(string(name)) {
+			return errors.Wrapf(ErrInvalidResponse, "field %q", name)
+		}
+	}
+
+	return nil
+}
+
+var (
+	newline = []byte{'\n'}
+	colon   = []byte{':'}
+)
+
 // statesBody reports whether the head of an interim response states a body. The parser ignores such a statement.
 func statesBody(response *http.Response) bool {
 	length := response.Header.Get("Content-Length")
