http1: refuse responses in HTTP/1.0 that state a transfer coding

Seen by callers: a body that is not the server's. A response in HTTP/1.0 with the field Transfer-Encoding reached the caller with the sizes of its chunks as a part of the body.

Cause: the parser of net/http removes this field from a message in HTTP/1.0 and ignores it. HTTP/1.0 has no transfer codings; RFC 9112, section 6.1, wants the framing of such a message to be treated as faulty.

Change: the check of the lines of a head refuses the field there. Responses in HTTP/1.0 with a length, or a body that ends with the connection, are accepted as before (TestResponseBeforeEndOfUpload).

--- a/internal/daemon/broken_answer_test.go
+++ b/internal/daemon/broken_answer_test.go
@@ -211,6 +211,8 @@
 		"blank in the length":           {ok, "Content Length: 4\r\n\r\nbody of another"},
 		"blank before the length":       {ok, " Content-Length: 4\r\n\r\nbody of another"},
 		"blank after the coding":        {ok, "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		"coding in HTTP/1.0":            {"HTTP/1.0 200 OK\r\n", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		"coding and length in HTTP/1.0": {"HTTP/1.0 200 OK\r\n", "transfer-encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
 		"blank in a name in HTTP/1.0":   {"HTTP/1.0 200 OK\r\n", "X Field: 1\r\n\r\nbody"},
 		"blank in a name of an interim": {"HTTP/1.1 103 Early Hints\r\nContent-Length : 4\r\n\r\n" + ok, framed},
 		"blank in a name of a trailer":  {ok, "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Field: 1\r\n\r\n"},
--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -17,9 +17,9 @@
 )
 
 // ErrInvalidResponse is returned for bytes that have the form of a response and are none: a status outside 100 to 599,
-// 101 although no upgrade was requested, an interim response with a body, too many interim responses, or a line in the
-// head or the trailer that does not begin with the name of a field. What follows them on the connection cannot be assigned
-// to a request, so the connection must be closed.
+// 101 although no upgrade was requested, an interim response with a body, too many interim responses, a transfer coding in
+// HTTP/1.0, or a line in the head or the trailer that does not begin with the name of a field. What follows them on the
+// connection cannot be assigned to a request, so the connection must be closed.
 var ErrInvalidResponse = errors.New("invalid response")
 
 // Read returns the next response on the connection, which may be an interim response. It returns ErrHeadTooLarge if the
@@ -82,7 +82,7 @@
 // checkResponse returns ErrInvalidResponse unless a response may follow the earlier ones of the connection and its head is
 // unambiguous.
 func (c *ClientConn) checkResponse(response *http.Response, head []byte) error {
-	if err := checkFieldLines(head); err != nil {
+	if err := checkFieldLines(response, head); err != nil {
 		return err
 	}
 
@@ -108,8 +108,9 @@
 
 // checkFieldLines returns ErrInvalidResponse unless each line of a head after the first begins with the name of a field. The
 // parser accepts names with blanks as other fields, so that it overlooks a length, for example, and takes a line that begins
-// with a blank for a part of the line before (RFC 9112, sections 5.1 and 5.2).
-func checkFieldLines(head []byte) error {
+// with a blank for a part of the line before (RFC 9112, sections 5.1 and 5.2). It also ignores a transfer coding in HTTP/1.0,
+// which has none, so that the framing of the body is faulty (section 6.1).
+func checkFieldLines(response *http.Response, head []byte) error {
 	_, fields, _ := bytes.Cut(head, newline)
 
 	for line := range bytes.Lines(fields) {
@@ -117,14 +118,19 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 && !httpguts.ValidHeaderFieldName(string(name)) {
 			return errors.Wrapf(ErrInvalidResponse, "field %q", name)
 		}
+
+		if bytes.EqualFold(name, transferEncoding) && !response.ProtoAtLeast(1, 1) {
+			return errors.Wrapf(ErrInvalidResponse, "%s with a transfer coding", response.Proto)
+		}
 	}
 
 	return nil
 }
 
 var (
-	newline = []byte{'\n'}
-	colon   = []byte{':'}
+	newline          = []byte{'\n'}
+	colon            = []byte{':'}
+	transferEncoding = []byte("Transfer-Encoding")
 )
 
 // statesBody reports whether the head of an interim response states a body. The parser ignores such a statement.
