--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/tarragonmill/tarragonmill/internal/httpheader"
 )
 
 const (
@@ -69,10 +71,8 @@
 func (b *trailedBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	if err == io.EOF { //nolint:errorlint // The parser returns it unwrapped
-		for name := range b.response.Trailer {
-			if !httpguts.ValidHeaderFieldName(name) {
-				return n, errors.Wrapf(ErrInvalidResponse, "field %q of the trailer", name)
-			}
+		if name, found := httpheader.InvalidName(b.response.Trailer); found {
+			return n, errors.Wrapf(ErrInvalidResponse, "field %q of the trailer", name)
 		}
 	}
 
--- a/internal/httpheader/httpheader.go
+++ b/internal/httpheader/httpheader.go
@@ -1,10 +1,12 @@
-// Package httpheader removes the header fields that an intermediary must not forward.
+// Package httpheader removes the header fields that an intermediary must not forward, and finds names that are none.
 package httpheader
 
 import (
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Prefix is the prefix of the names of the project's own header fields, such as those of the protocol between daemons.
@@ -51,3 +53,14 @@
 		to[name] = append(to[name], values...)
 	}
 }
+
+// InvalidName returns a name in a header that is not that of a field, such as one with a blank, and false if there is none.
+func InvalidName(header http.Header) (string, bool) {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return name, true
+		}
+	}
+
+	return "", false
+}
