backend: test of resets without an upload

The read gets the reset, and a part of a body without a length is refused. 80 requests and 80 probes, resets at four moments.

--- a/internal/backend/early_answer_test.go
+++ b/internal/backend/early_answer_test.go
@@ -124,6 +124,31 @@
 	}
 }
 
+// TestResetWithoutUpload guards against a part of a response to a request without a large body, or to a probe, that looks
+// whole after a reset.
+func TestResetWithoutUpload(t *testing.T) {
+	const rounds = 20
+
+	for _, delay := range moments {
+		t.Run(fmt.Sprintf("reset after %v", delay), func(t *testing.T) {
+			s := serveEarly(t, unframedHead+"part", resetAfter(delay))
+			health := serveEarly(t, "HTTP/1.1 200 OK\r\nInstance-Id: i\r\n\r\npart", resetAfter(delay))
+
+			for range rounds {
+				response, err := s.Do(t.Context(), order("a1", true))
+				if err == nil {
+					_, err = io.ReadAll(response.Body)
+				}
+
+				require.Error(t, err)
+
+				_, err = health.Probe(t.Context(), "/health")
+				require.Error(t, err)
+			}
+		})
+	}
+}
+
 // TestResetDiscardsEnd guards against a part of a response that looks whole because the server has ended the connection,
 // although a reset has discarded the rest and the end before they were sent.
 func TestResetDiscardsEnd(t *testing.T) {
