--- a/internal/attempt/decode_reply.go
+++ b/internal/attempt/decode_reply.go
@@ -1,10 +1,9 @@
 package attempt
 
 import (
-	"net/http"
-
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonmill/tarragonmill/internal/http1"
 	"github.com/tarragonmill/tarragonmill/internal/instance"
 	"github.com/tarragonmill/tarragonmill/internal/load"
 	"github.com/tarragonmill/tarragonmill/internal/request"
@@ -63,10 +62,5 @@
 	return reply, fields.err
 }
 
-// maxStatus is the largest status of a response (RFC 9110, section 15).
-const maxStatus = 599
-
 // validStatus reports whether a reply may state a status: that of a final response, or zero for a refusal.
-func validStatus(status int) bool {
-	return status == 0 || status >= http.StatusOK && status <= maxStatus
-}
+func validStatus(status int) bool { return status == 0 || http1.IsFinal(status) }
--- a/internal/attempt/decode_reply_test.go
+++ b/internal/attempt/decode_reply_test.go
@@ -9,6 +9,9 @@
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
+// maxStatus is the largest status of a response (RFC 9110, section 15).
+const maxStatus = 599
+
 // TestReplyStatus guards against a status from another daemon that is sent to a caller although it is none of a final
 // response.
 func TestReplyStatus(t *testing.T) {
--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -79,6 +79,9 @@
 	return n, err //nolint:wrapcheck // The error is that of the parser.
 }
 
+// IsFinal reports whether a status is that of a final response.
+func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // checkResponse returns ErrInvalidResponse unless a response may follow the earlier ones of the connection and its head is
 // unambiguous.
 func (c *ClientConn) checkResponse(response *http.Response, head []byte) error {
@@ -89,12 +92,12 @@
 	status := response.StatusCode
 
 	switch {
-	case status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
-		return errors.Wrapf(ErrInvalidResponse, "status %03d", status)
-	case status >= http.StatusOK:
+	case IsFinal(status):
 		c.interim = 0
 
 		return nil
+	case status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
+		return errors.Wrapf(ErrInvalidResponse, "status %03d", status)
 	case statesBody(response):
 		return errors.Wrapf(ErrInvalidResponse, "status %d with a body", status)
 	}
