standin/raw: one stand-in for responses before the end of a request

Four tests had the same server, and three of them the same ways to end a connection. They use raw.ServeResponse, raw.End and raw.ResetAfter now.

--- a/internal/attempt/broken_reply_test.go
+++ b/internal/attempt/broken_reply_test.go
@@ -1,11 +1,9 @@
 package attempt_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -19,20 +17,12 @@
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
 )
 
-// servePeer starts a process at the address of a daemon that reads the head of a request, sends a response before it has
-// read the body, and then ends the connection with end.
+// servePeer starts a process at the address of a daemon that sends a response before it has read the body of a request, and
+// then ends the connection with end.
 func servePeer(t *testing.T, response string, end func(*net.TCPConn)) netip.AddrPort {
 	t.Helper()
 
-	address, err := raw.Serve(t.Context(), func(accepted net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(accepted)); err != nil {
-			return
-		}
-
-		_, _ = io.WriteString(accepted, response)
-
-		end(accepted.(*net.TCPConn))
-	})
+	address, err := raw.ServeResponse(t.Context(), response, end)
 	require.NoError(t, err)
 
 	return address
@@ -53,11 +43,7 @@
 	for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
 		for _, delay := range []time.Duration{0, 100 * time.Microsecond, time.Millisecond, 5 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%q, reset after %v", interim, delay), func(t *testing.T) {
-				peer := servePeer(t, interim+replyHead("200 OK")+"\r\npart", func(connection *net.TCPConn) {
-					time.Sleep(delay)
-
-					_ = connection.SetLinger(0)
-				})
+				peer := servePeer(t, interim+replyHead("200 OK")+"\r\npart", raw.ResetAfter(delay))
 				client := newClient(t, fleetKey)
 
 				call := newCall(manifest.Idempotent)
@@ -110,7 +96,7 @@
 		"blank in a trailer":         replyHead("200 OK") + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Field: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			peer := servePeer(t, text, func(connection *net.TCPConn) { _ = connection.CloseWrite() })
+			peer := servePeer(t, text, raw.End)
 
 			_, err := readReply(t, newClient(t, fleetKey), peer, newCall(manifest.Idempotent))
 			require.Error(t, err)
@@ -131,7 +117,7 @@
 		"interim":                "HTTP/1.1 103 Early Hints\r\nX Field: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			peer := servePeer(t, head+"\r\n"+whole, func(connection *net.TCPConn) { _ = connection.CloseWrite() })
+			peer := servePeer(t, head+"\r\n"+whole, raw.End)
 
 			_, err := newClient(t, fleetKey).FetchConfiguration(t.Context(), peer, 8, store.Position{})
 			require.Error(t, err)
--- a/internal/backend/early_answer_test.go
+++ b/internal/backend/early_answer_test.go
@@ -1,11 +1,9 @@
 package backend_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 	"github.com/tarragonmill/tarragonmill/platform"
 )
 
@@ -34,29 +33,15 @@
 	return call
 }
 
-// serveEarly starts a server that reads the head of a request, sends a response and then ends the connection with end.
+// serveEarly starts a server that sends a response before it has read the body of a request, and then ends the connection
+// with end.
 func serveEarly(t *testing.T, response string, end func(*net.TCPConn)) *backend.Server {
 	t.Helper()
 
-	return newServer(t, serveConnections(t, func(connection net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
-			return
-		}
-
-		_, _ = io.WriteString(connection, response)
-
-		end(connection.(*net.TCPConn))
-	}), platform.Dialect())
-}
-
-// resetAfter returns a function that resets a connection after a delay.
-func resetAfter(delay time.Duration) func(*net.TCPConn) {
-	return func(connection *net.TCPConn) {
-		time.Sleep(delay)
+	address, err := raw.ServeResponse(t.Context(), response, end)
+	require.NoError(t, err)
 
-		_ = connection.SetLinger(0)
-		_ = connection.Close()
-	}
+	return newServer(t, address.String(), platform.Dialect())
 }
 
 // endThenReset returns a function that ends a connection in order and resets it after a delay.
@@ -64,7 +49,7 @@
 	return func(connection *net.TCPConn) {
 		_ = connection.CloseWrite()
 
-		resetAfter(delay)(connection)
+		raw.ResetAfter(delay)(connection)
 	}
 }
 
@@ -75,12 +60,6 @@
 	time.Sleep(2 * time.Second)
 }
 
-// endAfterReading ends a connection in order and reads the rest of the request.
-func endAfterReading(connection *net.TCPConn) {
-	_ = connection.CloseWrite()
-	_, _ = io.Copy(io.Discard, connection)
-}
-
 // receiveLater sends an upload, waits before it reads the body of the response, and returns the body.
 func receiveLater(t *testing.T, s *backend.Server, wait time.Duration) (string, error) {
 	t.Helper()
@@ -108,7 +87,7 @@
 		for _, wait := range moments {
 			for _, part := range []int{0, 100, 100 << 10} {
 				t.Run(fmt.Sprintf("reset after %v, read after %v, %d bytes", delay, wait, part), func(t *testing.T) {
-					s := serveEarly(t, unframedHead+strings.Repeat("x", part), resetAfter(delay))
+					s := serveEarly(t, unframedHead+strings.Repeat("x", part), raw.ResetAfter(delay))
 					whole := 0
 
 					for range rounds {
@@ -131,8 +110,8 @@
 
 	for _, delay := range moments {
 		t.Run(fmt.Sprintf("reset after %v", delay), func(t *testing.T) {
-			s := serveEarly(t, unframedHead+"part", resetAfter(delay))
-			health := serveEarly(t, "HTTP/1.1 200 OK\r\nInstance-Id: i\r\n\r\npart", resetAfter(delay))
+			s := serveEarly(t, unframedHead+"part", raw.ResetAfter(delay))
+			health := serveEarly(t, "HTTP/1.1 200 OK\r\nInstance-Id: i\r\n\r\npart", raw.ResetAfter(delay))
 
 			for range rounds {
 				response, err := s.Do(t.Context(), order("a1", true))
@@ -198,9 +177,9 @@
 
 	tests := map[string]test{
 		"unframed, upload is not read":      {unframed, endWithoutReading},
-		"unframed, upload is read":          {unframed, endAfterReading},
+		"unframed, upload is read":          {unframed, raw.End},
 		"HTTP/1.0, upload is not read":      {old, endWithoutReading},
-		"HTTP/1.0, upload is read":          {old, endAfterReading},
+		"HTTP/1.0, upload is read":          {old, raw.End},
 		"HTTP/1.0 with length, not read":    {strings.Replace(framed, "HTTP/1.1", "HTTP/1.0", 1), endWithoutReading},
 		"interim and unframed, is not read": {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + unframed, endWithoutReading},
 	}
@@ -208,8 +187,8 @@
 	for _, delay := range moments {
 		tests[fmt.Sprintf("unframed, reset %v after the end", delay)] = test{unframed, endThenReset(delay)}
 		tests[fmt.Sprintf("HTTP/1.0, reset %v after the end", delay)] = test{old, endThenReset(delay)}
-		tests[fmt.Sprintf("length, reset after %v", delay)] = test{framed, resetAfter(delay)}
-		tests[fmt.Sprintf("chunked, reset after %v", delay)] = test{chunked, resetAfter(delay)}
+		tests[fmt.Sprintf("length, reset after %v", delay)] = test{framed, raw.ResetAfter(delay)}
+		tests[fmt.Sprintf("chunked, reset after %v", delay)] = test{chunked, raw.ResetAfter(delay)}
 	}
 
 	for name, test := range tests {
--- a/internal/backend/field_name_test.go
+++ b/internal/backend/field_name_test.go
@@ -3,29 +3,15 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonmill/tarragonmill/internal/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 	"github.com/tarragonmill/tarragonmill/pkg/verdict"
-	"github.com/tarragonmill/tarragonmill/platform"
 )
 
-// serveText starts a server that answers the first request of each connection with a text, and then ends the connection in
-// order.
-func serveText(t *testing.T, text string) *backend.Server {
-	t.Helper()
-
-	return newServer(t, serveConnections(t, func(connection net.Conn) {
-		_, _ = connection.Read(make([]byte, 4<<10))
-		_, _ = io.WriteString(connection, text)
-		_ = connection.(*net.TCPConn).CloseWrite()
-		_, _ = io.Copy(io.Discard, connection)
-	}), platform.Dialect())
-}
-
 // wrongNames returns spellings of the name of a field that hold a blank or a control byte, by a description.
 func wrongNames(name string) map[string]string {
 	wrong := make(map[string]string)
@@ -63,7 +49,7 @@
 				"refusal": "HTTP/1.1 503 No\r\n" + marked + "Not-Executed: 1\r\n" + line + "\r\n" + framing.body,
 				"interim": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n" + marked + "Content-Length: 0\r\n\r\n",
 			} {
-				requireRefused(t, serveText(t, text), place+", "+description)
+				requireRefused(t, serveEarly(t, text, raw.End), place+", "+description)
 			}
 		}
 	}
@@ -91,7 +77,7 @@
 			"interim": "HTTP/1.1 103 Early Hints\r\n" + name + ": 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 			"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + name + ": 1\r\n\r\n",
 		} {
-			_, err := serveText(t, text).Probe(t.Context(), "/health")
+			_, err := serveEarly(t, text, raw.End).Probe(t.Context(), "/health")
 			require.Error(t, err, "%s, %s", place, description)
 		}
 	}
--- a/internal/http1/invalid_test.go
+++ b/internal/http1/invalid_test.go
@@ -119,10 +119,7 @@
 func serveText(t *testing.T, text string) *http1.Pool {
 	t.Helper()
 
-	address, err := raw.Serve(t.Context(), func(accepted net.Conn) {
-		_, _ = accepted.Read(make([]byte, 4<<10))
-		_, _ = io.WriteString(accepted, text)
-	})
+	address, err := raw.ServeResponse(t.Context(), text, raw.End)
 	require.NoError(t, err)
 
 	pool := http1.NewPool(address)
--- a/internal/http1/limit.go
+++ b/internal/http1/limit.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -11,7 +12,7 @@
 var ErrHeadTooLarge = errors.New("head of the message is too large")
 
 // limitedReader returns ErrHeadTooLarge once it has read as many bytes as setLimit allows. It is necessary because the
-// head parser of net/http has no limit.
+// head parser of net/http has no limit. It can keep the bytes of a head, because the parser does not show all of them.
 type limitedReader struct {
 	reader    io.Reader
 	limited   bool
@@ -25,10 +26,10 @@
 
 // startRecording keeps the bytes of the following reads. Buffered holds those that were read before.
 func (r *limitedReader) startRecording(buffered []byte) {
-	r.recording, r.recorded = true, append([]byte(nil), buffered...)
+	r.recording, r.recorded = true, bytes.Clone(buffered)
 }
 
-// stopRecording returns the bytes that were kept, but for a number of them at the end that are still buffered.
+// stopRecording returns the bytes that were kept, except for the given number at their end, which are still buffered.
 func (r *limitedReader) stopRecording(buffered int) []byte {
 	recorded := r.recorded[:len(r.recorded)-buffered]
 	r.recording, r.recorded = false, nil
--- a/internal/standin/raw/raw.go
+++ b/internal/standin/raw/raw.go
@@ -2,12 +2,15 @@
 package raw
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"runtime"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -43,6 +46,38 @@
 	return address, errors.Wrap(err, "address of the listener")
 }
 
+// ServeResponse starts a server as Serve does. It reads the head of one request on each connection, sends a response before it
+// reads the body, and then ends the connection with end.
+func ServeResponse(ctx context.Context, response string, end func(*net.TCPConn)) (netip.AddrPort, error) {
+	return Serve(ctx, func(connection net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
+			return
+		}
+
+		_, _ = io.WriteString(connection, response)
+
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			end(tcp)
+		}
+	})
+}
+
+// End ends a connection in order, and reads what the peer still sends.
+func End(connection *net.TCPConn) {
+	_ = connection.CloseWrite()
+	_, _ = io.Copy(io.Discard, connection)
+}
+
+// ResetAfter returns a function that resets a connection after a delay.
+func ResetAfter(delay time.Duration) func(*net.TCPConn) {
+	return func(connection *net.TCPConn) {
+		time.Sleep(delay)
+
+		_ = connection.SetLinger(0)
+		_ = connection.Close()
+	}
+}
+
 func serveOne(ctx context.Context, connection net.Conn, serve func(connection net.Conn)) {
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
