tcp: the peer of the tests waits for a byte before it ends the connection

The peer reset the connection as soon as it had accepted it, so that connecting could get the reset in place of the write that the test is about. The peer now waits for the first byte of that write. The checks are the same.

--- a/internal/tcp/tcp_test.go
+++ b/internal/tcp/tcp_test.go
@@ -13,11 +13,12 @@
 	"github.com/tarragonmill/tarragonmill/internal/tcp"
 )
 
-// dial connects to a peer that sends "part" and then ends the connection with end.
+// dial connects to a peer that waits for a byte, sends "part" and then ends the connection with end.
 func dial(t *testing.T, end func(*net.TCPConn)) *tcp.Conn {
 	t.Helper()
 
 	address, err := raw.Serve(t.Context(), func(accepted net.Conn) {
+		_, _ = accepted.Read(make([]byte, 1))
 		_, _ = io.WriteString(accepted, "part")
 
 		end(accepted.(*net.TCPConn))
