--- a/internal/tcp/tcp_test.go
+++ b/internal/tcp/tcp_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 	"github.com/tarragonmill/tarragonmill/internal/tcp"
@@ -89,6 +90,48 @@
 	require.Less(t, time.Since(started), time.Second)
 }
 
+// Guards against an end that is misjudged because the kernel has given up the connection, whose peer does not read, before the
+// end is read: one in order that counts as broken, and none that counts as one.
+func TestConnectionGivenUp(t *testing.T) {
+	const unackedTimeout = 100 // milliseconds
+
+	for name, test := range map[string]struct {
+		end     func(*net.TCPConn)
+		inOrder bool
+	}{
+		"after the end":   {end: func(connection *net.TCPConn) { _ = connection.CloseWrite() }, inOrder: true},
+		"without the end": {end: func(*net.TCPConn) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan struct{})
+			defer close(done)
+
+			c := dial(t, func(connection *net.TCPConn) {
+				test.end(connection)
+
+				<-done
+			})
+
+			socket, err := c.NetConn().(*net.TCPConn).SyscallConn()
+			require.NoError(t, err)
+			require.NoError(t, socket.Control(func(fd uintptr) {
+				require.NoError(t, unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedTimeout))
+			}))
+
+			require.ErrorIs(t, writeAll(c), syscall.ETIMEDOUT)
+
+			data, err := io.ReadAll(c)
+			require.Equal(t, "part", string(data))
+
+			if test.inOrder {
+				require.NoError(t, err)
+			} else {
+				require.ErrorIs(t, err, tcp.ErrBroken)
+			}
+		})
+	}
+}
+
 // failingConn is a connection that has ended, and whose writes fail with an error.
 type failingConn struct {
 	net.Conn
