backend: tests of wrong field names close their servers

TestWrongFieldName and TestHealthWithWrongFieldName kept more than 1,500 listeners open until their end, more than some systems allow a process. Each spelling has a subtest now.

--- a/internal/backend/field_name_test.go
+++ b/internal/backend/field_name_test.go
@@ -40,23 +40,25 @@
 		"X-Field":           {"1", "body"},
 	} {
 		for description, name := range wrongNames(field) {
-			line := name + ": " + framing.value + "\r\n"
+			t.Run(description, func(t *testing.T) {
+				line := name + ": " + framing.value + "\r\n"
 
-			for place, text := range map[string]string{
-				"first":   "HTTP/1.1 200 OK\r\n" + line + marked + "\r\n" + framing.body,
-				"last":    "HTTP/1.1 200 OK\r\n" + marked + line + "\r\n" + framing.body,
-				"old":     "HTTP/1.0 200 OK\r\n" + marked + line + "\r\n" + framing.body,
-				"refusal": "HTTP/1.1 503 No\r\n" + marked + "Not-Executed: 1\r\n" + line + "\r\n" + framing.body,
-				"interim": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n" + marked + "Content-Length: 0\r\n\r\n",
-			} {
-				requireRefused(t, serveEarly(t, text, raw.End), place+", "+description)
-			}
+				for place, text := range map[string]string{
+					"first":   "HTTP/1.1 200 OK\r\n" + line + marked + "\r\n" + framing.body,
+					"last":    "HTTP/1.1 200 OK\r\n" + marked + line + "\r\n" + framing.body,
+					"old":     "HTTP/1.0 200 OK\r\n" + marked + line + "\r\n" + framing.body,
+					"refusal": "HTTP/1.1 503 No\r\n" + marked + "Not-Executed: 1\r\n" + line + "\r\n" + framing.body,
+					"interim": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n" + marked + "Content-Length: 0\r\n\r\n",
+				} {
+					requireRefused(t, serveEarly(t, text, raw.End), place)
+				}
+			})
 		}
 	}
 }
 
 // requireRefused requires that no response of a server answers a request, and that the request may have run.
-func requireRefused(t *testing.T, s *backend.Server, description string) {
+func requireRefused(t *testing.T, s *backend.Server, place string) {
 	t.Helper()
 
 	response, err := s.Do(t.Context(), order("a1", true))
@@ -65,20 +67,22 @@
 		_ = response.Body.Close()
 	}
 
-	require.Error(t, err, description)
-	require.Equal(t, verdict.MayHaveRun, verdict.Of(err), description)
+	require.Error(t, err, place)
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err), place)
 }
 
 // TestHealthWithWrongFieldName guards against a server that counts as healthy by a response that is none.
 func TestHealthWithWrongFieldName(t *testing.T) {
 	for description, name := range wrongNames("X-Field") {
-		for place, text := range map[string]string{
-			"head":    "HTTP/1.1 200 OK\r\nInstance-Id: i\r\n" + name + ": 1\r\nContent-Length: 0\r\n\r\n",
-			"interim": "HTTP/1.1 103 Early Hints\r\n" + name + ": 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-			"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + name + ": 1\r\n\r\n",
-		} {
-			_, err := serveEarly(t, text, raw.End).Probe(t.Context(), "/health")
-			require.Error(t, err, "%s, %s", place, description)
-		}
+		t.Run(description, func(t *testing.T) {
+			for place, text := range map[string]string{
+				"head":    "HTTP/1.1 200 OK\r\nInstance-Id: i\r\n" + name + ": 1\r\nContent-Length: 0\r\n\r\n",
+				"interim": "HTTP/1.1 103 Early Hints\r\n" + name + ": 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+				"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + name + ": 1\r\n\r\n",
+			} {
+				_, err := serveEarly(t, text, raw.End).Probe(t.Context(), "/health")
+				require.Error(t, err, place)
+			}
+		})
 	}
 }
