fleet: a port for other daemons is free for datagrams as well

Cause: the peer socket of a daemon is opened at a port that the system chooses as free for connections, and the socket for datagrams at the same port, at which another process may receive them: a daemon of another test that runs at the same time or is just stopping.

Change: a fleet tries another port then. Daemons that are started by settings have given addresses, and are not changed.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -147,19 +148,52 @@
 
 // openSockets opens the sockets of a daemon at the given addresses. An address that is not set gets a free port.
 func openSockets(ctx context.Context, at settings.Listen) (daemon.Sockets, error) {
-	for _, address := range []*netip.AddrPort{&at.Caller, &at.Peer, &at.Ready, &at.Announce, &at.Admin} {
+	var sockets daemon.Sockets
+
+	if !at.Peer.IsValid() {
+		if err := openPeerSockets(ctx, &sockets); err != nil {
+			return daemon.Sockets{}, err
+		}
+	}
+
+	for _, address := range []*netip.AddrPort{&at.Caller, &at.Ready, &at.Announce, &at.Admin} {
 		if !address.IsValid() {
 			*address = freePort()
 		}
 	}
 
-	var sockets daemon.Sockets
-
 	err := sockets.Open(ctx, at)
 
 	return sockets, err
 }
 
+// maxPortTries is the largest number of ports that are tried for the sockets for other daemons.
+const maxPortTries = 20
+
+// openPeerSockets opens the sockets for other daemons at a port that is free for both of them. The system chooses one that is
+// free for connections, at which another process may receive datagrams.
+func openPeerSockets(ctx context.Context, sockets *daemon.Sockets) error {
+	var failed error
+
+	for range maxPortTries {
+		listener, err := listen(ctx, netip.AddrPort{})
+		if err != nil {
+			return err
+		}
+
+		beats, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addressOf(listener)))
+		if err == nil {
+			sockets.Peer, sockets.Beats = listener, beats
+
+			return nil
+		}
+
+		failed = errors.CombineErrors(err, listener.Close())
+	}
+
+	return errors.Wrap(failed, "listen for datagrams")
+}
+
 func (f *Fleet) settings(i *Instance, sockets daemon.Sockets) settings.Settings {
 	result := settings.Settings{
 		ID: i.Node.ID, Service: i.Node.Service, Place: i.Node.Place,
