--- a/internal/daemon/broken_answer_test.go
+++ b/internal/daemon/broken_answer_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/tarragonmill/tarragonmill/internal/fleet"
 	"github.com/tarragonmill/tarragonmill/internal/standin/backend"
+	"github.com/tarragonmill/tarragonmill/internal/standin/raw"
 	"github.com/tarragonmill/tarragonmill/platform"
 )
 
@@ -126,10 +127,7 @@
 		for _, part := range []int{100, 1 << 20} {
 			reset := func(connection *net.TCPConn, header http.Header) {
 				writeUnframed(connection, header, strings.Repeat("x", part))
-
-				time.Sleep(delay)
-
-				_ = connection.SetLinger(0)
+				raw.ResetAfter(delay)(connection)
 			}
 
 			for _, host := range []string{orderHost, uploadHost} {
@@ -169,8 +167,8 @@
 
 	for name, end := range map[string]func(*net.TCPConn){
 		"upload is not read":  func(*net.TCPConn) { time.Sleep(time.Second) },
-		"upload is read":      func(connection *net.TCPConn) { _, _ = io.Copy(io.Discard, connection) },
-		"reset after the end": func(connection *net.TCPConn) { _ = connection.SetLinger(0) },
+		"upload is read":      raw.End,
+		"reset after the end": raw.ResetAfter(0),
 	} {
 		const body = "taken"
 
--- a/internal/tcp/tcp_test.go
+++ b/internal/tcp/tcp_test.go
@@ -44,7 +44,7 @@
 
 // Guards against a reset that a read takes for the end of the connection because a write has reported it.
 func TestResetReportedByWrite(t *testing.T) {
-	c := dial(t, func(connection *net.TCPConn) { _ = connection.SetLinger(0) })
+	c := dial(t, raw.ResetAfter(0))
 
 	require.ErrorIs(t, writeAll(c), syscall.ECONNRESET)
 
@@ -58,9 +58,7 @@
 	c := dial(t, func(connection *net.TCPConn) {
 		_ = connection.CloseWrite()
 
-		time.Sleep(time.Millisecond)
-
-		_ = connection.SetLinger(0)
+		raw.ResetAfter(time.Millisecond)(connection)
 	})
 
 	require.ErrorIs(t, writeAll(c), syscall.EPIPE)
