attempt: tests of answers to handovers, and of resets of fetched configurations

TestResetDuringFetch, 80 fetches with resets at four moments: none of the parts was taken for a configuration, before and now.

--- a/internal/attempt/broken_reply_test.go
+++ b/internal/attempt/broken_reply_test.go
@@ -125,3 +125,43 @@
 		})
 	}
 }
+
+// TestResetDuringFetch guards against a part of a configuration that looks whole because its connection was reset.
+func TestResetDuringFetch(t *testing.T) {
+	const rounds = 20
+
+	whole := string(attempt.EncodeConfiguration(attempt.Configuration{Version: 9, Record: []byte("record")}))
+
+	for _, delay := range []time.Duration{0, 100 * time.Microsecond, time.Millisecond, 5 * time.Millisecond} {
+		t.Run(fmt.Sprintf("reset after %v", delay), func(t *testing.T) {
+			peer := servePeer(t, "HTTP/1.1 200 OK\r\n\r\n"+whole, raw.ResetAfter(delay))
+			client := newClient(t, fleetKey)
+
+			for range rounds {
+				_, err := client.FetchConfiguration(t.Context(), peer, 8, store.Position{})
+				require.Error(t, err)
+			}
+		})
+	}
+}
+
+// TestBrokenHandoverAnswers guards against a part of a key table that counts as delivered by an invalid response.
+func TestBrokenHandoverAnswers(t *testing.T) {
+	const empty = "Content-Length: 0\r\n\r\n"
+
+	for name, text := range map[string]string{
+		"status 000":                 "HTTP/1.1 000 None\r\n" + empty,
+		"status 000 before another":  "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n" + empty,
+		"blank in a name":            "HTTP/1.1 200 OK\r\nX Field: 1\r\n" + empty,
+		"blank at the start":         "HTTP/1.1 200 OK\r\nX-Other: 1\r\n X-Field: 1\r\n" + empty,
+		"control byte in a name":     "HTTP/1.1 200 OK\r\nX\x01Field: 1\r\n" + empty,
+		"blank in a name of interim": "HTTP/1.1 103 Early Hints\r\nX Field: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + empty,
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Error(t, newClient(t, fleetKey).SendHandover(t.Context(), servePeer(t, text, raw.End), []byte("{}")))
+		})
+	}
+
+	require.NoError(t, newClient(t, fleetKey).SendHandover(
+		t.Context(), servePeer(t, "HTTP/1.1 200 OK\r\n"+empty, raw.End), []byte("{}")))
+}
